--- /dev/null
+++ b/crates/mustardway_gate/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder prose.
--- /dev/null
+++ b/crates/mustardway_types/src/domain.rs
@@ -0,0 +1,6 @@
+//! Failure domains.
+
+crate::name::define! {
+    /// Name of a failure domain.
+    Name
+}
--- /dev/null
+++ b/crates/mustardway_types/src/service.rs
@@ -0,0 +1,6 @@
+//! Services.
+
+crate::name::define! {
+    /// Name of a service.
+    Name
+}
--- /dev/null
+++ b/crates/mustardway_types/src/target.rs
@@ -0,0 +1,6 @@
+//! Targets.
+
+crate::name::define! {
+    /// Name of a target, unique in the whole configuration.
+    Id
+}
--- /dev/null
+++ b/crates/mustardway_types/src/time.rs
@@ -0,0 +1,132 @@
+//! Points and lengths of time. The decision crates get every point of time
+//! as an argument and never read a clock.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::parse;
+
+/// A point on an instance's monotonic clock, in microseconds from its start.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Instant(pub u64);
+
+impl Instant {
+    /// Length of time since `earlier`, zero where that is later.
+    pub fn since(self, earlier: Instant) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Span> for Instant {
+    type Output = Instant;
+
+    fn add(self, span: Span) -> Instant {
+        Instant(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Instant {
+    type Output = Instant;
+
+    fn sub(self, span: Span) -> Instant {
+        Instant(self.0.saturating_sub(span.0))
+    }
+}
+
+/// A length of time, in microseconds.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Span(pub u64);
+
+impl Span {
+    /// No time at all.
+    pub const ZERO: Span = Span(0);
+
+    /// A length in milliseconds.
+    pub const fn millis(millis: u64) -> Span {
+        Span(millis * 1_000)
+    }
+
+    /// A length in seconds.
+    pub const fn seconds(seconds: u64) -> Span {
+        Span(seconds * 1_000_000)
+    }
+
+    /// Whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Seconds as a floating-point number.
+    pub fn as_seconds(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// What is left after `other`, zero where that is longer.
+    pub const fn less(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl From<Span> for Duration {
+    fn from(span: Span) -> Duration {
+        Duration::from_micros(span.0)
+    }
+}
+
+impl From<Duration> for Span {
+    fn from(duration: Duration) -> Span {
+        Span(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+/// Units from long to short, each with its microseconds.
+const UNITS: [(&str, u64); 5] =
+    [("h", 3_600_000_000), ("min", 60_000_000), ("s", 1_000_000), ("ms", 1_000), ("us", 1)];
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (unit, micros) in UNITS {
+            if self.0 == 0 || !self.0.is_multiple_of(micros) {
+                continue;
+            }
+            return write!(f, "{}{unit}", self.0 / micros);
+        }
+        f.write_str("0ms")
+    }
+}
+
+impl FromStr for Span {
+    type Err = parse::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const WANTED: &str = "length of time such as 250ms, 2s or 5min";
+        let error = || parse::Error::value(text, WANTED);
+        let digits = text.find(|c: char| !c.is_ascii_digit()).ok_or_else(error)?;
+        let number: u64 = text[..digits].parse().map_err(|_| error())?;
+        for (unit, micros) in UNITS {
+            if text[digits..] != *unit {
+                continue;
+            }
+            return number.checked_mul(micros).map(Span).ok_or_else(error);
+        }
+        Err(error())
+    }
+}
--- /dev/null
+++ b/crates/mustardway_types/tests/text_forms.rs
@@ -0,0 +1,51 @@
+//! Text forms of quantities and ids.
+
+use assert_matches::assert_matches;
+use mustardway_types::time::Span;
+use mustardway_types::{domain, flow, parse, rate, size, target};
+
+#[test]
+fn span_round_trip() {
+    for text in ["250ms", "2s", "5min", "1h", "7us", "0ms"] {
+        let span: Span = text.parse().unwrap();
+        assert_eq!(span.to_string(), text);
+    }
+}
+
+#[test]
+fn span_without_unit() {
+    assert_matches!("250".parse::<Span>(), Err(parse::Error::Value { .. }));
+    assert_matches!("99999999999999999999ms".parse::<Span>(), Err(parse::Error::Value { .. }));
+    assert_matches!("18446744073709551615h".parse::<Span>(), Err(parse::Error::Value { .. }));
+}
+
+#[test]
+fn size_round_trip() {
+    for text in ["64KiB", "1MiB", "3B", "2GiB"] {
+        let bytes: size::Bytes = text.parse().unwrap();
+        assert_eq!(bytes.to_string(), text);
+    }
+    assert_matches!("64KB".parse::<size::Bytes>(), Err(parse::Error::Value { .. }));
+}
+
+#[test]
+fn rate_round_trip() {
+    let rate: rate::PerSecond = "200/s".parse().unwrap();
+    assert_eq!(rate.to_string(), "200/s");
+    assert_matches!("200".parse::<rate::PerSecond>(), Err(parse::Error::Value { .. }));
+}
+
+#[test]
+fn names_checked() {
+    assert_matches!("rosario".parse::<domain::Name>(), Ok(_));
+    assert_matches!("Rosario".parse::<domain::Name>(), Err(parse::Error::Name { .. }));
+    assert_matches!("".parse::<target::Id>(), Err(parse::Error::Name { .. }));
+    assert_matches!("a".repeat(64).parse::<target::Id>(), Err(parse::Error::Name { .. }));
+}
+
+#[test]
+fn flow_round_trip() {
+    let flow: flow::Id = "00000000000000ff".parse().unwrap();
+    assert_eq!(flow, flow::Id(255));
+    assert_eq!(flow.to_string(), "00000000000000ff");
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The mustardway binary.
+fn main() {}
