Parse a folder of INI files into a view

Cause: instances need one validated configuration from the published folder. Ruled out: taking the INI library's result as it is. It joins sections and keys given twice, keeps no line numbers, lets a key run over line ends and drops text at the end of a file. Change: each line is checked and counted before the library splits it; files are merged in the order of their names with the place of every value; a folder is taken whole or not at all, with every problem listed.

--- /dev/null
+++ b/crates/mustardway_view/src/check.rs
@@ -0,0 +1,118 @@
+//! Checks between items: what each refers to must be there and be its own.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use mustardway_types::{address, target};
+
+use crate::build::find;
+use crate::merge::{Item, Merged};
+use crate::model::{Target, View};
+use crate::problem::{Kind, List, Problem, Site};
+use crate::section::{Subject, key};
+
+/// Checks all items of `view` against each other; problems go to `problems`.
+pub(crate) fn items(view: &View, merged: &Merged, problems: &mut List) {
+    let defaults = merged.defaults();
+    let mut endpoints = BTreeMap::new();
+    for (id, target) in &view.targets {
+        let Some(item) = merged.item(Subject::Target, id.as_str()) else {
+            continue;
+        };
+        let checked = Checked { id, target, item, defaults };
+        checked.service(merged, problems);
+        checked.domain(merged, problems);
+        checked.address(view, merged, problems);
+        checked.endpoint(&mut endpoints, problems);
+    }
+    services(merged, problems);
+}
+
+/// Every service needs a target, also one that has problems of its own.
+fn services(merged: &Merged, problems: &mut List) {
+    let mut served = BTreeSet::new();
+    for (_, item) in merged.items(Subject::Target) {
+        if let Some((_, value)) = find(item, merged.defaults(), key::SERVICE) {
+            served.insert(value.text.as_str());
+        }
+    }
+    for (name, item) in merged.items(Subject::Service) {
+        if served.contains(name) {
+            continue;
+        }
+        let problem = Problem::new(Kind::NoTargets).at(&item.site);
+        problems.push(problem.in_section(&item.section));
+    }
+}
+
+/// Endpoints with the target that has each and where it was given.
+type Endpoints<'a> = BTreeMap<SocketAddr, (&'a target::Id, &'a Site)>;
+
+/// A target under check.
+struct Checked<'a> {
+    id: &'a target::Id,
+    target: &'a Target,
+    item: &'a Item,
+    defaults: Option<&'a Item>,
+}
+
+impl<'a> Checked<'a> {
+    fn service(&self, merged: &Merged, problems: &mut List) {
+        let found = &self.target.service;
+        if merged.item(Subject::Service, found.as_str()).is_some() {
+            return;
+        }
+        let kind = match merged.removed(Subject::Service, found.as_str()) {
+            Some(by) => Kind::RemovedService { found: found.clone(), by: by.clone() },
+            None => Kind::UnknownService { found: found.clone() },
+        };
+        problems.push(self.problem(key::SERVICE, kind));
+    }
+
+    fn domain(&self, merged: &Merged, problems: &mut List) {
+        let found = &self.target.domain;
+        if merged.item(Subject::Domain, found.as_str()).is_some() {
+            return;
+        }
+        let kind = match merged.removed(Subject::Domain, found.as_str()) {
+            Some(by) => Kind::RemovedDomain { found: found.clone(), by: by.clone() },
+            None => Kind::UnknownDomain { found: found.clone() },
+        };
+        problems.push(self.problem(key::DOMAIN, kind));
+    }
+
+    fn address(&self, view: &View, merged: &Merged, problems: &mut List) {
+        let endpoint = address::Address(self.target.endpoint);
+        let Some(service) = view.addresses.get(&endpoint) else {
+            return;
+        };
+        let service = merged.item(Subject::Service, service.as_str());
+        let Some(value) = service.and_then(|item| item.value(key::ADDRESSES)) else {
+            return;
+        };
+        let first = value.site.clone();
+        problems.push(self.problem(key::ENDPOINT, Kind::EndpointIsAddress { endpoint, first }));
+    }
+
+    fn endpoint(&self, endpoints: &mut Endpoints<'a>, problems: &mut List) {
+        let site = self.item.value(key::ENDPOINT).map_or(&self.item.site, |value| &value.site);
+        let Some((other, first)) = endpoints.get(&self.target.endpoint) else {
+            endpoints.insert(self.target.endpoint, (self.id, site));
+            return;
+        };
+        let kind = Kind::EndpointTwice {
+            endpoint: address::Address(self.target.endpoint),
+            other: (*other).clone(),
+            first: (*first).clone(),
+        };
+        problems.push(self.problem(key::ENDPOINT, kind));
+    }
+
+    fn problem(&self, key: &str, kind: Kind) -> Problem {
+        let problem = Problem::new(kind).with_key(key);
+        match find(self.item, self.defaults, key) {
+            Some((item, value)) => problem.at(&value.site).in_section(&item.section),
+            None => problem.at(&self.item.site).in_section(&self.item.section),
+        }
+    }
+}
