Route packets: weighted rendezvous, ownership ranks and the steps of an ingress

Cause: no decision existed yet on where a packet goes. Ruled out: a trie of 16-way nodes, claimed to move only the flows of the member that changes; the test of that claim failed, since a branch's weight changes with its members. Found by tests and mended: a redirect to a target that was next in a search took the search's mode and was skipped.

--- /dev/null
+++ b/crates/mustardway_routing/src/attempt.rs
@@ -0,0 +1,407 @@
+//! The state machine of one packet at its ingress.
+//!
+//! [`Attempt::start`] gives the first step; after each [`Step::Ask`] the reply
+//! goes into [`Attempt::reply`], after each [`Step::Pause`] comes
+//! [`Attempt::resume`], until a step answers. The rules:
+//!
+//! - A flow in the cache goes to its target, and the ingress vouches for it.
+//! - A new flow goes to its first candidate, and to the second only when the
+//!   first one's owner said that the request was not run.
+//! - A candidate is never passed over because its owner is out of reach: it
+//!   could hold what an earlier packet of the flow left there.
+//! - Before a new view's first candidate is asked, the earlier view's first
+//!   candidate is told to send the flow there, so that packets that meet
+//!   instances with different views end on one target.
+//! - A retry of a request that may not be repeated first looks for its flow at
+//!   every owner of the service.
+
+use mustardway_types::answer::{Answer, Reason};
+use mustardway_types::packet::Header;
+use mustardway_types::request::Repeat;
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{instance, target};
+
+use crate::budget::Budget;
+use crate::snapshot::{Pool, Snapshot};
+
+/// Candidates that a new flow may be offered to.
+const CANDIDATES: usize = 2;
+/// Asks before a packet is given up on.
+const ASKS_MAX: u32 = 40;
+/// Redirections by one target's owners before the ingress waits.
+const REDIRECTS_MAX: u32 = 3;
+/// Wait before an owner that could not be reached is asked again.
+const UNREACHED_PAUSE: Span = Span::millis(100);
+/// Wait before an owner that does not know its successor is asked again.
+const UNSETTLED_PAUSE: Span = Span::millis(50);
+/// Longest that one packet waits in all for owners to change.
+const PAUSES_MAX: Span = Span::millis(3_500);
+/// Time to come back where nothing better is known.
+const COME_BACK: Span = Span::seconds(1);
+/// Time to come back for an address that has just changed its service.
+const COME_BACK_QUARANTINED: Span = Span::seconds(5);
+
+/// What an ingress asks of an owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Mode {
+    /// The flow is new and may be placed on the target.
+    Open,
+    /// The flow lives on the target: the ingress vouches for it.
+    Established,
+    /// The flow may live on any target of this owner.
+    Find,
+    /// The flow goes to `elsewhere` unless it already lives here.
+    Reserve {
+        /// First candidate in the asking instance's view.
+        elsewhere: target::Id,
+    },
+}
+
+/// One question to an owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// Instance that owns the target.
+    pub owner: instance::Id,
+    /// Target that the question is about.
+    pub target: target::Id,
+    /// What is asked.
+    pub mode: Mode,
+    /// The request could have run where it is not heard of.
+    pub doubted: bool,
+}
+
+/// What an ingress does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Ask an owner.
+    Ask(Ask),
+    /// Wait, then resume.
+    Pause(Span),
+    /// Answer the caller.
+    Answer(Answer),
+}
+
+/// What became of an ask.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reply {
+    /// The owner answered without an answer of the target.
+    Answer(Answer),
+    /// The flow lives on another target.
+    Moved(target::Id),
+    /// The flow is not known there.
+    UnknownFlow,
+    /// The asked instance does not own the target; who does, if known.
+    NotOwner(Option<instance::Id>),
+    /// The owner will be ready after a while.
+    Wait(Span),
+    /// No byte of the ask was sent.
+    NotSent,
+    /// The ask was sent and the owner lost before it answered.
+    Lost,
+}
+
+/// One packet on its way.
+#[derive(Debug)]
+pub struct Attempt {
+    header: Header,
+    deadline: Instant,
+    visits: Vec<(target::Id, Mode)>,
+    cursor: usize,
+    found_at: Vec<instance::Id>,
+    redirect: Option<instance::Id>,
+    redirects: u32,
+    asks: u32,
+    paused: Span,
+    unreached: bool,
+    retried: bool,
+    doubted: bool,
+    refusal: Option<Answer>,
+}
+
+impl Attempt {
+    /// Starts on a packet; `cached` is the target that the ingress remembers.
+    pub fn start(
+        header: Header,
+        deadline: Instant,
+        cached: Option<target::Id>,
+        snapshot: &Snapshot,
+        now: Instant,
+    ) -> (Self, Step) {
+        let mut attempt = Attempt {
+            header,
+            deadline,
+            visits: Vec::new(),
+            cursor: 0,
+            found_at: Vec::new(),
+            redirect: None,
+            redirects: 0,
+            asks: 0,
+            paused: Span::ZERO,
+            unreached: false,
+            retried: false,
+            doubted: false,
+            refusal: None,
+        };
+        let step = match attempt.plan(cached, snapshot, now) {
+            Ok(()) => attempt.next(snapshot),
+            Err(answer) => Step::Answer(answer),
+        };
+        (attempt, step)
+    }
+
+    /// Takes the reply to the last ask.
+    pub fn reply(
+        &mut self,
+        reply: Reply,
+        snapshot: &Snapshot,
+        budget: &mut Budget,
+        now: Instant,
+    ) -> Step {
+        if self.asks >= ASKS_MAX {
+            return refuse(Reason::Moving);
+        }
+        match reply {
+            Reply::Answer(answer) => self.answered(answer, snapshot),
+            Reply::Moved(target) => self.moved(target, snapshot),
+            Reply::UnknownFlow => self.advance(snapshot),
+            Reply::NotOwner(Some(owner)) if self.redirects < REDIRECTS_MAX => {
+                self.redirects += 1;
+                self.redirect = Some(owner);
+                self.next(snapshot)
+            }
+            Reply::NotOwner(_) => self.pause(UNSETTLED_PAUSE, Reason::Moving, now),
+            Reply::Wait(span) => self.pause(span, Reason::Moving, now),
+            Reply::NotSent => self.not_sent(snapshot, now),
+            Reply::Lost => self.lost(budget, now),
+        }
+    }
+
+    /// Goes on after a pause, with what is known by then.
+    pub fn resume(&mut self, snapshot: &Snapshot) -> Step {
+        self.redirects = 0;
+        self.redirect = None;
+        self.next(snapshot)
+    }
+
+    /// Targets still to ask, first first, each with what is asked of its owner.
+    pub fn visits(&self) -> &[(target::Id, Mode)] {
+        &self.visits[self.cursor.min(self.visits.len())..]
+    }
+
+    /// Lists whom to ask.
+    fn plan(
+        &mut self,
+        cached: Option<target::Id>,
+        snapshot: &Snapshot,
+        now: Instant,
+    ) -> Result<(), Answer> {
+        if self.deadline <= now {
+            return Err(Answer::come_back(Reason::Expired, COME_BACK));
+        }
+        if snapshot.plan.is_none() {
+            return Err(Answer::come_back(Reason::NoView, COME_BACK));
+        }
+        if let Some(target) = cached {
+            return self.plan_established(target, snapshot);
+        }
+        self.doubted = snapshot.is_doubted(&self.header.address);
+        let is_retry = self.header.repeat == Repeat::Once && self.header.attempt > 1;
+        if !self.header.opening || is_retry {
+            self.plan_search(snapshot)?;
+        }
+        if self.header.opening {
+            self.plan_opening(snapshot)?;
+        }
+        Ok(())
+    }
+
+    /// A flow whose target is known.
+    fn plan_established(&mut self, id: target::Id, snapshot: &Snapshot) -> Result<(), Answer> {
+        let target = snapshot.target(&id).ok_or(Answer::new(Reason::TargetGone))?;
+        if snapshot.is_out(&target.domain) {
+            return Err(Answer::new(Reason::DomainOut));
+        }
+        self.visits.push((id, Mode::Established));
+        Ok(())
+    }
+
+    /// A flow that may live on any target of its address's services.
+    fn plan_search(&mut self, snapshot: &Snapshot) -> Result<(), Answer> {
+        let pools = searched_pools(&self.header, snapshot);
+        if pools.is_empty() {
+            return Err(Answer::new(Reason::NoService));
+        }
+        for pool in pools {
+            for target in pool.rank(self.header.flow) {
+                let known = self.visits.iter().any(|(visit, _)| visit == target);
+                let is_out = snapshot.target(target).is_none_or(|t| snapshot.is_out(&t.domain));
+                if known || is_out {
+                    continue;
+                }
+                self.visits.push((target.clone(), Mode::Find));
+            }
+        }
+        Ok(())
+    }
+
+    /// A flow that is to be placed.
+    fn plan_opening(&mut self, snapshot: &Snapshot) -> Result<(), Answer> {
+        let address = &self.header.address;
+        let pool = snapshot.plan.as_ref().and_then(|plan| plan.pool(address));
+        let pool = pool.ok_or(Answer::new(Reason::NoService))?;
+        if snapshot.quarantined.contains(address) {
+            return Err(Answer::come_back(Reason::Quarantined, COME_BACK_QUARANTINED));
+        }
+        let candidates = pool.candidates(self.header.flow, CANDIDATES);
+        let Some(first) = candidates.first() else {
+            return Err(Answer::come_back(Reason::NoTarget, COME_BACK));
+        };
+        if let Some(earlier) = self.earlier_first(snapshot)
+            && earlier != **first
+        {
+            self.visits.push((earlier, Mode::Reserve { elsewhere: (*first).clone() }));
+        }
+        let open = |target: &target::Id| (target.clone(), Mode::Open);
+        self.visits.extend(candidates.into_iter().map(open));
+        Ok(())
+    }
+
+    /// First candidate under the earlier view, where flows may still go to it.
+    fn earlier_first(&self, snapshot: &Snapshot) -> Option<target::Id> {
+        let pool = snapshot.previous.as_ref()?.pool(&self.header.address)?;
+        let candidates = pool.candidates(self.header.flow, 1);
+        let first = (*candidates.first()?).clone();
+        let target = snapshot.target(&first)?;
+        (!snapshot.is_out(&target.domain)).then_some(first)
+    }
+
+    /// The next ask, or the answer where nobody is left to ask.
+    fn next(&mut self, snapshot: &Snapshot) -> Step {
+        while let Some((target, mode)) = self.visits.get(self.cursor) {
+            let owner = match &self.redirect {
+                Some(owner) => Some(owner.clone()),
+                None => snapshot.owner(target).map(|owner| owner.id.clone()),
+            };
+            let Some(owner) = owner else {
+                self.unreached = true;
+                self.cursor += 1;
+                continue;
+            };
+            if *mode == Mode::Find && self.redirect.is_none() {
+                if self.found_at.contains(&owner) {
+                    self.cursor += 1;
+                    continue;
+                }
+                self.found_at.push(owner.clone());
+            }
+            self.asks += 1;
+            let (target, mode) = (target.clone(), mode.clone());
+            return Step::Ask(Ask { owner, target, mode, doubted: self.doubted || self.unreached });
+        }
+        self.exhausted()
+    }
+
+    /// Asks the next one.
+    fn advance(&mut self, snapshot: &Snapshot) -> Step {
+        self.cursor += 1;
+        self.redirect = None;
+        self.redirects = 0;
+        self.next(snapshot)
+    }
+
+    /// The answer where nobody is left to ask.
+    fn exhausted(&self) -> Step {
+        if let Some(refusal) = self.refusal {
+            return Step::Answer(refusal);
+        }
+        if self.unreached {
+            return refuse(Reason::NoOwner);
+        }
+        if self.header.repeat == Repeat::Once && self.header.attempt > 1 {
+            return Step::Answer(Answer::new(Reason::Forgotten));
+        }
+        Step::Answer(Answer::new(Reason::FlowUnknown))
+    }
+
+    fn answered(&mut self, answer: Answer, snapshot: &Snapshot) -> Step {
+        let is_open = matches!(self.visits.get(self.cursor), Some((_, Mode::Open)));
+        if !is_open || !lets_try_elsewhere(answer.reason) {
+            return Step::Answer(answer);
+        }
+        let soonest =
+            |known: Answer| if known.come_back <= answer.come_back { known } else { answer };
+        self.refusal = Some(self.refusal.map_or(answer, soonest));
+        self.advance(snapshot)
+    }
+
+    fn moved(&mut self, target: target::Id, snapshot: &Snapshot) -> Step {
+        self.cursor += 1;
+        self.redirect = None;
+        self.redirects = 0;
+        let Some(found) = snapshot.target(&target) else {
+            return Step::Answer(Answer::new(Reason::TargetGone));
+        };
+        if snapshot.is_out(&found.domain) {
+            return Step::Answer(Answer::new(Reason::DomainOut));
+        }
+        let next = self.visits.get(self.cursor);
+        let is_next = next.is_some_and(|(visit, mode)| *visit == target && *mode == Mode::Open);
+        if !is_next {
+            self.visits.insert(self.cursor, (target, Mode::Established));
+        }
+        self.next(snapshot)
+    }
+
+    fn not_sent(&mut self, snapshot: &Snapshot, now: Instant) -> Step {
+        let is_find = matches!(self.visits.get(self.cursor), Some((_, Mode::Find)));
+        if is_find {
+            self.unreached = true;
+            return self.advance(snapshot);
+        }
+        self.pause(UNREACHED_PAUSE, Reason::NoOwner, now)
+    }
+
+    fn lost(&mut self, budget: &mut Budget, now: Instant) -> Step {
+        let may_repeat = self.header.repeat == Repeat::Idempotent;
+        if !may_repeat || self.retried || !budget.spend() {
+            return Step::Answer(Answer::new(Reason::OwnerLost));
+        }
+        self.retried = true;
+        match self.pause(UNREACHED_PAUSE, Reason::NoOwner, now) {
+            Step::Answer(_) => Step::Answer(Answer::new(Reason::OwnerLost)),
+            step => step,
+        }
+    }
+
+    /// Waits if the deadline and the bound on waiting leave room for it.
+    fn pause(&mut self, span: Span, reason: Reason, now: Instant) -> Step {
+        let paused = self.paused + span;
+        if paused > PAUSES_MAX || now + span >= self.deadline {
+            return refuse(reason);
+        }
+        self.paused = paused;
+        Step::Pause(span)
+    }
+}
+
+/// A refusal with the usual time to come back.
+fn refuse(reason: Reason) -> Step {
+    Step::Answer(Answer::come_back(reason, COME_BACK))
+}
+
+/// Whether a refusal by one candidate lets another be asked.
+fn lets_try_elsewhere(reason: Reason) -> bool {
+    matches!(reason, Reason::Full | Reason::Shed | Reason::Leaving | Reason::TooLate)
+}
+
+/// Pools of all services that the address has or had.
+fn searched_pools<'a>(header: &Header, snapshot: &'a Snapshot) -> Vec<&'a Pool> {
+    let mut pools = Vec::new();
+    for plan in [&snapshot.plan, &snapshot.previous].into_iter().flatten() {
+        pools.extend(plan.pool(&header.address));
+        let earlier = snapshot.earlier_services.get(&header.address);
+        let earlier = earlier.into_iter().flatten();
+        pools.extend(earlier.filter_map(|service| plan.pools.get(service)));
+    }
+    pools
+}
--- /dev/null
+++ b/crates/mustardway_routing/src/cache.rs
@@ -0,0 +1,70 @@
+//! The bounded memory of flows that an ingress has forwarded.
+//!
+//! Two generations: a flow that is used moves to the young one, and when that
+//! is full the old one is dropped whole. A flow that is used at least once
+//! while the young generation fills up is never lost.
+
+use std::collections::HashMap;
+
+use mustardway_types::{flow, target};
+
+/// Flows with their targets, bounded.
+#[derive(Debug)]
+pub struct Cache {
+    young: HashMap<flow::Id, target::Id>,
+    old: HashMap<flow::Id, target::Id>,
+    generation_max: usize,
+}
+
+impl Cache {
+    /// A memory of at most `flows` flows.
+    pub fn new(flows: usize) -> Self {
+        let generation_max = (flows / 2).max(1);
+        Cache { young: HashMap::new(), old: HashMap::new(), generation_max }
+    }
+
+    /// The target of `flow`; keeps it young.
+    pub fn touch(&mut self, flow: flow::Id) -> Option<target::Id> {
+        if let Some(target) = self.young.get(&flow) {
+            return Some(target.clone());
+        }
+        let target = self.old.remove(&flow)?;
+        self.insert(flow, target.clone());
+        Some(target)
+    }
+
+    /// The target of `flow`.
+    pub fn get(&self, flow: flow::Id) -> Option<&target::Id> {
+        self.young.get(&flow).or_else(|| self.old.get(&flow))
+    }
+
+    /// Remembers the target of `flow`.
+    pub fn insert(&mut self, flow: flow::Id, target: target::Id) {
+        if self.young.len() >= self.generation_max && !self.young.contains_key(&flow) {
+            self.old = std::mem::take(&mut self.young);
+        }
+        self.old.remove(&flow);
+        self.young.insert(flow, target);
+    }
+
+    /// Forgets `flow`.
+    pub fn remove(&mut self, flow: flow::Id) {
+        self.young.remove(&flow);
+        self.old.remove(&flow);
+    }
+
+    /// All flows with their targets.
+    pub fn iter(&self) -> impl Iterator<Item = (flow::Id, &target::Id)> {
+        self.young.iter().chain(&self.old).map(|(flow, target)| (*flow, target))
+    }
+
+    /// Number of flows.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Whether no flow is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/mustardway_routing/tests/target_owner.rs
@@ -0,0 +1,82 @@
+//! Which instance owns a target.
+
+mod common;
+
+use common::*;
+use mustardway_routing::live::{Instance, Live};
+use mustardway_routing::owner;
+use mustardway_types::domain;
+
+fn staying(live: &Live, gone: &str) -> Live {
+    let mut rest = Live::default();
+    for (name, instances) in live.domains() {
+        for instance in instances {
+            if instance.id.as_str() != gone {
+                rest.insert(name.clone(), instance.clone());
+            }
+        }
+    }
+    rest
+}
+
+#[test]
+fn owner_lives_in_domain() {
+    let snapshot = snapshot(view(30), live(3));
+    for number in 0..30 {
+        let owner = snapshot.owner(&target(number)).unwrap();
+        assert!(owner.id.as_str().starts_with(DOMAINS[number % 3]));
+    }
+}
+
+#[test]
+fn loss_moves_only_its_own() {
+    let all = live(3);
+    let rest = staying(&all, "rosario-1");
+    for number in 0..300 {
+        let home: domain::Name = DOMAINS[number % 3].parse().unwrap();
+        let key = owner::key(&target(number));
+        let before = owner::top(owner::electorate(&all, &home), key).unwrap();
+        let after = owner::top(owner::electorate(&rest, &home), key).unwrap();
+        if before.id.as_str() != "rosario-1" {
+            assert_eq!(before.id, after.id);
+            continue;
+        }
+        let ranked = owner::rank(owner::electorate(&all, &home), key);
+        assert_eq!(ranked[1].id, after.id);
+    }
+}
+
+#[test]
+fn empty_domain_served_by_next() {
+    let mut rest = Live::default();
+    for (name, instances) in live(2).domains() {
+        if name.as_str() == "santa-fe" {
+            continue;
+        }
+        for instance in instances {
+            rest.insert(name.clone(), instance.clone());
+        }
+    }
+    let electorate = owner::electorate(&rest, &"santa-fe".parse().unwrap());
+    assert!(electorate.iter().all(|instance| instance.id.as_str().starts_with("cordoba")));
+}
+
+#[test]
+fn leaving_owns_and_has_heir() {
+    let mut live = Live::default();
+    let home: domain::Name = "rosario".parse().unwrap();
+    let peer = "10.2.0.1:1".parse().unwrap();
+    for (id, leaving) in [("rosario-0", true), ("rosario-1", false)] {
+        live.insert(home.clone(), Instance::new(id.parse().unwrap(), peer, leaving));
+    }
+    for number in 0..20 {
+        let key = owner::key(&target(number));
+        let heir = owner::heir(&live, &home, key).unwrap();
+        assert_eq!(heir.id.as_str(), "rosario-1");
+    }
+    let owned = |number: &usize| {
+        let top = owner::top(owner::electorate(&live, &home), owner::key(&target(*number)));
+        top.unwrap().id.as_str() == "rosario-0"
+    };
+    assert!((0..20).filter(owned).count() > 0);
+}
--- /dev/null
+++ b/crates/mustardway_runtime/src/upstream.rs
@@ -0,0 +1,146 @@
+//! Calls to targets: one client a target, kept while the target is known.
+
+use std::collections::HashMap;
+use std::error::Error as _;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use mustardway_types::packet::Header;
+use mustardway_types::time::Span;
+use mustardway_types::{answer, target};
+use mustardway_wire::{convert, health, packet};
+use parking_lot::RwLock;
+use volo::net::Address;
+use volo_grpc::Status;
+use volo_grpc::client::CallOpt;
+
+/// Longest wait for a connection to a target.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for an answer to a health check.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What became of a call to a target.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// The target answered.
+    Done(Bytes),
+    /// The target refused before running it.
+    Shed,
+    /// The target does not know the flow and did not run it.
+    FlowEnded,
+    /// The target called the request malformed.
+    BadRequest,
+    /// No byte of the request was sent.
+    NotSent,
+    /// The connection broke, or the target failed, after the request was sent.
+    Lost,
+    /// The deadline passed after the request was sent.
+    Overrun,
+}
+
+/// Clients of one target.
+#[derive(Clone)]
+struct Client {
+    endpoint: SocketAddr,
+    front: packet::FrontClient,
+    health: health::HealthClient,
+}
+
+/// Clients of all targets that this instance calls.
+#[derive(Default)]
+pub struct Pool {
+    clients: RwLock<HashMap<target::Id, Client>>,
+}
+
+impl Pool {
+    /// Sends a request to a target and waits for what becomes of it.
+    ///
+    /// Dropping the future cancels the call at the target.
+    pub async fn send(
+        &self,
+        target: &target::Id,
+        endpoint: SocketAddr,
+        header: &Header,
+        payload: Bytes,
+        timeout: Span,
+    ) -> Outcome {
+        let client = self.client(target, endpoint);
+        let packet = packet::Packet { header: Some(convert::wire_header(header)), payload };
+        let timeout = Duration::from(timeout);
+        let mut options = CallOpt::new();
+        options.config.set_rpc_timeout(Some(timeout));
+        let call = client.front.with_callopt(options).send(packet);
+        match tokio::time::timeout(timeout, call).await {
+            Ok(Ok(reply)) => outcome(reply.into_inner()),
+            Ok(Err(status)) => failure(&status),
+            Err(_) => Outcome::Overrun,
+        }
+    }
+
+    /// Whether the target says that it is healthy.
+    pub async fn is_healthy(&self, target: &target::Id, endpoint: SocketAddr) -> bool {
+        let client = self.client(target, endpoint);
+        let request = health::HealthCheckRequest::default();
+        let call = client.health.check(request);
+        let Ok(Ok(response)) = tokio::time::timeout(HEALTH_TIMEOUT, call).await else {
+            return false;
+        };
+        response.into_inner().status == health::health_check_response::ServingStatus::SERVING
+    }
+
+    /// Forgets the clients of targets that `keep` does not name.
+    pub fn retain(&self, keep: impl Fn(&target::Id) -> bool) {
+        self.clients.write().retain(|target, _| keep(target));
+    }
+
+    fn client(&self, target: &target::Id, endpoint: SocketAddr) -> Client {
+        let known = self.clients.read().get(target).cloned();
+        if let Some(client) = known.filter(|client| client.endpoint == endpoint) {
+            return client;
+        }
+        let client = connect(endpoint);
+        self.clients.write().insert(target.clone(), client.clone());
+        client
+    }
+}
+
+/// Clients that connect to `endpoint` when first used.
+fn connect(endpoint: SocketAddr) -> Client {
+    let front = packet::FrontClientBuilder::new("front")
+        .address(Address::from(endpoint))
+        .connect_timeout(CONNECT_TIMEOUT)
+        .build();
+    let health = health::HealthClientBuilder::new("health")
+        .address(Address::from(endpoint))
+        .connect_timeout(CONNECT_TIMEOUT)
+        .build();
+    Client { endpoint, front, health }
+}
+
+/// What a target's reply says.
+fn outcome(reply: packet::Reply) -> Outcome {
+    match convert::kind(reply.answer) {
+        answer::Kind::Done => Outcome::Done(reply.payload),
+        answer::Kind::Refused | answer::Kind::GaveUp => Outcome::Shed,
+        answer::Kind::FlowEnded => Outcome::FlowEnded,
+        answer::Kind::BadRequest => Outcome::BadRequest,
+        answer::Kind::Unknown => Outcome::Lost,
+    }
+}
+
+/// What a failed call means.
+fn failure(status: &Status) -> Outcome {
+    if status.code() == volo_grpc::Code::DeadlineExceeded {
+        return Outcome::Overrun;
+    }
+    let mut cause = status.source();
+    while let Some(error) = cause {
+        let client_error = error.downcast_ref::<hyper_util::client::legacy::Error>();
+        if client_error.is_some_and(hyper_util::client::legacy::Error::is_connect) {
+            return Outcome::NotSent;
+        }
+        cause = error.source();
+    }
+    Outcome::Lost
+}
