Add frames between instances: a mesh of links with tracked sends

Change: length-delimited frames with a version byte and a prost envelope, one connection a peer used both ways, control before bulk, a ticket that tells whether a frame was handed to the socket.

--- /dev/null
+++ b/crates/mustardway_peer/src/accept.rs
@@ -0,0 +1,80 @@
+//! Connections that others make.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use mustardway_types::time;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::counters::Event;
+use crate::frame::{Hello, Kind};
+use crate::link::{self, Origin, Peer, Reader};
+use crate::mesh::Context;
+
+/// Wait after a failure to accept, for example without free file descriptors.
+const ACCEPT_PAUSE: time::Span = time::Span::millis(100);
+
+/// Accepts connections until the mesh closes.
+pub(crate) async fn run(context: Arc<Context>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = context.stopping.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE.into()).await;
+            continue;
+        };
+        let Some(place) = context.place() else {
+            context.counters.add(Event::Crowded);
+            continue;
+        };
+        let context_of_link = Arc::clone(&context);
+        context.tasks.spawn(async move {
+            serve(context_of_link, stream).await;
+            drop(place);
+        });
+    }
+}
+
+/// Takes the hello of one connection and runs its link.
+async fn serve(context: Arc<Context>, stream: TcpStream) {
+    // Without the option the link still works, only slower.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let mut reader = link::reader(reader);
+    let hello = tokio::time::timeout(context.settings.hello.into(), hello(&context, &mut reader));
+    let hello = tokio::select! {
+        hello = hello => hello,
+        () = context.stopping.cancelled() => return,
+    };
+    let Ok(Some(peer)) = hello else {
+        context.counters.add(Event::Hello);
+        return;
+    };
+    let link = context.link(peer, Origin::Inbound);
+    context.counters.add(Event::Accepted);
+    context.table.lock().adopt(&link);
+    context.run(&link, reader, writer).await;
+}
+
+/// Reads the hello: who connects, if it means this instance.
+async fn hello(context: &Context, reader: &mut Reader) -> Option<Peer> {
+    let frame = match reader.next().await? {
+        Ok(frame) => frame,
+        Err(error) => {
+            context.unreadable(&error);
+            return None;
+        }
+    };
+    if frame.kind() != Kind::HELLO {
+        return None;
+    }
+    context.counters.add_received(Kind::HELLO, frame.wire_size());
+    let id = frame.from.parse().ok()?;
+    let hello: Hello = prost::Message::decode(frame.body).ok()?;
+    if hello.to != context.settings.id.as_str() {
+        return None;
+    }
+    Some(Peer { id, address: hello.address.parse().ok()? })
+}
--- /dev/null
+++ b/crates/mustardway_peer/src/cut.rs
@@ -0,0 +1,28 @@
+//! The cut switch: a network partition for failure tests.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+
+use mustardway_types::instance;
+use parking_lot::Mutex;
+
+/// The peers that are cut off.
+#[derive(Debug, Default)]
+pub(crate) struct Cut {
+    any: AtomicBool,
+    peers: Mutex<BTreeSet<instance::Id>>,
+}
+
+impl Cut {
+    /// Replaces the whole set.
+    pub(crate) fn set(&self, peers: BTreeSet<instance::Id>) {
+        let mut current = self.peers.lock();
+        self.any.store(!peers.is_empty(), Relaxed);
+        *current = peers;
+    }
+
+    /// Whether `peer` is cut off.
+    pub(crate) fn contains(&self, peer: &instance::Id) -> bool {
+        self.any.load(Relaxed) && self.peers.lock().contains(peer)
+    }
+}
--- /dev/null
+++ b/crates/mustardway_peer/src/queue.rs
@@ -0,0 +1,142 @@
+//! Frames that wait for one link: control first, each class bounded in bytes.
+
+use std::collections::VecDeque;
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::frame::Frame;
+use crate::send::{Error, Priority};
+use crate::tracked::Stub;
+
+/// A frame that waits.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) frame: Frame,
+    pub(crate) stub: Stub,
+}
+
+/// One class of frames.
+#[derive(Debug, Default)]
+struct Class {
+    entries: VecDeque<Entry>,
+    bytes: usize,
+}
+
+impl Class {
+    /// Adds an entry if it fits; a frame always fits an empty class.
+    fn push(&mut self, entry: Entry, bytes_max: usize) -> Result<(), Error> {
+        let size = entry.frame.wire_size();
+        if !self.entries.is_empty() && self.bytes + size > bytes_max {
+            return Err(Error::Full);
+        }
+        self.bytes += size;
+        self.entries.push_back(entry);
+        Ok(())
+    }
+
+    fn pop(&mut self) -> Option<Entry> {
+        let entry = self.entries.pop_front()?;
+        self.bytes -= entry.frame.wire_size();
+        Some(entry)
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    control: Class,
+    bulk: Class,
+    closing: bool,
+}
+
+/// The queue of one link.
+#[derive(Debug)]
+pub(crate) struct Queue {
+    state: Mutex<State>,
+    changed: Notify,
+    bytes_max: usize,
+}
+
+impl Queue {
+    /// An empty queue of at most `bytes_max` in each class.
+    pub(crate) fn new(bytes_max: usize) -> Self {
+        Queue { state: Mutex::default(), changed: Notify::new(), bytes_max }
+    }
+
+    /// Adds a frame, never waiting.
+    pub(crate) fn push(&self, entry: Entry, priority: Priority) -> Result<(), Error> {
+        let mut state = self.state.lock();
+        if state.closing {
+            return Err(Error::Unreachable);
+        }
+        let class = match priority {
+            Priority::Control => &mut state.control,
+            Priority::Bulk => &mut state.bulk,
+        };
+        class.push(entry, self.bytes_max)?;
+        drop(state);
+        self.changed.notify_one();
+        Ok(())
+    }
+
+    /// Takes waiting frames, control first, until about `bytes` are taken.
+    /// None once the queue is closing and empty.
+    pub(crate) async fn batch(&self, bytes: usize) -> Option<Vec<Entry>> {
+        loop {
+            let batch = self.take(bytes);
+            if !batch.is_empty() {
+                return Some(batch);
+            }
+            if self.state.lock().closing {
+                return None;
+            }
+            self.changed.notified().await;
+        }
+    }
+
+    fn take(&self, bytes: usize) -> Vec<Entry> {
+        let mut state = self.state.lock();
+        let mut batch = Vec::new();
+        let mut taken = 0;
+        while taken < bytes {
+            let next = state.control.pop().or_else(|| state.bulk.pop());
+            let Some(entry) = next else {
+                break;
+            };
+            taken += entry.frame.wire_size();
+            batch.push(entry);
+        }
+        batch
+    }
+
+    /// If nothing waits, takes `last` and then no more frames.
+    pub(crate) fn retire(&self, last: Entry) -> bool {
+        let mut state = self.state.lock();
+        let waits = !state.control.entries.is_empty() || !state.bulk.entries.is_empty();
+        if waits || state.closing {
+            return false;
+        }
+        state.closing = true;
+        let taken = state.control.push(last, self.bytes_max).is_ok();
+        drop(state);
+        self.changed.notify_one();
+        taken
+    }
+
+    /// Takes no more frames; those that wait are still sent.
+    pub(crate) fn finish(&self) {
+        self.state.lock().closing = true;
+        self.changed.notify_one();
+    }
+
+    /// Takes no more frames and drops those that wait: their tickets say so.
+    pub(crate) fn abandon(&self) {
+        let mut state = self.state.lock();
+        state.closing = true;
+        let control = std::mem::take(&mut state.control);
+        let bulk = std::mem::take(&mut state.bulk);
+        drop(state);
+        drop((control, bulk));
+        self.changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/mustardway_peer/src/table.rs
@@ -0,0 +1,94 @@
+//! The links by address, and the addresses that are left alone for a while.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use mustardway_types::time;
+
+use crate::link::{Link, Origin, Peer};
+
+/// Addresses under backoff that are kept, at most, before old ones are forgotten.
+const BACKOFFS_KEPT: usize = 4_096;
+
+/// An address that could not be reached.
+#[derive(Debug)]
+struct Backoff {
+    /// Not tried again before this.
+    until: time::Instant,
+    /// Wait after the last failure, without jitter.
+    wait: time::Span,
+}
+
+/// The links by address.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    links: HashMap<SocketAddr, Arc<Link>>,
+    backoffs: HashMap<SocketAddr, Backoff>,
+    pub(crate) closing: bool,
+}
+
+impl Table {
+    /// The link to `peer`. One to another instance that had the address is dropped.
+    pub(crate) fn get(&mut self, peer: &Peer) -> Option<Arc<Link>> {
+        let link = self.links.get(&peer.address)?;
+        if link.peer.id == peer.id {
+            return Some(Arc::clone(link));
+        }
+        let other = self.links.remove(&peer.address)?;
+        other.queue.abandon();
+        None
+    }
+
+    /// Whether `address` is left alone at `now`.
+    pub(crate) fn backs_off(&self, address: SocketAddr, now: time::Instant) -> bool {
+        self.backoffs.get(&address).is_some_and(|backoff| now < backoff.until)
+    }
+
+    /// Adds a link that this side makes.
+    pub(crate) fn insert(&mut self, link: &Arc<Link>) {
+        self.links.insert(link.peer.address, Arc::clone(link));
+    }
+
+    /// Adds a link that the peer made, unless a connection of this side's own
+    /// stands. Frames that wait in the link before it still go by that one.
+    pub(crate) fn adopt(&mut self, link: &Arc<Link>) {
+        self.backoffs.remove(&link.peer.address);
+        let current = self.get(&link.peer);
+        if current.is_some_and(|current| current.origin == Origin::Outbound && current.is_open()) {
+            return;
+        }
+        self.insert(link);
+    }
+
+    /// Removes `link`, if it is the one in use.
+    pub(crate) fn remove(&mut self, link: &Link) {
+        let address = link.peer.address;
+        if self.links.get(&address).is_some_and(|current| current.number == link.number) {
+            self.links.remove(&address);
+        }
+    }
+
+    /// Forgets the failures of an address that was reached.
+    pub(crate) fn reached(&mut self, address: SocketAddr) {
+        self.backoffs.remove(&address);
+    }
+
+    /// Leaves an address alone for longer than the last time; `jitter` is from 0 to 1.
+    pub(crate) fn unreached(
+        &mut self,
+        address: SocketAddr,
+        now: time::Instant,
+        bounds: (time::Span, time::Span),
+        jitter: f64,
+    ) {
+        let (min, max) = bounds;
+        if self.backoffs.len() >= BACKOFFS_KEPT {
+            self.backoffs.retain(|_, backoff| now < backoff.until);
+        }
+        let last = self.backoffs.get(&address).map_or(time::Span::ZERO, |backoff| backoff.wait);
+        let wait = time::Span((last.0 * 2).clamp(min.0, max.0));
+        let jittered = time::Span((wait.0 as f64 * (0.5 + jitter / 2.0)) as u64);
+        self.backoffs.insert(address, Backoff { until: now + jittered, wait });
+    }
+}
