--- a/crates/mustardway_routing/src/attempt.rs
+++ b/crates/mustardway_routing/src/attempt.rs
@@ -391,7 +391,7 @@
 
 /// Whether a refusal by one candidate lets another be asked.
 fn lets_try_elsewhere(reason: Reason) -> bool {
-    matches!(reason, Reason::Full | Reason::Shed | Reason::Leaving | Reason::TooLate)
+    matches!(reason, Reason::Full | Reason::Shed | Reason::Leaving | Reason::TooLate | Reason::NoTarget)
 }
 
 /// Pools of all services that the address has or had.
