Add the gate: admission, limits, queue, ramp, memory and handover

Cause: a target needs one place that decides about it. Ruled out: steps returned from admit as a second value, since the hot path would allocate; callers pass a vector for steps instead.

--- /dev/null
+++ b/crates/mustardway_gate/src/admit.rs
@@ -0,0 +1,375 @@
+//! What a gate is asked and how it answers.
+
+use bytes::Bytes;
+use mustardway_types::{answer, instance, packet, request, target, time};
+
+use crate::finish::Step;
+use crate::gate::Gate;
+use crate::job::{Job, State};
+use crate::key::Key;
+use crate::marker::Marker;
+use crate::memory::Memo;
+use crate::queue::{self, Place};
+use crate::tenure::Tenure;
+use crate::ticket;
+
+/// A request should start this many mean service times before its deadline.
+const START_MARGIN: u64 = 3;
+
+/// The part of a request's whole time that the start margin takes at most.
+const MARGIN_SHARE: u64 = 2;
+
+/// A new flow is refused for balance where the load is this many times the mean.
+const SOFT_LOAD: f64 = 1.03;
+
+/// A target with fewer flows than this is never refused for balance.
+const SOFT_FLOWS: usize = 4;
+
+/// A packet that an ingress asks to be admitted.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Its header.
+    pub header: packet::Header,
+    /// When its answer is due, on this instance's clock.
+    pub deadline: time::Instant,
+    /// What may be done with its flow.
+    pub mode: Mode,
+    /// Id of this admission.
+    pub ticket: ticket::Id,
+}
+
+/// What may be done with the flow of a packet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Mode {
+    /// A new flow may be placed here.
+    Open(Choice),
+    /// The flow must be known here.
+    Established,
+    /// An unknown flow is marked as placed on another target, before it is opened there.
+    Reserve {
+        /// That target.
+        elsewhere: target::Id,
+    },
+}
+
+/// Whether the ingress has another target for a new flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// It has: the flow may be refused for the sake of balance.
+    First,
+    /// It has none.
+    Last,
+}
+
+/// How a gate answers an ask.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// Send it to the target now.
+    Run,
+    /// A [`Step`] for the ticket follows.
+    Queued,
+    /// It is answered; the ticket is over.
+    Answer(answer::Answer),
+    /// It ran before, with this reply; the ticket is over.
+    Replay(Bytes),
+    /// It gets the outcome of this ticket; its own ticket is over.
+    Join(ticket::Id),
+    /// Its flow is on this target; the ticket is over.
+    Moved(target::Id),
+    /// Its flow is not known here; the ticket is over.
+    UnknownFlow,
+    /// This instance may judge it, if any is known; the ticket is over.
+    NotOwner(Option<instance::Id>),
+    /// Ask again after this time; the ticket is over.
+    Wait(time::Span),
+}
+
+/// Where the flow of a packet stands.
+enum Standing {
+    /// It is open here.
+    Known(time::Instant),
+    /// It may be opened here.
+    New,
+}
+
+impl Gate {
+    /// Judges a packet.
+    pub fn admit(&mut self, now: time::Instant, ask: &Ask, steps: &mut Vec<Step>) -> Admission {
+        self.advance(now);
+        let admission = self.judge(now, ask, steps);
+        self.count(&admission);
+        admission
+    }
+
+    fn judge(&mut self, now: time::Instant, ask: &Ask, steps: &mut Vec<Step>) -> Admission {
+        let key = Key::of(&ask.header);
+        let once = ask.header.repeat == request::Repeat::Once;
+        if let Some(admission) = self.join(now, key, ask) {
+            return admission;
+        }
+        let memo = if once { self.memory.get(now, key) } else { None };
+        match &memo {
+            Some(Memo::Done(reply)) => return Admission::Replay(reply.clone()),
+            Some(Memo::Unknown) => return forgotten(),
+            Some(Memo::Elsewhere { at, .. }) => return Admission::NotOwner(Some(at.clone())),
+            Some(Memo::NotRun) | None => {}
+        }
+        match &self.tenure {
+            Tenure::Pending { until } => return Admission::Wait(until.since(now)),
+            Tenure::Closed { to } => return Admission::NotOwner(to.clone()),
+            Tenure::Serving { .. } => {}
+        }
+        let repeated = once && ask.header.attempt > 1;
+        let standing = match self.stand(now, ask, repeated) {
+            Ok(standing) => standing,
+            Err(admission) => return admission,
+        };
+        if repeated && !self.cannot_have_run(now, key, memo.is_some(), &standing) {
+            return forgotten();
+        }
+        self.start_or_queue(now, ask, &standing, steps)
+    }
+
+    /// Lets a duplicate of a request that runs or waits join it.
+    fn join(&mut self, now: time::Instant, key: Key, ask: &Ask) -> Option<Admission> {
+        let ticket = self.jobs.ticket(key)?;
+        let latest = self.latest_start(now, ask.deadline);
+        let job = self.jobs.get_mut(ticket)?;
+        job.joined += 1;
+        if ask.deadline <= job.deadline {
+            return Some(Admission::Join(ticket));
+        }
+        if let State::Queued(place) = job.state {
+            let later = Place { latest: latest.max(place.latest), ..place };
+            job.deadline = ask.deadline;
+            job.state = State::Queued(later);
+            self.queue.remove(place);
+            self.queue.insert(later);
+        }
+        Some(Admission::Join(ticket))
+    }
+
+    /// Finds where the flow of a packet stands; an answer where it may not go on here.
+    fn stand(
+        &mut self,
+        now: time::Instant,
+        ask: &Ask,
+        repeated: bool,
+    ) -> Result<Standing, Admission> {
+        let id = ask.header.flow;
+        if let Some(flow) = self.flows.get(id) {
+            return Ok(Standing::Known(flow.opened()));
+        }
+        if let Some(admission) = self.marked(now, ask) {
+            return Err(admission);
+        }
+        match &ask.mode {
+            Mode::Established => Err(self.unknown(Key::of(&ask.header), repeated)),
+            Mode::Reserve { elsewhere } => {
+                self.markers.set(now, id, Marker::Placed(elsewhere.clone()));
+                Err(Admission::Moved(elsewhere.clone()))
+            }
+            Mode::Open(choice) => self.open(now, ask, *choice),
+        }
+    }
+
+    /// What the marker of a flow says.
+    fn marked(&mut self, now: time::Instant, ask: &Ask) -> Option<Admission> {
+        let id = ask.header.flow;
+        let admission = match self.markers.get(now, id)? {
+            Marker::Placed(target) => Admission::Moved(target.clone()),
+            Marker::Refused { soft: true, .. } if ask.mode == Mode::Open(Choice::Last) => {
+                return None;
+            }
+            Marker::Refused { answer, .. } => Admission::Answer(*answer),
+        };
+        self.markers.touch(now, id);
+        Some(admission)
+    }
+
+    /// What to say of a flow that is not known here.
+    fn unknown(&self, key: Key, repeated: bool) -> Admission {
+        if self.out {
+            return Admission::Answer(answer::Answer::new(answer::Reason::DomainOut));
+        }
+        if repeated && self.memory.is_forgotten(key) {
+            return forgotten();
+        }
+        Admission::UnknownFlow
+    }
+
+    /// Whether a new flow may be placed here; a refusal is remembered.
+    fn open(
+        &mut self,
+        now: time::Instant,
+        ask: &Ask,
+        choice: Choice,
+    ) -> Result<Standing, Admission> {
+        let (reason, soft) = if self.out || self.unhealthy {
+            (answer::Reason::NoTarget, false)
+        } else if self.leaving {
+            (answer::Reason::Leaving, false)
+        } else if self.flows.len() >= self.limits.connections as usize {
+            (answer::Reason::Full, false)
+        } else if choice == Choice::First && self.is_above_mean(now) {
+            (answer::Reason::Full, true)
+        } else {
+            return Ok(Standing::New);
+        };
+        Err(Admission::Answer(self.refuse_opening(now, ask, reason, soft)))
+    }
+
+    fn is_above_mean(&self, now: time::Instant) -> bool {
+        let Some(mean) = self.mean_load else { return false };
+        self.flows.len() >= SOFT_FLOWS && self.load_fraction(now) > mean * SOFT_LOAD
+    }
+
+    /// Refuses the opening packet of a flow and remembers it.
+    fn refuse_opening(
+        &mut self,
+        now: time::Instant,
+        ask: &Ask,
+        reason: answer::Reason,
+        soft: bool,
+    ) -> answer::Answer {
+        let answer = self.refusal(now, reason);
+        self.markers.set(now, ask.header.flow, Marker::Refused { answer, soft });
+        answer
+    }
+
+    /// Whether a repeated request without a known end has certainly not run.
+    fn cannot_have_run(
+        &self,
+        now: time::Instant,
+        key: Key,
+        known_not_run: bool,
+        standing: &Standing,
+    ) -> bool {
+        match standing {
+            Standing::Known(opened) => known_not_run || self.memory.is_new(key, *opened),
+            Standing::New if known_not_run => !self.memory.is_forgotten(key),
+            Standing::New => self.memory.is_new_flow(now, key),
+        }
+    }
+
+    /// Starts a request, or lets it wait if it can still be answered in time.
+    fn start_or_queue(
+        &mut self,
+        now: time::Instant,
+        ask: &Ask,
+        standing: &Standing,
+        steps: &mut Vec<Step>,
+    ) -> Admission {
+        let refused = if ask.deadline <= now {
+            Some(answer::Reason::TooLate)
+        } else if self.can_start(now, ask.header.urgency) {
+            let job = Job::new(&ask.header, ask.deadline, State::Running { cut: false });
+            self.jobs.insert(ask.ticket, job);
+            None
+        } else {
+            self.enqueue(now, ask, steps).err()
+        };
+        if let Some(reason) = refused {
+            return Admission::Answer(self.refuse(now, ask, standing, reason));
+        }
+        self.memory.take(Key::of(&ask.header));
+        self.note_flow(now, ask, standing);
+        match self.jobs.get(ask.ticket).map(|job| job.state) {
+            Some(State::Running { .. }) => Admission::Run,
+            _ => Admission::Queued,
+        }
+    }
+
+    fn note_flow(&mut self, now: time::Instant, ask: &Ask, standing: &Standing) {
+        if let Standing::Known(_) = standing {
+            self.flows.touch(now, ask.header.flow, false);
+            return;
+        }
+        self.counters.opened += 1;
+        self.markers.clear(ask.header.flow);
+        self.flows.open(now, ask.header.flow);
+    }
+
+    fn refuse(
+        &mut self,
+        now: time::Instant,
+        ask: &Ask,
+        standing: &Standing,
+        reason: answer::Reason,
+    ) -> answer::Answer {
+        if matches!(standing, Standing::New) {
+            return self.refuse_opening(now, ask, reason, false);
+        }
+        if ask.header.repeat == request::Repeat::Once {
+            self.memory.keep(now, Key::of(&ask.header), Memo::NotRun);
+        }
+        self.refusal(now, reason)
+    }
+
+    /// Lets a request wait; a reason where it can not.
+    fn enqueue(
+        &mut self,
+        now: time::Instant,
+        ask: &Ask,
+        steps: &mut Vec<Step>,
+    ) -> Result<(), answer::Reason> {
+        let latest = self.latest_start(now, ask.deadline);
+        let place = Place::new(ask.header.urgency, latest, ask.ticket);
+        if now + self.wait(now, &place) > latest {
+            return Err(answer::Reason::TooLate);
+        }
+        let ordinary_limit = queue::ordinary_limit(self.limits.queue) as usize;
+        if place.ordinary && self.queue.ordinary() >= ordinary_limit {
+            return Err(answer::Reason::Full);
+        }
+        if self.queue.len() >= self.limits.queue as usize && !self.make_room(now, &place, steps) {
+            return Err(answer::Reason::Full);
+        }
+        self.queue.insert(place);
+        self.jobs.insert(ask.ticket, Job::new(&ask.header, ask.deadline, State::Queued(place)));
+        Ok(())
+    }
+
+    /// Makes room in the queue for an urgent request.
+    fn make_room(&mut self, now: time::Instant, place: &Place, steps: &mut Vec<Step>) -> bool {
+        if place.ordinary {
+            return false;
+        }
+        let Some(evicted) = self.queue.evict() else { return false };
+        self.counters.evicted += 1;
+        self.end_unrun(now, evicted.ticket, answer::Reason::Full, steps);
+        true
+    }
+
+    /// Latest useful start of a request.
+    fn latest_start(&self, now: time::Instant, deadline: time::Instant) -> time::Instant {
+        let margin = time::Span(self.service_time().0.saturating_mul(START_MARGIN));
+        let share = time::Span(deadline.since(now).0 / MARGIN_SHARE);
+        deadline - margin.min(share)
+    }
+
+    /// Time until a request at this place would start.
+    fn wait(&self, now: time::Instant, place: &Place) -> time::Span {
+        let turn = self.queue.ahead(place) as u64 + 1;
+        let slots = u64::from(self.ramp.allowed(now, &self.limits));
+        time::Span(self.service_time().0.saturating_mul(turn) / slots)
+    }
+
+    fn count(&mut self, admission: &Admission) {
+        match admission {
+            Admission::Run => self.counters.run += 1,
+            Admission::Queued => self.counters.queued += 1,
+            Admission::Answer(answer) => self.counters.answer(answer.reason),
+            Admission::Replay(_) => self.counters.replayed += 1,
+            Admission::Join(_) => self.counters.joined += 1,
+            Admission::Moved(_) => self.counters.moved += 1,
+            Admission::UnknownFlow => self.counters.unknown_flow += 1,
+            Admission::NotOwner(_) => self.counters.not_owner += 1,
+            Admission::Wait(_) => self.counters.wait += 1,
+        }
+    }
+}
+
+fn forgotten() -> Admission {
+    Admission::Answer(answer::Answer::new(answer::Reason::Forgotten))
+}
--- /dev/null
+++ b/crates/mustardway_gate/src/finish.rs
@@ -0,0 +1,271 @@
+//! Outcomes, cancellation, expiry and the steps they lead to.
+
+use bytes::Bytes;
+use mustardway_types::{answer, instance, request, time};
+
+use crate::flow_table;
+use crate::gate::Gate;
+use crate::job::{Job, State};
+use crate::marker::Marker;
+use crate::memory::Memo;
+use crate::tenure::Tenure;
+use crate::ticket;
+
+/// Something for the runtime to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Send the request to the target now.
+    Start(ticket::Id),
+    /// The ticket and those that joined it end with this answer; with
+    /// [`answer::Reason::Answered`] it is the reply of the target.
+    Answer(ticket::Id, answer::Answer),
+    /// The ticket and those that joined it end; another instance may judge them. Not run.
+    Redirect(ticket::Id, Option<instance::Id>),
+    /// Cancel the call at the target; its outcome is to be told as usual.
+    Abort(ticket::Id),
+}
+
+/// How a call to the target ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    /// How it ended.
+    pub ending: Ending,
+    /// How long it took.
+    pub took: time::Span,
+}
+
+/// How a call to the target ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ending {
+    /// The target answered.
+    Done(Bytes),
+    /// The target said that it did not run it.
+    Shed,
+    /// The target could not be reached; no byte of the request was sent.
+    Unsent,
+    /// The target was lost after some of the request was sent.
+    Lost,
+    /// The deadline passed.
+    Overrun,
+    /// The call was cancelled.
+    Aborted,
+}
+
+/// Something seen of the target apart from its answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Observation {
+    /// A connection was made anew after a loss.
+    Reconnected,
+    /// Its health endpoint says that it does not serve, or does not answer.
+    HealthFailed,
+    /// Its health endpoint says that it serves.
+    HealthOk,
+}
+
+impl Gate {
+    /// Takes in how a running request ended.
+    pub fn finish(
+        &mut self,
+        now: time::Instant,
+        ticket: ticket::Id,
+        outcome: Outcome,
+        steps: &mut Vec<Step>,
+    ) {
+        let Some(job) = self.jobs.get(ticket) else { return };
+        let State::Running { cut } = job.state else { return };
+        let Some(job) = self.jobs.remove(ticket) else { return };
+        self.learn(now, &job, &outcome);
+        let reason = reason(&outcome.ending, cut);
+        self.close(now, &job, reason, outcome.ending);
+        steps.push(self.last_step(now, ticket, &job, reason));
+        self.start_next(now, steps);
+    }
+
+    /// Gives up a request because its caller did.
+    pub fn cancel(&mut self, now: time::Instant, ticket: ticket::Id, steps: &mut Vec<Step>) {
+        let Some(job) = self.jobs.get_mut(ticket) else { return };
+        if job.joined > 0 {
+            return;
+        }
+        match job.state {
+            State::Running { .. } => steps.push(Step::Abort(ticket)),
+            State::Queued(place) => {
+                self.queue.remove(place);
+                self.end_unrun(now, ticket, answer::Reason::Cancelled, steps);
+                self.start_next(now, steps);
+            }
+        }
+    }
+
+    /// Does what is due: the barrier, expiry of queued requests, forgetting, new starts.
+    pub fn tick(&mut self, now: time::Instant, steps: &mut Vec<Step>) {
+        self.advance(now);
+        self.counters.idle += self.flows.sweep(now) as u64;
+        while let Some(flow) = self.markers.expire(now) {
+            self.memory.note_flow(now, flow);
+        }
+        self.memory.expire(now);
+        self.elsewhere.retain(|held| held.until > now);
+        self.start_next(now, steps);
+    }
+
+    /// Takes the failure domain of the target out: nothing more runs.
+    pub fn set_domain_out(&mut self, now: time::Instant, steps: &mut Vec<Step>) {
+        self.out = true;
+        for place in self.queue.clear() {
+            self.end_unrun(now, place.ticket, answer::Reason::DomainOut, steps);
+        }
+        for ticket in self.jobs.cut() {
+            steps.push(Step::Abort(ticket));
+        }
+        self.flows.clear();
+    }
+
+    /// Brings the failure domain of the target back: it is cold.
+    pub fn set_domain_in(&mut self, now: time::Instant) {
+        if !self.out {
+            return;
+        }
+        self.out = false;
+        self.ramp.chill(now, &self.limits);
+    }
+
+    /// Starts what may start, and ends what can not start in time.
+    pub(crate) fn start_next(&mut self, now: time::Instant, steps: &mut Vec<Step>) {
+        while let Some(place) = self.queue.pop_expired(now) {
+            self.end_unrun(now, place.ticket, answer::Reason::Expired, steps);
+        }
+        if !matches!(self.tenure, Tenure::Serving { .. }) {
+            return;
+        }
+        while let Some(ticket) = self.pop_startable(now) {
+            self.jobs.start(ticket);
+            self.counters.started += 1;
+            steps.push(Step::Start(ticket));
+        }
+    }
+
+    fn pop_startable(&mut self, now: time::Instant) -> Option<ticket::Id> {
+        if self.queue.urgent() > 0 && self.can_start(now, request::Urgency::Urgent) {
+            return self.queue.pop_urgent().map(|place| place.ticket);
+        }
+        if self.queue.ordinary() > 0 && self.can_start(now, request::Urgency::Ordinary) {
+            return self.queue.pop_ordinary().map(|place| place.ticket);
+        }
+        None
+    }
+
+    /// Ends a request that left the queue without running.
+    pub(crate) fn end_unrun(
+        &mut self,
+        now: time::Instant,
+        ticket: ticket::Id,
+        reason: answer::Reason,
+        steps: &mut Vec<Step>,
+    ) {
+        let Some(job) = self.jobs.remove(ticket) else { return };
+        self.unrun(now, &job, reason);
+        steps.push(self.last_step(now, ticket, &job, reason));
+    }
+
+    /// The last step of a job. A flow's opening request that has not run here is for the
+    /// next owner to judge, since that one knows the flow.
+    fn last_step(
+        &mut self,
+        now: time::Instant,
+        ticket: ticket::Id,
+        job: &Job,
+        reason: answer::Reason,
+    ) -> Step {
+        if let Tenure::Closed { to } = &self.tenure
+            && job.opening
+            && may_go_elsewhere(reason)
+        {
+            return Step::Redirect(ticket, to.clone());
+        }
+        self.counters.answer(reason);
+        Step::Answer(ticket, self.final_answer(now, reason))
+    }
+
+    /// Notes that a request has not run. The flow that it would have opened is closed again;
+    /// where its ingress may still place it, that is remembered.
+    fn unrun(&mut self, now: time::Instant, job: &Job, reason: answer::Reason) {
+        if self.opens_flow(job) && self.flows.close(job.key.flow) && may_go_elsewhere(reason) {
+            let answer = self.refusal(now, reason);
+            self.markers.set(now, job.key.flow, Marker::Refused { answer, soft: false });
+            return;
+        }
+        self.remember(now, job, Memo::NotRun);
+    }
+
+    /// Whether nothing but this job speaks for its flow.
+    fn opens_flow(&self, job: &Job) -> bool {
+        let serving = matches!(self.tenure, Tenure::Serving { .. });
+        let ran = self.flows.get(job.key.flow).is_some_and(flow_table::Flow::ran);
+        serving && job.opening && !ran && !self.jobs.has_flow(job.key.flow)
+    }
+
+    fn remember(&mut self, now: time::Instant, job: &Job, memo: Memo) {
+        if matches!(self.tenure, Tenure::Closed { .. }) {
+            self.late.add(job, &memo);
+        }
+        if job.repeat == request::Repeat::Once {
+            self.memory.keep(now, job.key, memo);
+        }
+    }
+
+    /// Notes how a request that ran ended.
+    fn close(&mut self, now: time::Instant, job: &Job, reason: answer::Reason, ending: Ending) {
+        if reason.kind().says_not_run() {
+            self.unrun(now, job, reason);
+            return;
+        }
+        let memo = match ending {
+            Ending::Done(reply) => Memo::Done(reply),
+            _ => Memo::Unknown,
+        };
+        self.remember(now, job, memo);
+        if reason == answer::Reason::Answered && job.closing {
+            self.counters.closed += u64::from(self.flows.close(job.key.flow));
+            return;
+        }
+        self.flows.touch(now, job.key.flow, true);
+    }
+
+    /// Learns about the target from an outcome.
+    fn learn(&mut self, now: time::Instant, job: &Job, outcome: &Outcome) {
+        let limits = &self.limits;
+        match outcome.ending {
+            Ending::Done(_) if now <= job.deadline => self.ramp.success(now, limits, outcome.took),
+            Ending::Done(_) | Ending::Overrun => self.ramp.overrun(now, limits, outcome.took),
+            Ending::Shed => self.ramp.shed(now, limits),
+            Ending::Unsent | Ending::Lost => self.ramp.chill(now, limits),
+            Ending::Aborted => {}
+        }
+    }
+
+    fn final_answer(&mut self, now: time::Instant, reason: answer::Reason) -> answer::Answer {
+        if reason.kind().has_come_back() {
+            return self.refusal(now, reason);
+        }
+        answer::Answer::new(reason)
+    }
+}
+
+/// The reason that an outcome stands for.
+fn reason(ending: &Ending, cut: bool) -> answer::Reason {
+    match ending {
+        Ending::Done(_) => answer::Reason::Answered,
+        Ending::Shed | Ending::Unsent if cut => answer::Reason::DomainOut,
+        Ending::Shed => answer::Reason::Shed,
+        Ending::Unsent => answer::Reason::NoTarget,
+        _ if cut => answer::Reason::CutShort,
+        Ending::Lost => answer::Reason::TargetLost,
+        Ending::Overrun | Ending::Aborted => answer::Reason::Overrun,
+    }
+}
+
+/// Whether the ingress may place a flow elsewhere after this refusal.
+fn may_go_elsewhere(reason: answer::Reason) -> bool {
+    matches!(reason, answer::Reason::Full | answer::Reason::Shed | answer::Reason::NoTarget)
+}
--- /dev/null
+++ b/crates/mustardway_gate/src/flow_table.rs
@@ -0,0 +1,144 @@
+//! Open flows of the target.
+//!
+//! Times are kept in units of 2^14 microseconds, so that a flow takes 16 bytes
+//! and the table's overhead. Opening times are rounded down.
+
+use std::collections::HashMap;
+
+use mustardway_types::{flow, time};
+
+use crate::seeded;
+
+/// A flow without packets is dropped after this time.
+pub const IDLE: time::Span = time::Span::seconds(2 * 3_600);
+
+/// Time between two searches for idle flows.
+const SWEEP: time::Span = time::Span::seconds(60);
+
+/// Binary digits of a microsecond count that are dropped.
+const SHIFT: u32 = 14;
+
+/// A coarse point of time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Coarse(u32);
+
+impl Coarse {
+    fn new(at: time::Instant) -> Self {
+        Coarse(u32::try_from(at.0 >> SHIFT).map_or(RAN - 1, |units| units.min(RAN - 1)))
+    }
+
+    fn instant(self) -> time::Instant {
+        time::Instant(u64::from(self.0) << SHIFT)
+    }
+}
+
+/// Set in the time of last use of a flow whose requests may have run.
+const RAN: u32 = 1 << 31;
+
+/// Times of one flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Flow {
+    opened: Coarse,
+    used: Coarse,
+}
+
+impl Flow {
+    /// When it was opened here, rounded down; time zero where that is not known.
+    pub fn opened(&self) -> time::Instant {
+        self.opened.instant()
+    }
+
+    /// When its last packet came, rounded down.
+    pub fn used(&self) -> time::Instant {
+        Coarse(self.used.0 & !RAN).instant()
+    }
+
+    /// Whether one of its requests may have run.
+    pub fn ran(&self) -> bool {
+        self.used.0 & RAN != 0
+    }
+
+    fn set_used(&mut self, now: time::Instant, ran: bool) {
+        let ran = if ran || self.ran() { RAN } else { 0 };
+        self.used = Coarse(Coarse::new(now).0 | ran);
+    }
+}
+
+/// Open flows by id.
+#[derive(Debug)]
+pub struct Table {
+    flows: HashMap<flow::Id, Flow, seeded::Builder>,
+    swept: time::Instant,
+}
+
+impl Table {
+    /// An empty table.
+    pub fn new(seed: u64) -> Self {
+        let flows = HashMap::with_hasher(seeded::Builder(seed));
+        Table { flows, swept: time::Instant::default() }
+    }
+
+    /// Adds a flow that opens now; one that is there stays as it is.
+    pub fn open(&mut self, now: time::Instant, id: flow::Id) {
+        let now = Coarse::new(now);
+        self.flows.entry(id).or_insert(Flow { opened: now, used: now });
+    }
+
+    /// Adds a flow that was opened before; of two opening times the earlier one stays.
+    pub fn restore(&mut self, id: flow::Id, opened: time::Instant, used: time::Instant, ran: bool) {
+        let opened = Coarse::new(opened);
+        let flow = self.flows.entry(id).or_insert(Flow { opened, used: Coarse(0) });
+        flow.opened = flow.opened.min(opened);
+        flow.set_used(used.max(flow.used()), ran);
+    }
+
+    /// Notes a packet of a flow, and whether its request may have run.
+    pub fn touch(&mut self, now: time::Instant, id: flow::Id, ran: bool) {
+        if let Some(flow) = self.flows.get_mut(&id) {
+            flow.set_used(now, ran);
+        }
+    }
+
+    /// Removes a flow.
+    pub fn close(&mut self, id: flow::Id) -> bool {
+        self.flows.remove(&id).is_some()
+    }
+
+    /// Removes all flows.
+    pub fn clear(&mut self) {
+        self.flows.clear();
+    }
+
+    /// Removes idle flows, at most once in a while; returns their number.
+    pub fn sweep(&mut self, now: time::Instant) -> usize {
+        if now.since(self.swept) < SWEEP {
+            return 0;
+        }
+        self.swept = now;
+        let before = self.flows.len();
+        self.flows.retain(|_, flow| now.since(flow.used()) < IDLE);
+        before - self.flows.len()
+    }
+
+    /// A flow.
+    pub fn get(&self, id: flow::Id) -> Option<&Flow> {
+        self.flows.get(&id)
+    }
+
+    /// Number of flows.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether there is no flow.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+
+    /// Every flow, in the order of ids.
+    pub fn sorted(&self) -> Vec<(flow::Id, Flow)> {
+        let mut all: Vec<_> = self.flows.iter().map(|(id, flow)| (*id, *flow)).collect();
+        all.sort_unstable_by_key(|(id, _)| *id);
+        all
+    }
+}
--- /dev/null
+++ b/crates/mustardway_gate/src/gate.rs
@@ -0,0 +1,197 @@
+//! The state of one target and its settings.
+
+use mustardway_types::{answer, flow, instance, request, target, time};
+use mustardway_view::model::Limits;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::counter::Counters;
+use crate::finish::{Observation, Step};
+use crate::flow_table;
+use crate::job;
+use crate::key::Key;
+use crate::marker::{self, Marker};
+use crate::memory::{Memo, Memory};
+use crate::queue::Queue;
+use crate::ramp::Ramp;
+use crate::tenure::Tenure;
+use crate::transfer::{Elsewhere, Intake, Late};
+
+/// Seed of the hashes in the filter, the same at every instance.
+const FILTER_SEED: u64 = 0x6d75_7374_6172_6477;
+
+/// Slots from which a share is kept for urgent requests.
+const SHARED_FROM: u32 = 8;
+
+/// The share of slots kept for urgent requests is one part in this.
+const HEADROOM: u32 = 8;
+
+/// Shortest time after which a refused caller is asked to come back.
+const COME_BACK_MIN: time::Span = time::Span::millis(50);
+
+/// Longest time after which a refused caller is asked to come back, before the spread.
+const COME_BACK_MAX: time::Span = time::Span::seconds(5);
+
+/// Callers come back between once and this many times the base time.
+const COME_BACK_SPREAD: u64 = 3;
+
+/// Everything that the owner decides about one target.
+#[derive(Debug)]
+pub struct Gate {
+    pub(crate) target: target::Id,
+    pub(crate) instance: instance::Id,
+    pub(crate) limits: Limits,
+    pub(crate) tenure: Tenure,
+    pub(crate) random: Pcg32,
+    pub(crate) flows: flow_table::Table,
+    pub(crate) markers: marker::Table,
+    pub(crate) memory: Memory,
+    pub(crate) jobs: job::Table,
+    pub(crate) queue: Queue,
+    pub(crate) ramp: Ramp,
+    pub(crate) elsewhere: Vec<Elsewhere>,
+    pub(crate) intake: Intake,
+    pub(crate) late: Late,
+    pub(crate) announce_until: Option<time::Instant>,
+    pub(crate) mean_load: Option<f64>,
+    pub(crate) leaving: bool,
+    pub(crate) out: bool,
+    pub(crate) unhealthy: bool,
+    pub(crate) counters: Counters,
+}
+
+impl Gate {
+    /// A gate of `target` at `instance`, for a cold target.
+    pub fn new(
+        target: target::Id,
+        instance: instance::Id,
+        limits: Limits,
+        tenure: Tenure,
+        seed: u64,
+        now: time::Instant,
+    ) -> Self {
+        let mut random = Pcg32::seed_from_u64(seed);
+        let table_seed: u64 = random.random();
+        let complete_since = match tenure {
+            Tenure::Serving { since, .. } => since,
+            _ => now,
+        };
+        Gate {
+            target,
+            instance,
+            tenure,
+            flows: flow_table::Table::new(table_seed),
+            markers: marker::Table::new(table_seed),
+            memory: Memory::new(table_seed, FILTER_SEED, complete_since),
+            jobs: job::Table::new(table_seed),
+            queue: Queue::new(),
+            ramp: Ramp::new(now, &limits),
+            limits,
+            random,
+            elsewhere: Vec::new(),
+            intake: Intake::default(),
+            late: Late::default(),
+            announce_until: None,
+            mean_load: None,
+            leaving: false,
+            out: false,
+            unhealthy: false,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Replaces the limits of the target.
+    pub fn set_limits(&mut self, now: time::Instant, limits: Limits, steps: &mut Vec<Step>) {
+        self.limits = limits;
+        self.ramp.adapt(now, &self.limits);
+        self.start_next(now, steps);
+    }
+
+    /// Sets whether the target takes new flows.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Tells the mean load of the service's targets, as by [`Gate::load_fraction`].
+    pub fn set_mean_load(&mut self, mean: f64) {
+        self.mean_load = mean.is_finite().then_some(mean);
+    }
+
+    /// Takes in something seen of the target apart from its answers.
+    pub fn observe(&mut self, now: time::Instant, observation: Observation) {
+        match observation {
+            Observation::Reconnected => {
+                self.counters.turned_cold += 1;
+                self.ramp.chill(now, &self.limits);
+            }
+            Observation::HealthFailed => self.unhealthy = true,
+            Observation::HealthOk => self.unhealthy = false,
+        }
+    }
+
+    /// Tells that another instance may have served this target up to now.
+    pub fn doubt(&mut self, now: time::Instant) {
+        self.memory.doubt(now);
+    }
+
+    /// Tells that an instance is lost: what it ran for this target has no known outcome.
+    pub fn lose_instance(&mut self, lost: &instance::Id) {
+        self.memory.give_up(lost);
+    }
+
+    /// Tells that a flow which was refused here was placed on another target.
+    pub fn place_elsewhere(&mut self, now: time::Instant, flow: flow::Id, target: target::Id) {
+        if self.flows.get(flow).is_some() {
+            return;
+        }
+        self.markers.set(now, flow, Marker::Placed(target));
+    }
+
+    /// Tells that a request which was refused here was placed on no target.
+    pub fn place_nowhere(&mut self, now: time::Instant, key: Key) {
+        if !matches!(self.markers.get(now, key.flow), Some(Marker::Refused { .. })) {
+            return;
+        }
+        self.markers.clear(key.flow);
+        self.memory.keep(now, key, Memo::NotRun);
+    }
+
+    /// A refusal with a time to come back that differs from caller to caller.
+    pub(crate) fn refusal(&mut self, now: time::Instant, reason: answer::Reason) -> answer::Answer {
+        let waiting = self.queue.len() as u64 + 1;
+        let drain = time::Span(self.service_time().0.saturating_mul(waiting));
+        let slots = u64::from(self.ramp.allowed(now, &self.limits));
+        let base = time::Span(drain.0 / slots).clamp(COME_BACK_MIN, COME_BACK_MAX);
+        let spread = self.random.random_range(base.0..=base.0 * COME_BACK_SPREAD);
+        answer::Answer::come_back(reason, time::Span(spread))
+    }
+
+    /// Mean time of one request; zero while unknown.
+    pub(crate) fn service_time(&self) -> time::Span {
+        time::Span(self.ramp.service().unwrap_or(0.0) as u64)
+    }
+
+    /// Whether a request of this urgency may start now.
+    pub(crate) fn can_start(&self, now: time::Instant, urgency: request::Urgency) -> bool {
+        let allowed = self.ramp.allowed(now, &self.limits);
+        if self.jobs.running() + self.running_elsewhere(now) >= allowed {
+            return false;
+        }
+        urgency == request::Urgency::Urgent
+            || self.jobs.running_ordinary() < ordinary_slots(allowed)
+    }
+
+    /// Requests that earlier owners still run.
+    pub(crate) fn running_elsewhere(&self, now: time::Instant) -> u32 {
+        let live = self.elsewhere.iter().filter(|held| held.until > now).count();
+        u32::try_from(live).unwrap_or(u32::MAX)
+    }
+}
+
+/// Slots that ordinary requests may take.
+fn ordinary_slots(allowed: u32) -> u32 {
+    if allowed < SHARED_FROM {
+        return allowed;
+    }
+    allowed - allowed / HEADROOM
+}
--- /dev/null
+++ b/crates/mustardway_gate/src/ticket.rs
@@ -0,0 +1,16 @@
+//! Ids of admissions.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Id of one admission, chosen by the runtime and never used again at this gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Id(pub u64);
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/mustardway_gate/src/transfer.rs
@@ -0,0 +1,404 @@
+//! Planned and unplanned change of the owner.
+//!
+//! Planned: the earlier owner closes its gate and hands its state over; what
+//! runs there ends there, and its outcomes follow. The next owner opens at once,
+//! at the same level of the ramp, and counts what still runs at the earlier owner.
+//! Unplanned: the next owner collects for a while what the ingresses announce and
+//! then takes the target for cold, at half of its slots, since the earlier owner
+//! may still be at work.
+
+use mustardway_types::{answer, flow, instance, request, target, time};
+
+use crate::finish::Step;
+use crate::gate::Gate;
+use crate::job::{Job, State};
+use crate::key::Key;
+use crate::marker::Marker;
+use crate::memory::Memo;
+use crate::message::{self, Announcement, Ending, Error, Handover, Summary};
+use crate::ramp::Ramp;
+use crate::tenure::{self, Tenure};
+
+/// How long after the barrier announcements are still taken in.
+pub const ANNOUNCE: time::Span = time::Span::seconds(5);
+
+/// Greatest time that a message's age or time left may say.
+const AGE_MAX: time::Span = time::Span::seconds(24 * 3_600);
+
+/// A request that an earlier owner runs.
+#[derive(Debug)]
+pub(crate) struct Elsewhere {
+    pub(crate) at: instance::Id,
+    pub(crate) until: time::Instant,
+}
+
+/// Parts of a handover that have come.
+#[derive(Debug, Default)]
+pub(crate) struct Intake {
+    from: Option<instance::Id>,
+    next: u32,
+}
+
+/// Outcomes since the gate was closed.
+#[derive(Debug, Default)]
+pub(crate) struct Late {
+    ended: u32,
+    closed: Vec<u64>,
+    requests: Vec<message::Request>,
+}
+
+impl Late {
+    /// Adds the outcome of a job.
+    pub(crate) fn add(&mut self, job: &Job, memo: &Memo) {
+        self.ended += u32::from(matches!(job.state, State::Running { .. }));
+        if job.closing && matches!(memo, Memo::Done(_)) {
+            self.closed.push(job.key.flow.0);
+        }
+        if job.repeat == request::Repeat::Once {
+            self.requests.push(record(job.key, memo, time::Instant::default()));
+        }
+    }
+}
+
+impl Gate {
+    /// Moves from `Pending` to `Serving` when the barrier has passed.
+    pub(crate) fn advance(&mut self, now: time::Instant) {
+        let Tenure::Pending { until } = self.tenure else { return };
+        if now < until {
+            return;
+        }
+        self.tenure = Tenure::Serving { since: now, inherited: false };
+        self.announce_until = Some(now + ANNOUNCE);
+        self.ramp = Ramp::new(now, &self.limits);
+        self.ramp.reduce(now, &self.limits);
+        self.memory.doubt(now);
+    }
+
+    /// Closes the gate for good and gives its state to another instance. Waiting requests
+    /// are sent there; running ones end here.
+    pub fn hand_over(
+        &mut self,
+        now: time::Instant,
+        to: instance::Id,
+        steps: &mut Vec<Step>,
+    ) -> Handover {
+        for place in self.queue.clear() {
+            self.jobs.remove(place.ticket);
+            steps.push(Step::Redirect(place.ticket, Some(to.clone())));
+        }
+        self.tenure = Tenure::Closed { to: Some(to) };
+        self.late = Late::default();
+        Handover {
+            parts: 1,
+            flows: self.flow_records(now),
+            placements: self.placement_records(now),
+            requests: self.request_records(now),
+            summary: Some(self.summary(now)),
+            ..self.empty_message()
+        }
+    }
+
+    /// Outcomes since the gate was closed, for the instance that serves now.
+    pub fn take_late(&mut self) -> Option<Handover> {
+        let late = std::mem::take(&mut self.late);
+        if late.ended == 0 && late.requests.is_empty() {
+            return None;
+        }
+        let Late { ended, closed, requests } = late;
+        Some(Handover { ended, closed, requests, ..self.empty_message() })
+    }
+
+    /// Takes in a part of the state of an earlier owner. With the last part the gate opens;
+    /// where it served already, both states are united and the stricter one wins.
+    pub fn receive(&mut self, now: time::Instant, message: &Handover) -> Result<(), Error> {
+        if message.target != self.target.as_str() {
+            return Err(Error::Target);
+        }
+        let from: instance::Id = message.from.parse().map_err(|_| Error::Instance)?;
+        let requests = decode_requests(now, &message.requests)?;
+        let whole = message.parts > 0 && self.intake.take(&from, message.part);
+        if let Tenure::Pending { .. } = self.tenure {
+            self.tenure = Tenure::Pending { until: now + tenure::REBUILD };
+        }
+        self.receive_flows(now, message);
+        let late = message.parts == 0;
+        for (key, memo) in requests {
+            self.receive_request(now, &from, late, key, memo);
+        }
+        self.receive_late(now, &from, message);
+        let last = whole && message.part + 1 == message.parts;
+        if let (true, Some(summary)) = (last, &message.summary) {
+            self.receive_summary(now, summary)?;
+        }
+        Ok(())
+    }
+
+    /// Takes in what an ingress knows, after an earlier owner was lost.
+    pub fn announce(
+        &mut self,
+        now: time::Instant,
+        message: &Announcement,
+        steps: &mut Vec<Step>,
+    ) -> Result<(), Error> {
+        if message.target != self.target.as_str() {
+            return Err(Error::Target);
+        }
+        self.advance(now);
+        let pending = matches!(self.tenure, Tenure::Pending { .. });
+        if !pending && self.announce_until.is_none_or(|until| until < now) {
+            return Err(Error::Late);
+        }
+        if !self.out {
+            for id in &message.flows {
+                self.flows.restore(flow::Id(*id), time::Instant::default(), now, true);
+            }
+        }
+        for request in &message.requests {
+            self.announce_request(now, key(request), steps);
+        }
+        Ok(())
+    }
+
+    fn announce_request(&mut self, now: time::Instant, key: Key, steps: &mut Vec<Step>) {
+        let Some(ticket) = self.jobs.ticket(key) else {
+            self.memory.keep(now, key, Memo::Unknown);
+            return;
+        };
+        let Some(State::Queued(place)) = self.jobs.get(ticket).map(|job| job.state) else { return };
+        self.queue.remove(place);
+        self.jobs.remove(ticket);
+        self.memory.keep(now, key, Memo::Unknown);
+        self.counters.answer(answer::Reason::Forgotten);
+        steps.push(Step::Answer(ticket, answer::Answer::new(answer::Reason::Forgotten)));
+    }
+
+    fn receive_flows(&mut self, now: time::Instant, message: &Handover) {
+        if self.out {
+            return;
+        }
+        for record in &message.flows {
+            let opened = ago(now, record.opened);
+            self.flows.restore(flow::Id(record.flow), opened, ago(now, record.used), record.ran);
+        }
+        for record in &message.placements {
+            let id = flow::Id(record.flow);
+            if self.flows.get(id).is_some() {
+                continue;
+            }
+            match record.target.parse::<target::Id>() {
+                Ok(target) => self.markers.set(now, id, Marker::Placed(target)),
+                Err(_) => self.memory.note_flow(now, id),
+            }
+        }
+    }
+
+    fn receive_request(
+        &mut self,
+        now: time::Instant,
+        from: &instance::Id,
+        late: bool,
+        key: Key,
+        memo: Memo,
+    ) {
+        if matches!(&memo, Memo::Elsewhere { at, .. } if *at == self.instance) {
+            return;
+        }
+        if self.jobs.ticket(key).is_some() {
+            return;
+        }
+        let awaited =
+            matches!(self.memory.get(now, key), Some(Memo::Elsewhere { at, .. }) if at == *from);
+        if late && awaited {
+            self.memory.take(key);
+        }
+        self.memory.keep(now, key, memo);
+    }
+
+    fn receive_late(&mut self, now: time::Instant, from: &instance::Id, message: &Handover) {
+        for id in &message.closed {
+            self.flows.close(flow::Id(*id));
+        }
+        let mut ended = message.ended;
+        self.elsewhere.retain(|held| {
+            let over = ended > 0 && held.at == *from;
+            ended -= u32::from(over);
+            !over && held.until > now
+        });
+    }
+
+    fn receive_summary(&mut self, now: time::Instant, summary: &Summary) -> Result<(), Error> {
+        for running in &summary.running {
+            let at: instance::Id = running.at.parse().map_err(|_| Error::Instance)?;
+            if at == self.instance {
+                continue;
+            }
+            for left in &running.left {
+                self.elsewhere.push(Elsewhere { at: at.clone(), until: ahead(now, *left) });
+            }
+        }
+        self.memory.merge_filter(now, &summary.filter);
+        let complete = ago(now, summary.complete);
+        if let Tenure::Serving { .. } = self.tenure {
+            self.memory.doubt(complete);
+            self.ramp.lower(now, &self.limits, summary.level);
+            return Ok(());
+        }
+        self.memory.inherit(complete);
+        let Summary { level, service, baseline, .. } = *summary;
+        self.ramp = Ramp::restore(now, &self.limits, level, service, baseline);
+        self.ramp.reduce_until(ahead(now, summary.reduced));
+        self.unhealthy = summary.unhealthy;
+        self.tenure = Tenure::Serving { since: now, inherited: true };
+        Ok(())
+    }
+
+    fn empty_message(&self) -> Handover {
+        Handover {
+            target: self.target.to_string(),
+            from: self.instance.to_string(),
+            ..Handover::default()
+        }
+    }
+
+    fn flow_records(&self, now: time::Instant) -> Vec<message::Flow> {
+        let mut records = Vec::with_capacity(self.flows.len());
+        for (id, flow) in self.flows.sorted() {
+            records.push(message::Flow {
+                flow: id.0,
+                opened: now.since(flow.opened()).0,
+                used: now.since(flow.used()).0,
+                ran: flow.ran(),
+            });
+        }
+        records
+    }
+
+    fn placement_records(&self, now: time::Instant) -> Vec<message::Placement> {
+        let mut records = Vec::with_capacity(self.markers.len());
+        for (id, marker) in self.markers.sorted(now) {
+            let target = match marker {
+                Marker::Placed(target) => target.to_string(),
+                Marker::Refused { .. } => String::new(),
+            };
+            records.push(message::Placement { flow: id.0, target });
+        }
+        records
+    }
+
+    fn request_records(&self, now: time::Instant) -> Vec<message::Request> {
+        let mut records = Vec::with_capacity(self.memory.len());
+        for (key, memo) in self.memory.sorted(now) {
+            records.push(record(key, &memo, now));
+        }
+        for (_, job) in self.jobs.running_jobs() {
+            if job.repeat != request::Repeat::Once {
+                continue;
+            }
+            let memo = Memo::Elsewhere { at: self.instance.clone(), until: job.deadline };
+            records.push(record(job.key, &memo, now));
+        }
+        records
+    }
+
+    fn summary(&self, now: time::Instant) -> Summary {
+        let reduced = self.ramp.reduced_until().map_or(0, |until| until.since(now).0);
+        Summary {
+            complete: now.since(self.memory.complete_since()).0,
+            level: self.ramp.level(),
+            service: self.ramp.service(),
+            baseline: self.ramp.baseline(),
+            reduced,
+            running: self.running_records(now),
+            filter: self.memory.filter_words(),
+            unhealthy: self.unhealthy,
+        }
+    }
+
+    fn running_records(&self, now: time::Instant) -> Vec<message::Running> {
+        let mut own = Vec::new();
+        for (_, job) in self.jobs.running_jobs() {
+            own.push(job.deadline.since(now).0);
+        }
+        let mut records = vec![message::Running { at: self.instance.to_string(), left: own }];
+        for held in &self.elsewhere {
+            let left = vec![held.until.since(now).0];
+            records.push(message::Running { at: held.at.to_string(), left });
+        }
+        records
+    }
+}
+
+impl Intake {
+    /// Notes a part; whether it and all before it have come in order.
+    fn take(&mut self, from: &instance::Id, part: u32) -> bool {
+        if part == 0 {
+            *self = Intake { from: Some(from.clone()), next: 1 };
+            return true;
+        }
+        if self.from.as_ref() != Some(from) || self.next != part {
+            *self = Intake::default();
+            return false;
+        }
+        self.next += 1;
+        true
+    }
+}
+
+/// The point of time that was `age` microseconds ago.
+fn ago(now: time::Instant, age: u64) -> time::Instant {
+    now - time::Span(age)
+}
+
+/// The point of time `left` microseconds ahead, within bounds.
+fn ahead(now: time::Instant, left: u64) -> time::Instant {
+    now + time::Span(left).min(AGE_MAX)
+}
+
+fn key(request: &message::Request) -> Key {
+    Key { flow: flow::Id(request.flow), request: request::Id(request.request), part: request.part }
+}
+
+fn record(key: Key, memo: &Memo, now: time::Instant) -> message::Request {
+    let mut record = message::Request {
+        flow: key.flow.0,
+        request: key.request.0,
+        part: key.part,
+        ..message::Request::default()
+    };
+    let ending = match memo {
+        Memo::NotRun => Ending::NotRun,
+        Memo::Unknown => Ending::Unknown,
+        Memo::Elsewhere { at, until } => {
+            record.at = at.to_string();
+            record.left = until.since(now).0;
+            Ending::Running
+        }
+        Memo::Done(reply) => {
+            record.reply = reply.clone();
+            Ending::Done
+        }
+    };
+    record.set_ending(ending);
+    record
+}
+
+fn decode_requests(
+    now: time::Instant,
+    records: &[message::Request],
+) -> Result<Vec<(Key, Memo)>, Error> {
+    let mut requests = Vec::with_capacity(records.len());
+    for record in records {
+        let memo = match record.ending() {
+            Ending::Unspecified => return Err(Error::Record),
+            Ending::NotRun => Memo::NotRun,
+            Ending::Unknown => Memo::Unknown,
+            Ending::Running => {
+                let at = record.at.parse().map_err(|_| Error::Instance)?;
+                Memo::Elsewhere { at, until: ahead(now, record.left) }
+            }
+            Ending::Done => Memo::Done(record.reply.clone()),
+        };
+        requests.push((key(record), memo));
+    }
+    Ok(requests)
+}
