--- /dev/null
+++ b/crates/mustardway_membership/src/claim.rs
@@ -0,0 +1,261 @@
+//! What others claim of an instance, weighed against what is known here.
+//!
+//! The greater incarnation wins, then the stronger state. A claim of death is
+//! not taken at once where this instance hears the accused itself, nor where
+//! it comes out of another's table, as after a healed partition: the accused
+//! is told first and may refute it with a greater incarnation.
+
+use mustardway_types::instance::{self, Incarnation};
+use mustardway_types::time::{Instant, Span};
+
+use crate::action::Action;
+use crate::gossip;
+use crate::heartbeat::Kind;
+use crate::member::{Record, State};
+use crate::message::{Body, ENTRIES_MAX, Entry, Gossip};
+use crate::node::Node;
+
+/// Greatest incarnation that is believed.
+const INCARNATION_MAX: u64 = u64::MAX / 2;
+/// Greatest number of accused instances at a time.
+const ACCUSED_MAX: usize = 4_096;
+
+/// A claim of death that the accused may still refute.
+#[derive(Debug)]
+pub(crate) struct Accusation {
+    incarnation: Incarnation,
+    due: Instant,
+}
+
+/// What one peer says of one instance.
+#[derive(Debug, Clone, Copy)]
+struct Claim<'a> {
+    from: &'a instance::Id,
+    id: &'a instance::Id,
+    state: State,
+    entry: &'a Entry,
+    source: Source,
+}
+
+impl Claim<'_> {
+    /// What decides between claims of one instance.
+    fn strength(&self) -> (u64, u8) {
+        (self.entry.incarnation, rank(self.state, false))
+    }
+}
+
+/// How a claim has come here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// As a change, soon after it happened.
+    Pushed,
+    /// Out of another's table.
+    Synced,
+}
+
+impl Node {
+    /// Takes changes that a peer has pushed.
+    pub(crate) fn take_pushed(
+        &mut self,
+        from: &instance::Id,
+        entries: &[Entry],
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.hear_any(now);
+        self.take_entries(from, entries, Source::Pushed, now, actions);
+    }
+
+    /// Takes every entry that is well formed.
+    pub(crate) fn take_entries(
+        &mut self,
+        from: &instance::Id,
+        entries: &[Entry],
+        source: Source,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.counts.excess += entries.len().saturating_sub(ENTRIES_MAX) as u64;
+        for entry in entries.iter().take(ENTRIES_MAX) {
+            let (Some(id), Some(state)) = (entry.id(), entry.known_state()) else {
+                self.counts.malformed += 1;
+                continue;
+            };
+            if entry.incarnation > INCARNATION_MAX {
+                self.counts.malformed += 1;
+                continue;
+            }
+            let claim = Claim { from, id: &id, state, entry, source };
+            if self.is_me(&id) {
+                self.take_own(&claim, now, actions);
+                continue;
+            }
+            self.take_other(&claim, now, actions);
+        }
+    }
+
+    /// Takes as true what the accused have not refuted in time.
+    pub(crate) fn judge_accused(&mut self, now: Instant) {
+        let mut due = Vec::new();
+        for (id, accusation) in &self.accused {
+            if now < accusation.due {
+                continue;
+            }
+            due.push(id.clone());
+        }
+        for id in due {
+            let Some(accusation) = self.accused.remove(&id) else { continue };
+            let Some(record) = self.table.get(&id) else { continue };
+            let same = record.member.incarnation == accusation.incarnation;
+            if !same || !record.state.is_live() || self.hears(&id, now) {
+                continue;
+            }
+            self.table.set_state(&id, State::Dead, now);
+            self.contacts.tell(&id, None);
+        }
+    }
+
+    /// Whether this instance has itself heard `id` within half a lease.
+    pub(crate) fn hears(&self, id: &instance::Id, now: Instant) -> bool {
+        let Some(contact) = self.contacts.get(id) else { return false };
+        let half = Span(self.settings.lease.0 / 2);
+        contact.sequence != 0 && now.since(contact.heard) < half
+    }
+
+    fn take_other(&mut self, claim: &Claim<'_>, now: Instant, actions: &mut Vec<Action>) {
+        let Some(known) = self.table.get(claim.id) else {
+            if claim.state.is_live() {
+                self.adopt(claim, now);
+            }
+            return;
+        };
+        let (state, belief) = (known.state, strength(known));
+        if claim.strength() == belief {
+            self.settle(claim.from, claim.id);
+            return;
+        }
+        let same_life = claim.entry.incarnation == belief.0;
+        if claim.strength() < belief {
+            if same_life && claim.state.is_live() && state == State::Dead {
+                self.accuse(claim.id, now, actions);
+            }
+            if claim.source == Source::Pushed {
+                self.correct(claim.from, claim.id);
+            }
+            return;
+        }
+        let contested = claim.source == Source::Synced || self.hears(claim.id, now);
+        if claim.state == State::Dead && same_life && state.is_live() && contested {
+            self.accuse(claim.id, now, actions);
+            return;
+        }
+        self.adopt(claim, now);
+    }
+
+    fn adopt(&mut self, claim: &Claim<'_>, now: Instant) {
+        let member = match self.table.get(claim.id) {
+            Some(known) if !claim.state.is_live() => {
+                let mut member = known.member.clone();
+                member.incarnation = Incarnation(claim.entry.incarnation);
+                Some(member)
+            }
+            _ => claim.entry.member(),
+        };
+        let Some(member) = member else {
+            self.counts.malformed += 1;
+            return;
+        };
+        if !self.table.put(member, claim.state, now) {
+            self.counts.overflow += 1;
+            return;
+        }
+        if let Some(listed) = self.roster.get(claim.id) {
+            self.table.list_leaving(claim.id, listed.leaving);
+        }
+        self.accused.remove(claim.id);
+        if claim.source == Source::Synced && !self.joined {
+            return;
+        }
+        self.contacts.tell(claim.id, Some(claim.from));
+    }
+
+    /// Takes a claim about this instance itself.
+    fn take_own(&mut self, claim: &Claim<'_>, now: Instant, actions: &mut Vec<Action>) {
+        let me = self.me().clone();
+        let own = strength(&me);
+        if claim.strength() == own {
+            self.settle(claim.from, claim.id);
+            return;
+        }
+        if claim.strength() < own {
+            self.correct(claim.from, claim.id);
+            return;
+        }
+        let other = claim.entry.member();
+        let elsewhere = other.is_some_and(|other| other.address != me.member.address);
+        if claim.state.is_live() && claim.entry.incarnation > own.0 && elsewhere {
+            self.superseded = true;
+            return;
+        }
+        self.counts.refuted += 1;
+        self.superseded = false;
+        let mut member = me.member;
+        member.incarnation = Incarnation(claim.entry.incarnation + 1);
+        self.table.put(member, me.state, now);
+        self.contacts.tell(claim.id, None);
+        if !claim.state.is_live() {
+            self.raise_fence(now);
+        }
+        self.send_heartbeat(claim.from, Kind::Introduction, now, actions);
+    }
+
+    /// Tells an instance that it is held for dead, so that it may refute it.
+    fn accuse(&mut self, id: &instance::Id, now: Instant, actions: &mut Vec<Action>) {
+        let Some(record) = self.table.get(id) else { return };
+        let known = self.accused.get(id);
+        if known.is_some_and(|known| known.incarnation == record.member.incarnation) {
+            return;
+        }
+        if !self.budget.is_open() || self.accused.len() >= ACCUSED_MAX {
+            return;
+        }
+        let due = now + Span(self.settings.lease.0 * 2 / 3);
+        let incarnation = record.member.incarnation;
+        let claim = Record { state: State::Dead, ..record.clone() };
+        let entries = vec![Entry::new(&claim)];
+        self.budget.spend(&entries);
+        actions.push(gossip::send(id, record.member.address, Body::Gossip(Gossip { entries })));
+        self.accused.insert(id.clone(), Accusation { incarnation, due });
+    }
+
+    /// The peer believes of `id` what this instance believes.
+    fn settle(&mut self, peer: &instance::Id, id: &instance::Id) {
+        let Some(contact) = self.contacts.get_mut(peer) else { return };
+        contact.pending.remove(id);
+    }
+
+    /// The peer believes less of `id` than this instance.
+    fn correct(&mut self, peer: &instance::Id, id: &instance::Id) {
+        let Some(contact) = self.contacts.get_mut(peer) else { return };
+        contact.pending.insert(id.clone());
+    }
+}
+
+/// What decides between a claim and what is believed.
+pub(crate) fn strength(record: &Record) -> (u64, u8) {
+    (record.member.incarnation.0, rank(record.state, record.isolated))
+}
+
+/// Strength of a state within one incarnation. An instance that is held for
+/// dead only because nobody was heard gives way to any claim.
+pub(crate) fn rank(state: State, isolated: bool) -> u8 {
+    if isolated {
+        return 0;
+    }
+    match state {
+        State::Alive | State::Suspect => 1,
+        State::Leaving => 2,
+        State::Dead => 3,
+        State::Left => 4,
+    }
+}
--- /dev/null
+++ b/crates/mustardway_membership/src/contact.rs
@@ -0,0 +1,161 @@
+//! Peers that this instance exchanges heartbeats with.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mustardway_types::instance;
+use mustardway_types::time::{Instant, Span};
+
+/// Greatest number of peers that may name this instance their neighbour.
+const CONTACTS_MAX: usize = 64;
+
+/// One peer that this instance exchanges heartbeats with.
+#[derive(Debug)]
+pub(crate) struct Contact {
+    /// A neighbour on one of this instance's rings.
+    pub(crate) neighbour: bool,
+    /// When it last named this instance its neighbour.
+    pub(crate) claimed: Option<Instant>,
+    /// When it was last heard, or when this instance began to listen.
+    pub(crate) heard: Instant,
+    /// Latest sequence number heard from it.
+    pub(crate) sequence: u64,
+    /// Incarnation that the sequence number belongs to.
+    pub(crate) incarnation: u64,
+    /// It has not answered yet, so heartbeats tell it who sends them.
+    pub(crate) new: bool,
+    /// Since when its digest differs from the one here.
+    pub(crate) differs: Option<Instant>,
+    /// When others were first and last asked about it in this silence.
+    pub(crate) asked: Option<(Instant, Instant)>,
+    /// Its connection was lost.
+    pub(crate) down: bool,
+    /// Instances whose change it has not been told yet.
+    pub(crate) pending: BTreeSet<instance::Id>,
+    /// When it may next be sent changes.
+    pub(crate) next_push: Instant,
+}
+
+impl Contact {
+    fn new(now: Instant) -> Self {
+        Contact {
+            neighbour: false,
+            claimed: None,
+            heard: now,
+            sequence: 0,
+            incarnation: 0,
+            new: true,
+            differs: None,
+            asked: None,
+            down: false,
+            pending: BTreeSet::new(),
+            next_push: now,
+        }
+    }
+
+    /// Forgets the silence before `at`.
+    pub(crate) fn hear(&mut self, at: Instant) {
+        self.heard = self.heard.max(at);
+        self.asked = None;
+        self.down = false;
+    }
+}
+
+/// All peers that this instance exchanges heartbeats with.
+#[derive(Debug, Default)]
+pub(crate) struct Contacts {
+    map: BTreeMap<instance::Id, Contact>,
+}
+
+impl Contacts {
+    /// The contact of a peer.
+    pub(crate) fn get(&self, id: &instance::Id) -> Option<&Contact> {
+        self.map.get(id)
+    }
+
+    /// The contact of a peer, to change.
+    pub(crate) fn get_mut(&mut self, id: &instance::Id) -> Option<&mut Contact> {
+        self.map.get_mut(id)
+    }
+
+    /// All contacts in the order of their names.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&instance::Id, &Contact)> {
+        self.map.iter()
+    }
+
+    /// All contacts, to change.
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = (&instance::Id, &mut Contact)> {
+        self.map.iter_mut()
+    }
+
+    /// Names of all contacts.
+    pub(crate) fn ids(&self) -> Vec<instance::Id> {
+        self.map.keys().cloned().collect()
+    }
+
+    /// Takes `ids` as the neighbours from now on.
+    pub(crate) fn set_neighbours(&mut self, ids: &[instance::Id], now: Instant) {
+        for contact in self.map.values_mut() {
+            contact.neighbour = false;
+        }
+        for id in ids {
+            let contact = self.map.entry(id.clone()).or_insert_with(|| Contact::new(now));
+            contact.neighbour = true;
+        }
+    }
+
+    /// Notes that a peer names this instance its neighbour.
+    pub(crate) fn claim(&mut self, id: &instance::Id, now: Instant) {
+        if !self.map.contains_key(id) && self.map.len() >= CONTACTS_MAX {
+            return;
+        }
+        let contact = self.map.entry(id.clone()).or_insert_with(|| Contact::new(now));
+        contact.claimed = Some(now);
+    }
+
+    /// Ends the contact with a peer.
+    pub(crate) fn remove(&mut self, id: &instance::Id) {
+        self.map.remove(id);
+    }
+
+    /// Ends contacts that neither side names a neighbour within `lease`.
+    pub(crate) fn expire(&mut self, lease: Span, now: Instant) -> Vec<instance::Id> {
+        let mut ended = Vec::new();
+        for (id, contact) in &self.map {
+            let claimed = contact.claimed.is_some_and(|claimed| now.since(claimed) < lease);
+            // A silent claimant is kept until its silence is explained.
+            if contact.neighbour || claimed || contact.asked.is_some() {
+                continue;
+            }
+            ended.push(id.clone());
+        }
+        for id in &ended {
+            self.map.remove(id);
+        }
+        ended
+    }
+
+    /// Starts every contact anew after a pause of this instance.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        for contact in self.map.values_mut() {
+            contact.hear(now);
+            contact.claimed = contact.claimed.map(|_| now);
+        }
+    }
+
+    /// Lets every contact be told at once.
+    pub(crate) fn hurry(&mut self, now: Instant) {
+        for contact in self.map.values_mut() {
+            contact.next_push = now;
+        }
+    }
+
+    /// Notes a change that all contacts but `except` are to be told.
+    pub(crate) fn tell(&mut self, id: &instance::Id, except: Option<&instance::Id>) {
+        for (peer, contact) in &mut self.map {
+            if Some(peer) == except || peer == id {
+                continue;
+            }
+            contact.pending.insert(id.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardway_membership/src/gossip.rs
@@ -0,0 +1,108 @@
+//! Changes flood along the links between contacts, within a budget of bytes.
+
+use std::net::SocketAddr;
+
+use mustardway_types::instance;
+use mustardway_types::time::{Instant, Span};
+
+use crate::action::Action;
+use crate::message::{Body, Entry, Gossip, Message};
+use crate::node::Node;
+
+/// Greatest number of entries that are pushed in one message.
+const PUSH_ENTRIES: usize = 64;
+/// Time between two pushes to one contact.
+const PUSH_INTERVAL: Span = Span::millis(20);
+/// Seconds of the rate that may be saved up.
+const BURST_SECONDS: u64 = 2;
+/// Bytes counted for a message besides its entries.
+const MESSAGE_BYTES: u64 = 60;
+/// Bytes counted for an entry besides its names.
+const ENTRY_BYTES: usize = 28;
+
+/// Bytes that may still be sent for changes and tables.
+#[derive(Debug)]
+pub(crate) struct Budget {
+    rate: u64,
+    bytes: i64,
+    filled: Instant,
+}
+
+impl Budget {
+    /// A full budget of `rate` bytes a second.
+    pub(crate) fn new(rate: u64, now: Instant) -> Self {
+        Budget { rate, bytes: (rate * BURST_SECONDS) as i64, filled: now }
+    }
+
+    /// Whether anything may be sent.
+    pub(crate) fn is_open(&self) -> bool {
+        self.bytes > 0
+    }
+
+    /// Lets one more round be sent.
+    pub(crate) fn open(&mut self) {
+        let full = (self.rate * BURST_SECONDS) as i64;
+        self.bytes = full;
+    }
+
+    /// Adds what has accrued until `now`.
+    pub(crate) fn fill(&mut self, now: Instant) {
+        let micros = now.since(self.filled).0.min(BURST_SECONDS * 1_000_000);
+        let accrued = micros * self.rate / 1_000_000;
+        if accrued == 0 {
+            return;
+        }
+        self.filled = now;
+        let full = (self.rate * BURST_SECONDS) as i64;
+        self.bytes = full.min(self.bytes + accrued as i64);
+    }
+
+    /// Takes the bytes of a message with these entries.
+    pub(crate) fn spend(&mut self, entries: &[Entry]) {
+        let mut bytes = MESSAGE_BYTES;
+        for entry in entries {
+            bytes += (ENTRY_BYTES + entry.id.len() + entry.domain.len()) as u64;
+        }
+        self.bytes -= bytes as i64;
+    }
+}
+
+impl Node {
+    /// Sends the changes that contacts have not been told yet.
+    pub(crate) fn push(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.budget.fill(now);
+        for (peer, contact) in self.contacts.iter_mut() {
+            if contact.pending.is_empty() || now < contact.next_push || !self.budget.is_open() {
+                continue;
+            }
+            contact.next_push = now + PUSH_INTERVAL;
+            let mut entries = Vec::new();
+            while entries.len() < PUSH_ENTRIES {
+                let Some(id) = contact.pending.pop_first() else { break };
+                let Some(record) = self.table.get(&id) else { continue };
+                if record.isolated {
+                    continue;
+                }
+                entries.push(Entry::new(record));
+            }
+            let Some(record) = self.table.get(peer) else { continue };
+            if entries.is_empty() {
+                continue;
+            }
+            self.budget.spend(&entries);
+            let body = Body::Gossip(Gossip { entries });
+            actions.push(send(peer, record.member.address, body));
+        }
+    }
+
+    /// Sends `body` to a known instance.
+    pub(crate) fn send(&self, to: &instance::Id, body: Body, actions: &mut Vec<Action>) {
+        let Some(record) = self.table.get(to) else { return };
+        actions.push(send(to, record.member.address, body));
+    }
+}
+
+/// The action that sends `body`.
+pub(crate) fn send(to: &instance::Id, address: SocketAddr, body: Body) -> Action {
+    Action::Send { to: to.clone(), address, message: Message::from(body) }
+}
--- /dev/null
+++ b/crates/mustardway_membership/src/node.rs
@@ -0,0 +1,311 @@
+//! The decisions of one instance.
+
+use std::collections::BTreeMap;
+
+use mustardway_types::domain;
+use mustardway_types::instance;
+use mustardway_types::revision;
+use mustardway_types::time::{Instant, Span};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::action::Action;
+use crate::claim::Accusation;
+use crate::contact::Contacts;
+use crate::count::Counts;
+use crate::event::Event;
+use crate::fence::Fence;
+use crate::gossip::Budget;
+use crate::heartbeat::Kind;
+use crate::member::{Record, State};
+use crate::message::{Body, Message};
+use crate::ring::{self, Links};
+use crate::roster;
+use crate::settings::Settings;
+use crate::suspicion::Relay;
+use crate::table::Table;
+
+/// Greatest number of roster entries that are read.
+const ROSTER_MAX: usize = 8_192;
+/// Time between two sweeps of old records.
+const FORGET_INTERVAL: Span = Span::seconds(10);
+/// Sequence numbers start below this, apart in each life.
+const SEQUENCE_START: u32 = 1 << 24;
+
+/// The decisions of one instance about who lives.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) rng: Pcg32,
+    pub(crate) table: Table,
+    pub(crate) contacts: Contacts,
+    pub(crate) roster: BTreeMap<instance::Id, roster::Entry>,
+    pub(crate) relays: Vec<Relay>,
+    pub(crate) accused: BTreeMap<instance::Id, Accusation>,
+    pub(crate) revision: Revision,
+    pub(crate) budget: Budget,
+    pub(crate) counts: Counts,
+    pub(crate) sequence: u64,
+    pub(crate) started: Instant,
+    pub(crate) ticked: Instant,
+    pub(crate) heard: Option<Instant>,
+    pub(crate) silent_since: Instant,
+    pub(crate) fence: Option<Fence>,
+    pub(crate) superseded: bool,
+    pub(crate) joined: bool,
+    pub(crate) next_heartbeat: Instant,
+    pub(crate) next_probe: Instant,
+    pub(crate) next_sync: Instant,
+    next_forget: Instant,
+    linked: Option<u64>,
+    left: bool,
+}
+
+/// The configuration in force, as last told.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Revision {
+    pub(crate) number: revision::Number,
+    pub(crate) digest: revision::Digest,
+    pub(crate) age: Span,
+    pub(crate) at: Instant,
+}
+
+impl Node {
+    /// An instance that begins its life `now`.
+    pub fn new(settings: Settings, now: Instant) -> Self {
+        let mut rng = Pcg32::seed_from_u64(settings.seed ^ settings.me.incarnation.0);
+        let mut table = Table::new();
+        table.put(settings.me.clone(), State::Alive, now);
+        let phase = Span(rng.random_range(0..settings.heartbeat.0.max(1)));
+        Node {
+            table,
+            contacts: Contacts::default(),
+            roster: BTreeMap::new(),
+            relays: Vec::new(),
+            accused: BTreeMap::new(),
+            revision: Revision::default(),
+            budget: Budget::new(settings.gossip_rate, now),
+            counts: Counts::default(),
+            sequence: u64::from(rng.random_range(1..SEQUENCE_START)),
+            started: now,
+            ticked: now,
+            heard: None,
+            silent_since: now,
+            fence: None,
+            superseded: false,
+            joined: false,
+            next_heartbeat: now + phase,
+            next_probe: now,
+            next_sync: now,
+            next_forget: now + FORGET_INTERVAL,
+            linked: None,
+            left: false,
+            rng,
+            settings,
+        }
+    }
+
+    /// Takes one event and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        if self.left {
+            return;
+        }
+        self.observe_clock(now);
+        let version = self.table.version();
+        match event {
+            Event::Tick => self.tick(now, actions),
+            Event::Roster(entries) => self.take_roster(entries),
+            Event::Received { from, message } => self.receive(&from, message, now, actions),
+            Event::LinkDown(id) => self.lose_link(&id),
+            Event::Leave => self.change_own(State::Leaving, false, now),
+            Event::Return => self.change_own(State::Alive, true, now),
+            Event::Left => self.change_own(State::Left, false, now),
+            Event::Revision { number, digest, age } => {
+                self.revision = Revision { number, digest, age, at: now };
+            }
+        }
+        self.link(now, actions);
+        self.push(now, actions);
+        self.left = self.me().state == State::Left;
+        if self.table.version() != version {
+            actions.push(Action::Changed);
+        }
+    }
+
+    /// All records that are live, this instance's own among them.
+    pub fn live(&self) -> impl Iterator<Item = &Record> {
+        self.table.iter().filter(|record| record.state.is_live())
+    }
+
+    /// All records, also of instances that are dead or have left.
+    pub fn members(&self) -> impl Iterator<Item = &Record> {
+        self.table.iter()
+    }
+
+    /// Names of the live instances of a failure domain, in order.
+    pub fn live_in<'a>(
+        &'a self,
+        domain: &'a domain::Name,
+    ) -> impl Iterator<Item = &'a instance::Id> {
+        let live = self.live().filter(move |record| record.member.domain == *domain);
+        live.map(|record| &record.member.id)
+    }
+
+    /// What is believed of an instance.
+    pub fn record(&self, id: &instance::Id) -> Option<&Record> {
+        self.table.get(id)
+    }
+
+    /// The believed state of an instance.
+    pub fn state(&self, id: &instance::Id) -> Option<State> {
+        self.table.get(id).map(|record| record.state)
+    }
+
+    /// This instance's own record.
+    pub fn me(&self) -> &Record {
+        self.table.get(&self.settings.me.id).expect("own record is never forgotten")
+    }
+
+    /// Live peers that heartbeats are exchanged with.
+    pub fn neighbours(&self) -> Vec<instance::Id> {
+        self.contacts.ids()
+    }
+
+    /// Grows with every change of the live list or of a state.
+    pub fn version(&self) -> u64 {
+        self.table.version()
+    }
+
+    /// Counters since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Whether this instance must not act as an owner.
+    pub fn fenced(&self, now: Instant) -> bool {
+        let half = Span(self.settings.lease.0 / 2);
+        let paused = now.since(self.ticked) > half;
+        let cut_off = self.table.live() > 1 && now.since(self.silent_since) >= half;
+        self.left || self.superseded || self.fence.is_some() || paused || cut_off
+    }
+
+    /// Whether the live list may be relied on: it once was the same as a
+    /// peer's, or nobody answered for a lease.
+    pub fn ready(&self, now: Instant) -> bool {
+        let lease = self.settings.lease;
+        match self.heard {
+            None => now.since(self.started) >= lease,
+            Some(_) => self.joined || now.since(self.started) >= lease + lease,
+        }
+    }
+
+    /// Number of neighbours on the rings.
+    pub(crate) fn links(&self) -> Links {
+        Links { domain: self.settings.domain_links, cross: self.settings.cross_links }
+    }
+
+    /// Whether `id` is this instance.
+    pub(crate) fn is_me(&self, id: &instance::Id) -> bool {
+        *id == self.settings.me.id
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.link(now, actions);
+        self.watch(now, actions);
+        self.judge_accused(now);
+        self.check_isolation(now);
+        self.lift_alone(now);
+        self.link(now, actions);
+        if now >= self.next_heartbeat {
+            self.next_heartbeat = now + self.settings.heartbeat;
+            self.heartbeat_all(now, actions);
+        }
+        self.probe(now, actions);
+        self.start_sync(now, actions);
+        if now < self.next_forget {
+            return;
+        }
+        self.next_forget = now + FORGET_INTERVAL;
+        self.table.forget(self.settings.dead_memory, self.settings.left_memory, now);
+    }
+
+    fn receive(
+        &mut self,
+        from: &instance::Id,
+        message: Message,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.is_me(from) {
+            return;
+        }
+        let Some(body) = message.body else {
+            self.counts.empty += 1;
+            return;
+        };
+        match body {
+            Body::Heartbeat(heartbeat) => self.take_heartbeat(from, &heartbeat, now, actions),
+            Body::Gossip(gossip) => self.take_pushed(from, &gossip.entries, now, actions),
+            Body::Query(query) => self.take_query(from, &query, now, actions),
+            Body::Vouch(vouch) => self.take_vouch(from, &vouch, now),
+            Body::Summary(summary) => self.take_summary(from, &summary, now, actions),
+            Body::Table(table) => self.take_table(from, &table, now, actions),
+        }
+    }
+
+    fn take_roster(&mut self, entries: Vec<roster::Entry>) {
+        self.roster.clear();
+        for entry in entries.into_iter().take(ROSTER_MAX) {
+            self.roster.insert(entry.id.clone(), entry);
+        }
+        if self.heard.is_none() {
+            self.next_probe = Instant::default();
+        }
+        let ids: Vec<_> = self.table.iter().map(|record| record.member.id.clone()).collect();
+        for id in ids {
+            let leaving = self.roster.get(&id).is_some_and(|entry| entry.leaving);
+            self.table.list_leaving(&id, leaving);
+        }
+    }
+
+    fn lose_link(&mut self, id: &instance::Id) {
+        let Some(contact) = self.contacts.get_mut(id) else { return };
+        contact.down = true;
+    }
+
+    fn change_own(&mut self, state: State, raise: bool, now: Instant) {
+        let me = self.me();
+        if me.state == state {
+            return;
+        }
+        let mut member = me.member.clone();
+        member.incarnation.0 += u64::from(raise);
+        let id = member.id.clone();
+        self.table.put(member, state, now);
+        self.contacts.tell(&id, None);
+        if state == State::Left {
+            self.contacts.hurry(now);
+            self.budget.open();
+        }
+    }
+
+    /// Chooses the neighbours anew where the live list has changed.
+    fn link(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let ended = self.contacts.expire(self.settings.lease, now);
+        for id in ended {
+            self.send_heartbeat(&id, Kind::Regular, now, actions);
+        }
+        if self.linked == Some(self.table.version()) {
+            return;
+        }
+        self.linked = Some(self.table.version());
+        for id in self.contacts.ids() {
+            let live = self.table.get(&id).is_some_and(|record| record.state.is_live());
+            if !live {
+                self.contacts.remove(&id);
+            }
+        }
+        let neighbours = ring::neighbours(&self.table, self.me(), self.links());
+        self.contacts.set_neighbours(&neighbours, now);
+    }
+}
--- /dev/null
+++ b/crates/mustardway_membership/src/probe.rs
@@ -0,0 +1,71 @@
+//! Trying instances that are not live here: those that the platform lists and
+//! those that were declared dead, at a slow rate for the whole fleet together.
+
+use std::net::SocketAddr;
+
+use mustardway_types::instance;
+use mustardway_types::time::{Instant, Span};
+use rand::RngExt;
+
+use crate::action::Action;
+use crate::heartbeat::Kind;
+use crate::member::State;
+use crate::node::Node;
+
+/// Instances that are tried at once while nobody is live.
+const ALONE_PROBES: usize = 4;
+/// Tries a second of one instance by the whole fleet.
+const FLEET_RATE: u64 = 4;
+/// Shortest and longest time between two tries.
+const INTERVAL: (Span, Span) = (Span::seconds(1), Span::seconds(60));
+
+impl Node {
+    /// Tries one instance that is not live, or a few while nobody is.
+    pub(crate) fn probe(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if now < self.next_probe {
+            return;
+        }
+        let mut candidates = self.candidates();
+        let alone = self.table.live() <= 1;
+        self.next_probe = now + self.probe_interval(alone, candidates.len());
+        let count = if alone { ALONE_PROBES } else { 1 };
+        for _ in 0..count {
+            if candidates.is_empty() {
+                return;
+            }
+            let index = self.rng.random_range(0..candidates.len());
+            let (id, address) = candidates.swap_remove(index);
+            self.send_heartbeat_at(&id, address, Kind::Probe, now, actions);
+        }
+    }
+
+    fn candidates(&self) -> Vec<(instance::Id, SocketAddr)> {
+        let mut candidates = Vec::new();
+        for (id, entry) in &self.roster {
+            if self.table.get(id).is_some() || self.is_me(id) {
+                continue;
+            }
+            candidates.push((id.clone(), entry.address));
+        }
+        for record in self.table.iter() {
+            if record.state != State::Dead {
+                continue;
+            }
+            let id = &record.member.id;
+            let listed = self.roster.get(id).map(|entry| entry.address);
+            candidates.push((id.clone(), listed.unwrap_or(record.member.address)));
+        }
+        candidates
+    }
+
+    fn probe_interval(&mut self, alone: bool, candidates: usize) -> Span {
+        if alone {
+            return self.settings.heartbeat;
+        }
+        let fleet = self.table.live() as u64 * 1_000_000;
+        let (shortest, longest) = INTERVAL;
+        let share = fleet / (FLEET_RATE * candidates.max(1) as u64);
+        let interval = share.clamp(shortest.0, longest.0);
+        Span(interval * self.rng.random_range(75..=125) / 100)
+    }
+}
--- /dev/null
+++ b/crates/mustardway_membership/src/suspicion.rs
@@ -0,0 +1,213 @@
+//! Watching neighbours: others are asked before one is declared dead.
+//!
+//! A watcher that hears nothing of a neighbour asks the other watchers and a
+//! few instances of other failure domains. Each that hears it vouches; each
+//! that does not tries to reach it first. So a broken link, or a cut between
+//! two domains that a third still reaches, kills nobody.
+
+use mustardway_types::instance::{self, Incarnation};
+use mustardway_types::time::{Instant, Span};
+use rand::RngExt;
+
+use crate::action::Action;
+use crate::gossip;
+use crate::heartbeat::Kind;
+use crate::member::State;
+use crate::message::{Body, Entry, Gossip, Query, Vouch};
+use crate::node::Node;
+use crate::ring;
+
+/// Instances that are asked besides the other watchers.
+const HELPERS: usize = 2;
+/// Greatest number of instances that are tried for others at a time.
+const RELAYS_MAX: usize = 64;
+
+/// An instance that is being tried for another.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    subject: instance::Id,
+    asker: instance::Id,
+    until: Instant,
+}
+
+impl Node {
+    /// Asks about silent contacts and declares dead whom nobody has heard.
+    pub(crate) fn watch(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let lease = self.settings.lease;
+        let third = Span(lease.0 / 3);
+        let cut_off = now.since(self.silent_since) >= Span(lease.0 / 2);
+        self.relays.retain(|relay| now < relay.until);
+        for id in self.contacts.ids() {
+            let Some(contact) = self.contacts.get(&id) else { continue };
+            let silence = now.since(contact.heard);
+            let patience = if contact.down { third } else { third + third };
+            if silence < patience {
+                continue;
+            }
+            let asked = contact.asked;
+            if asked.is_none_or(|(_, last)| now.since(last) >= self.settings.heartbeat) {
+                self.ask(&id, now, actions);
+            }
+            let asked_long = asked.is_some_and(|(first, _)| now.since(first) >= third);
+            if silence < lease || !asked_long || cut_off {
+                continue;
+            }
+            self.counts.declared += 1;
+            self.table.set_state(&id, State::Dead, now);
+            self.contacts.tell(&id, None);
+        }
+    }
+
+    /// Answers whether this instance hears another.
+    pub(crate) fn take_query(
+        &mut self,
+        from: &instance::Id,
+        query: &Query,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.hear_any(now);
+        let Ok(subject) = query.subject.parse::<instance::Id>() else {
+            self.counts.malformed += 1;
+            return;
+        };
+        if self.is_me(&subject) {
+            self.send_heartbeat(from, Kind::Introduction, now, actions);
+            return;
+        }
+        let mut vouch = Vouch {
+            subject: query.subject.clone(),
+            incarnation: query.incarnation,
+            heard: false,
+            age_millis: 0,
+        };
+        let Some(record) = self.table.get(&subject) else {
+            self.send(from, Body::Vouch(vouch), actions);
+            return;
+        };
+        let same_life = record.member.incarnation == Incarnation(query.incarnation);
+        if !same_life || !record.state.is_live() {
+            if !record.isolated {
+                let entries = vec![Entry::new(record)];
+                self.send(from, Body::Gossip(Gossip { entries }), actions);
+            }
+            return;
+        }
+        if self.hears(&subject, now)
+            && let Some(contact) = self.contacts.get(&subject)
+        {
+            vouch.heard = true;
+            vouch.age_millis = now.since(contact.heard).as_millis();
+            self.send(from, Body::Vouch(vouch), actions);
+            return;
+        }
+        self.send(from, Body::Vouch(vouch), actions);
+        if self.relays.len() >= RELAYS_MAX {
+            return;
+        }
+        let until = now + Span(self.settings.lease.0 / 3);
+        self.relays.push(Relay { subject: subject.clone(), asker: from.clone(), until });
+        self.send_heartbeat(&subject, Kind::Probe, now, actions);
+    }
+
+    /// Takes another's word that it has heard an instance.
+    pub(crate) fn take_vouch(&mut self, _from: &instance::Id, vouch: &Vouch, now: Instant) {
+        self.hear_any(now);
+        let Ok(subject) = vouch.subject.parse::<instance::Id>() else {
+            self.counts.malformed += 1;
+            return;
+        };
+        let Some(record) = self.table.get(&subject) else { return };
+        let same_life = record.member.incarnation == Incarnation(vouch.incarnation);
+        if !vouch.heard || !same_life || !record.state.is_live() {
+            return;
+        }
+        let suspect = record.state == State::Suspect;
+        let half = Span(self.settings.lease.0 / 2);
+        let age = Span::millis(vouch.age_millis.min(self.settings.lease.as_millis()));
+        let Some(contact) = self.contacts.get_mut(&subject) else { return };
+        if age > half || contact.asked.is_none() {
+            return;
+        }
+        self.counts.vouched += 1;
+        contact.hear(now - age);
+        if !contact.neighbour {
+            self.contacts.remove(&subject);
+        }
+        if suspect {
+            self.table.set_state(&subject, State::Alive, now);
+        }
+    }
+
+    /// Tells those who asked that `subject` was reached.
+    pub(crate) fn answer_relays(
+        &mut self,
+        subject: &instance::Id,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(record) = self.table.get(subject) else { return };
+        let incarnation = record.member.incarnation.0;
+        let mut relays = std::mem::take(&mut self.relays);
+        relays.retain(|relay| {
+            if relay.subject != *subject || now >= relay.until {
+                return true;
+            }
+            let vouch =
+                Vouch { subject: subject.to_string(), incarnation, heard: true, age_millis: 0 };
+            self.send(&relay.asker, Body::Vouch(vouch), actions);
+            false
+        });
+        self.relays = relays;
+    }
+
+    /// Asks others whether they hear a silent contact, and the contact itself.
+    fn ask(&mut self, id: &instance::Id, now: Instant, actions: &mut Vec<Action>) {
+        if let Some(contact) = self.contacts.get_mut(id) {
+            let first = contact.asked.map_or(now, |(first, _)| first);
+            contact.asked = Some((first, now));
+        }
+        if self.state(id) == Some(State::Alive) {
+            self.table.set_state(id, State::Suspect, now);
+        }
+        let Some(record) = self.table.get(id) else { return };
+        let query = Query { subject: id.to_string(), incarnation: record.member.incarnation.0 };
+        let mut helpers = ring::neighbours(&self.table, record, self.links());
+        helpers.extend(self.strangers(id));
+        helpers.sort();
+        helpers.dedup();
+        for helper in helpers {
+            let Some(record) = self.table.get(&helper) else { continue };
+            if self.is_me(&helper) {
+                continue;
+            }
+            let body = Body::Query(query.clone());
+            actions.push(gossip::send(&helper, record.member.address, body));
+        }
+        self.send_heartbeat(id, Kind::Probe, now, actions);
+    }
+
+    /// A few live instances outside the failure domain of `id`.
+    fn strangers(&mut self, id: &instance::Id) -> Vec<instance::Id> {
+        let Some(subject) = self.table.get(id) else { return Vec::new() };
+        let domain = subject.member.domain.clone();
+        let mut chosen: Vec<instance::Id> = Vec::new();
+        let mut seen = 0;
+        for record in self.table.iter() {
+            let other = record.member.domain != domain && !self.is_me(&record.member.id);
+            if !other || !record.state.is_live() {
+                continue;
+            }
+            seen += 1;
+            if chosen.len() < HELPERS {
+                chosen.push(record.member.id.clone());
+                continue;
+            }
+            let slot = self.rng.random_range(0..seen);
+            if slot < HELPERS {
+                chosen[slot] = record.member.id.clone();
+            }
+        }
+        chosen
+    }
+}
--- /dev/null
+++ b/crates/mustardway_membership/src/sync.rs
@@ -0,0 +1,142 @@
+//! Anti-entropy: finding and mending what differs between two tables.
+
+use std::collections::BTreeMap;
+
+use mustardway_types::instance;
+use mustardway_types::time::{Instant, Span};
+use rand::RngExt;
+
+use crate::action::Action;
+use crate::claim::{self, Source};
+use crate::member::Record;
+use crate::message::{BUCKETS, Body, ENTRIES_MAX, Entry, Summary};
+use crate::node::Node;
+use crate::table::Table;
+
+/// How long a difference may be a change that is still on its way.
+const PATIENCE: Span = Span::seconds(1);
+/// Time between two comparisons of a joined instance.
+const INTERVAL: Span = Span::seconds(1);
+/// Time between two comparisons of a joining instance.
+const JOIN_INTERVAL: Span = Span::millis(100);
+
+impl Node {
+    /// Compares tables with one contact whose digest differs.
+    pub(crate) fn start_sync(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if now < self.next_sync || !self.budget.is_open() {
+            return;
+        }
+        let patience = if self.joined { PATIENCE } else { Span::ZERO };
+        let mut differing = Vec::new();
+        for (id, contact) in self.contacts.iter() {
+            let long = contact.differs.is_some_and(|since| now.since(since) >= patience);
+            if long {
+                differing.push(id.clone());
+            }
+        }
+        if differing.is_empty() {
+            return;
+        }
+        let id = differing.swap_remove(self.rng.random_range(0..differing.len()));
+        if let Some(contact) = self.contacts.get_mut(&id) {
+            contact.differs = Some(now);
+        }
+        self.next_sync = now + if self.joined { INTERVAL } else { JOIN_INTERVAL };
+        let buckets = self.table.buckets().to_vec();
+        self.send(&id, Body::Summary(Summary { buckets }), actions);
+    }
+
+    /// Answers with the buckets that differ.
+    pub(crate) fn take_summary(
+        &mut self,
+        from: &instance::Id,
+        summary: &Summary,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.hear_any(now);
+        if summary.buckets.len() != BUCKETS {
+            self.counts.malformed += 1;
+            return;
+        }
+        if !self.budget.is_open() {
+            return;
+        }
+        let mut groups: BTreeMap<usize, Vec<Entry>> = BTreeMap::new();
+        for record in self.table.iter() {
+            let bucket = Table::bucket(record);
+            if summary.buckets[bucket] == self.table.buckets()[bucket] || record.isolated {
+                continue;
+            }
+            groups.entry(bucket).or_default().push(Entry::new(record));
+        }
+        let start = self.rng.random_range(0..BUCKETS);
+        let mut entries = Vec::new();
+        let mut mask = 0;
+        for offset in 0..BUCKETS {
+            let bucket = (start + offset) % BUCKETS;
+            if summary.buckets[bucket] == self.table.buckets()[bucket] {
+                continue;
+            }
+            let group = groups.remove(&bucket).unwrap_or_default();
+            if mask != 0 && entries.len() + group.len() > ENTRIES_MAX {
+                break;
+            }
+            entries.extend(group);
+            mask |= 1 << bucket;
+        }
+        if mask == 0 {
+            return;
+        }
+        entries.truncate(ENTRIES_MAX);
+        self.counts.synced += 1;
+        self.budget.spend(&entries);
+        self.send(from, Body::Table(crate::message::Table { entries, mask }), actions);
+    }
+
+    /// Takes the buckets that differ, and gives back what is newer here.
+    pub(crate) fn take_table(
+        &mut self,
+        from: &instance::Id,
+        table: &crate::message::Table,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.hear_any(now);
+        let mut claims = BTreeMap::new();
+        for entry in table.entries.iter().take(ENTRIES_MAX) {
+            let (Some(id), Some(state)) = (entry.id(), entry.known_state()) else { continue };
+            claims.insert(id, (entry.incarnation, claim::rank(state, false)));
+        }
+        self.take_entries(from, &table.entries, Source::Synced, now, actions);
+        if !self.joined {
+            self.next_sync = now;
+        }
+        if table.mask == 0 || !self.budget.is_open() {
+            return;
+        }
+        let mut entries = Vec::new();
+        for record in self.table.iter() {
+            let wanted = table.mask & (1 << Table::bucket(record)) != 0;
+            if !wanted || record.isolated || !is_news(record, &claims) {
+                continue;
+            }
+            entries.push(Entry::new(record));
+        }
+        if entries.is_empty() {
+            return;
+        }
+        entries.truncate(ENTRIES_MAX);
+        self.budget.spend(&entries);
+        self.send(from, Body::Table(crate::message::Table { entries, mask: 0 }), actions);
+    }
+}
+
+/// Whether the record says more than what a peer claims.
+fn is_news(record: &Record, claims: &BTreeMap<instance::Id, (u64, u8)>) -> bool {
+    let belief = claim::strength(record);
+    match claims.get(&record.member.id) {
+        Some(claim) => belief > *claim,
+        None => record.state.is_live(),
+    }
+}
--- /dev/null
+++ b/crates/mustardway_membership/src/table.rs
@@ -0,0 +1,154 @@
+//! All records of one instance, with the digests that other instances compare.
+
+use std::collections::BTreeMap;
+
+use mustardway_types::hash;
+use mustardway_types::instance;
+use mustardway_types::time::{Instant, Span};
+
+use crate::member::{Member, Record, State};
+use crate::message::BUCKETS;
+
+/// Greatest number of records that are kept.
+const RECORDS_MAX: usize = 16_384;
+/// Seed of positions on the hashed rings.
+const POSITION_SEED: u64 = 0x6d75_7374_6172_6401;
+/// Seed of digests.
+const DIGEST_SEED: u64 = 0x6d75_7374_6172_6402;
+
+/// All records of one instance.
+#[derive(Debug)]
+pub(crate) struct Table {
+    records: BTreeMap<instance::Id, Record>,
+    buckets: [u64; BUCKETS],
+    live: usize,
+    version: u64,
+}
+
+impl Table {
+    /// A table without records.
+    pub(crate) fn new() -> Self {
+        Table { records: BTreeMap::new(), buckets: [0; BUCKETS], live: 0, version: 0 }
+    }
+
+    /// Grows with every change of a record.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Number of live records.
+    pub(crate) fn live(&self) -> usize {
+        self.live
+    }
+
+    /// The record of an instance.
+    pub(crate) fn get(&self, id: &instance::Id) -> Option<&Record> {
+        self.records.get(id)
+    }
+
+    /// All records in the order of their names.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Digest over all live records.
+    pub(crate) fn digest(&self) -> u64 {
+        self.buckets.iter().fold(0, |digest, bucket| digest ^ bucket)
+    }
+
+    /// One digest a bucket.
+    pub(crate) fn buckets(&self) -> &[u64; BUCKETS] {
+        &self.buckets
+    }
+
+    /// The record's bucket.
+    pub(crate) fn bucket(record: &Record) -> usize {
+        (record.position % BUCKETS as u64) as usize
+    }
+
+    /// Sets member and state of an instance; false where the table is full.
+    pub(crate) fn put(&mut self, member: Member, state: State, now: Instant) -> bool {
+        let known = self.records.get(&member.id);
+        if known.is_none() && self.records.len() >= RECORDS_MAX {
+            return false;
+        }
+        let record = Record {
+            position: position(&member.id),
+            listed_leaving: known.is_some_and(|known| known.listed_leaving),
+            member,
+            state,
+            changed: now,
+            isolated: false,
+        };
+        self.replace(record);
+        true
+    }
+
+    /// Sets the state of a known instance.
+    pub(crate) fn set_state(&mut self, id: &instance::Id, state: State, now: Instant) {
+        let Some(record) = self.records.get(id) else { return };
+        if record.state == state && !record.isolated {
+            return;
+        }
+        let record = Record { state, changed: now, isolated: false, ..record.clone() };
+        self.replace(record);
+    }
+
+    /// Holds an instance for dead because nobody at all was heard.
+    pub(crate) fn isolate(&mut self, id: &instance::Id, now: Instant) {
+        let Some(record) = self.records.get(id) else { return };
+        let record = Record { state: State::Dead, changed: now, isolated: true, ..record.clone() };
+        self.replace(record);
+    }
+
+    /// Notes whether the platform lists an instance as leaving.
+    pub(crate) fn list_leaving(&mut self, id: &instance::Id, leaving: bool) {
+        let Some(record) = self.records.get_mut(id) else { return };
+        if record.listed_leaving == leaving {
+            return;
+        }
+        record.listed_leaving = leaving;
+        self.version += 1;
+    }
+
+    /// Forgets instances that have long been dead or gone.
+    pub(crate) fn forget(&mut self, dead: Span, left: Span, now: Instant) {
+        let before = self.records.len();
+        self.records.retain(|_, record| match record.state {
+            State::Dead => now.since(record.changed) < dead,
+            State::Left => now.since(record.changed) < left,
+            State::Alive | State::Suspect | State::Leaving => true,
+        });
+        if self.records.len() != before {
+            self.version += 1;
+        }
+    }
+
+    fn replace(&mut self, record: Record) {
+        let bucket = Table::bucket(&record);
+        let new = digest(&record);
+        self.live += usize::from(record.state.is_live());
+        self.version += 1;
+        let old = self.records.insert(record.member.id.clone(), record);
+        self.buckets[bucket] ^= new;
+        let Some(old) = old else { return };
+        self.buckets[bucket] ^= digest(&old);
+        self.live -= usize::from(old.state.is_live());
+    }
+}
+
+/// Position of an instance on the hashed rings.
+fn position(id: &instance::Id) -> u64 {
+    hash::seeded(POSITION_SEED, id.as_str().as_bytes())
+}
+
+/// What a record adds to a digest; nothing unless it is live.
+fn digest(record: &Record) -> u64 {
+    let word = match record.state {
+        State::Alive | State::Suspect => 1,
+        State::Leaving => 2,
+        State::Dead | State::Left => return 0,
+    };
+    let life = hash::mix(record.member.incarnation.0, word);
+    hash::mix(hash::mix(DIGEST_SEED, record.position), life)
+}
