Read the platform over HTTP behind a trait

Change: list, get and blocking get on volo-http, a closed list of failures, calls counted by outcome, a bound on calls a second. volo-http's client builder reads resolv.conf and panics where it names no server; that is caught and told as an error.

--- /dev/null
+++ b/crates/mustardway_platform/src/client.rs
@@ -0,0 +1,195 @@
+//! The platform over HTTP.
+
+use std::net::SocketAddr;
+use std::panic;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::time::Instant;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use mustardway_types::{rate, revision, size, time};
+use parking_lot::Mutex;
+use volo_http::error::client::ErrorKind;
+use volo_http::{http, response};
+
+use crate::answer::{self, Answer, Listed};
+use crate::counters::{Counters, Outcome};
+use crate::failure::Failure;
+use crate::pace::Pace;
+use crate::platform::{Platform, Reply};
+
+/// Greatest size of an answer: a configuration of 1 MiB fits.
+pub const ANSWER_MAX: size::Bytes = size::Bytes(5 << 18);
+/// Default of [`Settings::timeout`].
+pub const TIMEOUT: time::Span = time::Span::seconds(1);
+/// Default of [`Settings::rate`].
+pub const RATE: rate::PerSecond = rate::PerSecond(4);
+/// Default of [`Settings::burst`].
+pub const BURST: u64 = 8;
+
+/// Where and how to read.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Addresses of the platform, tried in order from the last that answered.
+    pub addresses: Vec<SocketAddr>,
+    /// Longest time of one call, besides what the platform was allowed to wait.
+    pub timeout: time::Span,
+    /// Greatest size of an answer.
+    pub answer_max: size::Bytes,
+    /// Calls a second in the long run, over all addresses, failures included.
+    pub rate: rate::PerSecond,
+    /// Calls at one time after a rest.
+    pub burst: u64,
+    /// Seed of the jitter; to differ between processes.
+    pub seed: u64,
+}
+
+impl Settings {
+    /// Settings with the default limits.
+    pub fn new(addresses: Vec<SocketAddr>, seed: u64) -> Self {
+        Settings {
+            addresses,
+            timeout: TIMEOUT,
+            answer_max: ANSWER_MAX,
+            rate: RATE,
+            burst: BURST,
+            seed,
+        }
+    }
+}
+
+/// Why there is no client.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// no platform address is given
+    NoAddress,
+    /// the HTTP client does not start; it needs a name server in resolv.conf, though it never asks one
+    Start,
+}
+
+impl std::error::Error for Error {}
+
+/// The platform over HTTP.
+pub struct Client {
+    settings: Settings,
+    http: volo_http::client::Client,
+    /// Position of the address that answered last.
+    preferred: AtomicUsize,
+    pace: Mutex<Pace>,
+    counters: Counters,
+    start: Instant,
+}
+
+impl Client {
+    /// A client; nothing is called yet.
+    ///
+    /// # Errors
+    /// Without an address, or where the HTTP client does not start.
+    pub fn new(settings: Settings) -> Result<Self, Error> {
+        if settings.addresses.is_empty() {
+            return Err(Error::NoAddress);
+        }
+        let connect = settings.timeout.into();
+        // The builder reads resolv.conf and panics where it names no server.
+        let http = panic::catch_unwind(|| {
+            let mut builder = volo_http::client::Client::builder();
+            builder.set_connect_timeout(connect);
+            builder.build()
+        });
+        let http = http.map_err(|_| Error::Start)?.map_err(|_| Error::Start)?;
+        let pace = Pace::new(settings.rate, settings.burst, settings.seed);
+        Ok(Client {
+            settings,
+            http,
+            preferred: AtomicUsize::default(),
+            pace: Mutex::new(pace),
+            counters: Counters::default(),
+            start: Instant::now(),
+        })
+    }
+
+    /// Calls by outcome.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    fn now(&self) -> time::Instant {
+        time::Instant::default() + self.start.elapsed().into()
+    }
+
+    /// Calls one address after the other until one answers what `read` takes.
+    async fn call<T>(
+        &self,
+        path: &str,
+        timeout: time::Span,
+        read: fn(&[u8]) -> Result<T, Failure>,
+    ) -> Result<T, Failure> {
+        let addresses = &self.settings.addresses;
+        let first = self.preferred.load(Relaxed);
+        let mut failure = Failure::Unreachable;
+        for step in 0..addresses.len() {
+            let position = (first + step) % addresses.len();
+            let wait = self.pace.lock().book(self.now());
+            tokio::time::sleep(wait.into()).await;
+            let answer = self.get(addresses[position], path, timeout).await;
+            match answer.and_then(|bytes| read(&bytes)) {
+                Ok(answer) => {
+                    self.counters.add(Outcome::Answered);
+                    self.preferred.store(position, Relaxed);
+                    self.pace.lock().answered();
+                    return Ok(answer);
+                }
+                Err(error) => {
+                    self.counters.add(error.into());
+                    failure = error;
+                }
+            }
+        }
+        self.pace.lock().failed(self.now());
+        Err(failure)
+    }
+
+    async fn get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout: time::Span,
+    ) -> Result<Bytes, Failure> {
+        let exchange = self.exchange(address, path);
+        match tokio::time::timeout(timeout.into(), exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Failure::Timeout),
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, path: &str) -> Result<Bytes, Failure> {
+        let request = self.http.get(path.to_owned()).address(address);
+        let response: response::Response =
+            request.send().await.map_err(|error| match error.kind() {
+                ErrorKind::Request | ErrorKind::Body => Failure::Nonsense,
+                _ => Failure::Unreachable,
+            })?;
+        if response.status() != http::StatusCode::OK {
+            return Err(Failure::Status(response.status().as_u16()));
+        }
+        let limit = self.settings.answer_max.0 as usize;
+        let body = Limited::new(response.into_body(), limit).collect().await;
+        let body = body.map_err(|error| {
+            if error.is::<LengthLimitError>() { Failure::TooLarge } else { Failure::Nonsense }
+        })?;
+        Ok(body.to_bytes())
+    }
+}
+
+impl Platform for Client {
+    fn configuration(&self, after: revision::Number, wait: time::Span) -> Reply<'_, Answer> {
+        let path = format!("/configuration?after={after}&wait={}", wait.as_millis());
+        let timeout = self.settings.timeout + wait;
+        Box::pin(async move { self.call(&path, timeout, answer::configuration).await })
+    }
+
+    fn instances(&self) -> Reply<'_, Vec<Listed>> {
+        Box::pin(self.call("/instances", self.settings.timeout, answer::instances))
+    }
+}
