--- a/crates/mustardway_routing/src/attempt.rs
+++ b/crates/mustardway_routing/src/attempt.rs
@@ -46,6 +46,8 @@
 pub enum Mode {
     /// The flow is new and may be placed on the target.
     Open,
+    /// The same, and no other target is left for it.
+    OpenLast,
     /// The flow lives on the target: the ingress vouches for it.
     Established,
     /// The flow may live on any target of this owner.
@@ -57,6 +59,13 @@
     },
 }
 
+impl Mode {
+    /// Whether the flow may be placed on the target asked for.
+    pub fn opens(&self) -> bool {
+        matches!(self, Mode::Open | Mode::OpenLast)
+    }
+}
+
 /// One question to an owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ask {
@@ -116,6 +125,7 @@
     retried: bool,
     doubted: bool,
     refusal: Option<Answer>,
+    refused_by: Vec<target::Id>,
 }
 
 impl Attempt {
@@ -141,6 +151,7 @@
             retried: false,
             doubted: false,
             refusal: None,
+            refused_by: Vec::new(),
         };
         let step = match attempt.plan(cached, snapshot, now) {
             Ok(()) => attempt.next(snapshot),
@@ -188,6 +199,11 @@
         &self.visits[self.cursor.min(self.visits.len())..]
     }
 
+    /// Targets that refused to take the new flow.
+    pub fn refused_by(&self) -> &[target::Id] {
+        &self.refused_by
+    }
+
     /// Lists whom to ask.
     fn plan(
         &mut self,
@@ -261,8 +277,11 @@
         {
             self.visits.push((earlier, Mode::Reserve { elsewhere: (*first).clone() }));
         }
-        let open = |target: &target::Id| (target.clone(), Mode::Open);
-        self.visits.extend(candidates.into_iter().map(open));
+        for target in &candidates[..candidates.len() - 1] {
+            self.visits.push(((*target).clone(), Mode::Open));
+        }
+        let last = candidates[candidates.len() - 1];
+        self.visits.push((last.clone(), Mode::OpenLast));
         Ok(())
     }
 
@@ -324,13 +343,16 @@
     }
 
     fn answered(&mut self, answer: Answer, snapshot: &Snapshot) -> Step {
-        let is_open = matches!(self.visits.get(self.cursor), Some((_, Mode::Open)));
+        let is_open = self.visits.get(self.cursor).is_some_and(|(_, mode)| mode.opens());
         if !is_open || !lets_try_elsewhere(answer.reason) {
             return Step::Answer(answer);
         }
         let soonest =
             |known: Answer| if known.come_back <= answer.come_back { known } else { answer };
         self.refusal = Some(self.refusal.map_or(answer, soonest));
+        if let Some((target, _)) = self.visits.get(self.cursor) {
+            self.refused_by.push(target.clone());
+        }
         self.advance(snapshot)
     }
 
@@ -345,7 +367,7 @@
             return Step::Answer(Answer::new(Reason::DomainOut));
         }
         let next = self.visits.get(self.cursor);
-        let is_next = next.is_some_and(|(visit, mode)| *visit == target && *mode == Mode::Open);
+        let is_next = next.is_some_and(|(visit, mode)| *visit == target && mode.opens());
         if !is_next {
             self.visits.insert(self.cursor, (target, Mode::Established));
         }
--- /dev/null
+++ b/crates/mustardway_runtime/src/ingress.rs
@@ -0,0 +1,283 @@
+//! A packet from its arrival at this instance to its answer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use mustardway_gate::Key;
+use mustardway_peer::link::Peer;
+use mustardway_peer::send::Priority;
+use mustardway_peer::tracked;
+use mustardway_routing::attempt::{self, Attempt, Mode, Reply, Step};
+use mustardway_types::answer::{Answer, Reason};
+use mustardway_types::packet::Header;
+use mustardway_types::request::Repeat;
+use mustardway_types::target;
+use mustardway_types::time::{Instant, Span};
+
+use crate::message::{self, Cancel, Elsewhere, HeaderMessage, Kind, Outcome, mode};
+use crate::node::Node;
+use crate::owner;
+use crate::relay::Told;
+
+/// Wait before a fenced instance looks again whether it has heard its peers.
+const FENCED_PAUSE: Span = Span::millis(50);
+/// Longest that a packet waits for its instance to hear its peers.
+const FENCED_MAX: Span = Span::seconds(2);
+/// When to come back to an instance that has not heard its peers.
+const FENCED_COME_BACK: Span = Span::millis(500);
+
+/// How a packet ended.
+#[derive(Debug)]
+pub enum Served {
+    /// The target answered.
+    Done {
+        /// Target that ran the request.
+        target: target::Id,
+        /// Its payload.
+        payload: Bytes,
+    },
+    /// It was answered without the target.
+    Answer(Answer),
+}
+
+/// Serves one packet; dropping the future cancels it.
+pub async fn serve(
+    node: &Arc<Node>,
+    header: Header,
+    payload: Bytes,
+    deadline: Instant,
+) -> Served {
+    node.in_flight.fetch_add(1, Ordering::Relaxed);
+    let _in_flight = InFlight(Arc::clone(node));
+    let served = match heard_peers(node, deadline).await {
+        Ok(()) => attempt(node, header, payload, deadline).await,
+        Err(answer) => Served::Answer(answer),
+    };
+    node.count(match &served {
+        Served::Done { .. } => Reason::Answered,
+        Served::Answer(answer) => answer.reason,
+    });
+    served
+}
+
+/// Counts a packet as in flight until dropped.
+struct InFlight(Arc<Node>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Waits until this instance has heard its peers.
+async fn heard_peers(node: &Node, deadline: Instant) -> Result<(), Answer> {
+    let give_up = deadline.min(node.clock.now() + FENCED_MAX);
+    while node.is_fenced() {
+        if node.clock.now() + FENCED_PAUSE >= give_up {
+            return Err(Answer::come_back(Reason::Woken, FENCED_COME_BACK));
+        }
+        tokio::time::sleep(FENCED_PAUSE.into()).await;
+    }
+    Ok(())
+}
+
+/// Takes the steps of one packet.
+async fn attempt(
+    node: &Arc<Node>,
+    header: Header,
+    payload: Bytes,
+    deadline: Instant,
+) -> Served {
+    node.budget.lock().earn();
+    let cached = node.cache(header.flow).lock().touch(header.flow);
+    let snapshot = node.snapshot();
+    let now = node.clock.now();
+    let (mut attempt, mut step) = Attempt::start(header.clone(), deadline, cached, &snapshot, now);
+    let served = loop {
+        match step {
+            Step::Answer(answer) => break Served::Answer(answer),
+            Step::Pause(span) => {
+                tokio::time::sleep(span.into()).await;
+                step = attempt.resume(&node.snapshot());
+            }
+            Step::Ask(ask) => {
+                let outcome = ask_owner(node, &header, &payload, deadline, &ask).await;
+                let reply = match read(outcome) {
+                    Ok(served) => break served,
+                    Err(reply) => reply,
+                };
+                let now = node.clock.now();
+                let mut budget = node.budget.lock();
+                step = attempt.reply(reply, &node.snapshot(), &mut budget, now);
+            }
+        }
+    };
+    remember(node, &header, &served);
+    tell_refusers(node, &header, &attempt, &served);
+    served
+}
+
+/// The end of a packet, or what the attempt has to judge.
+fn read(outcome: Asked) -> Result<Served, Reply> {
+    let outcome = match outcome {
+        Asked::Outcome(outcome) => outcome,
+        Asked::NotSent => return Err(Reply::NotSent),
+        Asked::Lost => return Err(Reply::Lost),
+        Asked::Overrun => return Ok(Served::Answer(Answer::new(Reason::Overrun))),
+    };
+    match outcome {
+        Outcome::Done(done) => match done.target.parse() {
+            Ok(target) => Ok(Served::Done { target, payload: done.payload }),
+            Err(_) => Err(Reply::Lost),
+        },
+        Outcome::Final(answer) => Err(Reply::Answer(answer.read())),
+        Outcome::Moved(target) => Err(target.parse().map_or(Reply::UnknownFlow, Reply::Moved)),
+        Outcome::UnknownFlow(_) => Err(Reply::UnknownFlow),
+        Outcome::NotOwner(owner) => Err(Reply::NotOwner(owner.parse().ok())),
+        Outcome::Wait(micros) => Err(Reply::Wait(Span(micros))),
+    }
+}
+
+/// Keeps the flow cache in line with how the packet ended.
+fn remember(node: &Node, header: &Header, served: &Served) {
+    let mut cache = node.cache(header.flow).lock();
+    match served {
+        Served::Done { .. } if header.closing => cache.remove(header.flow),
+        Served::Done { target, .. } => cache.insert(header.flow, target.clone()),
+        Served::Answer(answer) => match answer.reason {
+            Reason::DomainOut | Reason::FlowUnknown | Reason::TargetGone => {
+                cache.remove(header.flow);
+            }
+            _ => {}
+        },
+    }
+}
+
+/// Tells owners that refused the new flow where it went.
+fn tell_refusers(node: &Arc<Node>, header: &Header, attempt: &Attempt, served: &Served) {
+    let elsewhere = match served {
+        Served::Done { target, .. } => target.to_string(),
+        Served::Answer(answer) if answer.kind().says_not_run() => String::new(),
+        Served::Answer(_) => return,
+    };
+    for target in attempt.refused_by() {
+        let told = Elsewhere {
+            target: target.to_string(),
+            flow: header.flow.0,
+            elsewhere: elsewhere.clone(),
+            request: header.request.0,
+            part: header.part,
+        };
+        let snapshot = node.snapshot();
+        let Some(owner) = snapshot.owner(target) else { continue };
+        if owner.id == node.me {
+            owner::elsewhere(node, &told);
+            continue;
+        }
+        let peer = Peer { id: owner.id.clone(), address: owner.peer };
+        node.send_to(&peer, Priority::Bulk, Kind::Elsewhere, &told);
+    }
+}
+
+/// What became of an ask.
+enum Asked {
+    Outcome(Outcome),
+    NotSent,
+    Lost,
+    Overrun,
+}
+
+/// Asks an owner, be it this instance or another.
+async fn ask_owner(
+    node: &Arc<Node>,
+    header: &Header,
+    payload: &Bytes,
+    deadline: Instant,
+    ask: &attempt::Ask,
+) -> Asked {
+    let remaining = deadline.since(node.clock.now());
+    let mut message = message::Ask {
+        id: node.relay.next(),
+        header: Some(HeaderMessage::new(header)),
+        payload: payload.clone(),
+        remaining_micros: remaining.0,
+        target: ask.target.to_string(),
+        doubted: ask.doubted,
+        ..message::Ask::default()
+    };
+    (message.mode, message.elsewhere) = match &ask.mode {
+        Mode::Open => (mode::OPEN, String::new()),
+        Mode::OpenLast => (mode::OPEN_LAST, String::new()),
+        Mode::Established => (mode::ESTABLISHED, String::new()),
+        Mode::Find => (mode::FIND, String::new()),
+        Mode::Reserve { elsewhere } => (mode::RESERVE, elsewhere.to_string()),
+    };
+    if ask.owner == node.me {
+        return Asked::Outcome(owner::serve(node, message, true).await);
+    }
+    if header.repeat == Repeat::Once {
+        let now = node.clock.now();
+        node.forwarded.lock().insert(ask.target.clone(), Key::of(header), now);
+    }
+    let asked = relayed(node, message, ask);
+    let limit = Duration::from(remaining);
+    tokio::time::timeout(limit, asked).await.unwrap_or(Asked::Overrun)
+}
+
+/// Asks another instance.
+async fn relayed(node: &Arc<Node>, mut message: message::Ask, ask: &attempt::Ask) -> Asked {
+    let snapshot = node.snapshot();
+    let Some(owner) = snapshot.live.get(&ask.owner) else { return Asked::NotSent };
+    let Some(mesh) = node.mesh.get() else { return Asked::NotSent };
+    message.reply_to = mesh.address().to_string();
+    let peer = Peer { id: owner.id.clone(), address: owner.peer };
+    let id = message.id;
+    let mut reply = node.relay.expect(id, ask.owner.clone());
+    let _guard = Waiting { node: Arc::clone(node), id, peer: peer.clone() };
+    let Some(ticket) = node.send_tracked(&peer, Kind::Ask, &message) else {
+        node.relay.forget(id);
+        return Asked::NotSent;
+    };
+    node.relay.sent_by(id, ticket.link());
+    tokio::select! {
+        biased;
+        told = &mut reply => return read_told(&ask.target, node, told.ok()),
+        settled = ticket.settled() => {
+            if settled == tracked::Outcome::NotSent {
+                node.relay.forget(id);
+                return Asked::NotSent;
+            }
+        }
+    }
+    read_told(&ask.target, node, reply.await.ok())
+}
+
+fn read_told(target: &target::Id, node: &Node, told: Option<Told>) -> Asked {
+    match told {
+        Some(Told::Outcome(outcome)) => {
+            if let Outcome::Done(done) = &outcome {
+                node.note_load(target, done.load);
+            }
+            Asked::Outcome(outcome)
+        }
+        Some(Told::Lost) | None => Asked::Lost,
+    }
+}
+
+/// Cancels an ask that is given up on.
+struct Waiting {
+    node: Arc<Node>,
+    id: u64,
+    peer: Peer,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.node.relay.forget(self.id) {
+            let cancel = Cancel { id: self.id };
+            self.node.send_to(&self.peer, Priority::Bulk, Kind::Cancel, &cancel);
+        }
+    }
+}
--- a/crates/mustardway_runtime/src/message.rs
+++ b/crates/mustardway_runtime/src/message.rs
@@ -84,6 +84,9 @@
     /// The request could have run where it is not heard of.
     #[prost(bool, tag = "8")]
     pub doubted: bool,
+    /// Where the ingress listens for its peers.
+    #[prost(string, tag = "9")]
+    pub reply_to: String,
 }
 
 /// Numbers of an ask's mode.
@@ -96,6 +99,8 @@
     pub const FIND: u32 = 2;
     /// The flow goes elsewhere unless it lives on the target.
     pub const RESERVE: u32 = 3;
+    /// The flow may be placed, and no other target is left for it.
+    pub const OPEN_LAST: u32 = 4;
 }
 
 /// A packet's header.
@@ -214,6 +219,9 @@
     /// Its payload.
     #[prost(bytes = "bytes", tag = "2")]
     pub payload: Bytes,
+    /// Load of the target, 1 being full.
+    #[prost(double, tag = "3")]
+    pub load: f64,
 }
 
 /// A final answer without payload.
@@ -272,6 +280,9 @@
     /// Part.
     #[prost(uint32, tag = "5")]
     pub part: u32,
+    /// Where the asker listens for its peers.
+    #[prost(string, tag = "6")]
+    pub reply_to: String,
 }
 
 /// The witness remembers.
@@ -299,7 +310,13 @@
     /// Flow.
     #[prost(fixed64, tag = "2")]
     pub flow: u64,
-    /// Target that took it.
+    /// Target that took it; empty where none did.
     #[prost(string, tag = "3")]
     pub elsewhere: String,
+    /// Request that would have opened it.
+    #[prost(fixed64, tag = "4")]
+    pub request: u64,
+    /// Its part.
+    #[prost(uint32, tag = "5")]
+    pub part: u32,
 }
--- /dev/null
+++ b/crates/mustardway_runtime/src/node.rs
@@ -0,0 +1,223 @@
+//! The shared tables of one instance.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use bytes::Bytes;
+use mustardway_gate::{Gate, Step};
+use mustardway_peer::frame;
+use mustardway_peer::link::Peer;
+use mustardway_peer::mesh::Mesh;
+use mustardway_peer::send::Priority;
+use mustardway_peer::tracked::Ticket;
+use mustardway_routing::budget::Budget;
+use mustardway_routing::cache::Cache;
+use mustardway_routing::snapshot::Snapshot;
+use mustardway_types::answer::Reason;
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{flow, instance, target};
+use parking_lot::{Mutex, RwLock};
+use prost::Message;
+
+use crate::clock::Clock;
+use crate::forwarded;
+use crate::message::{Kind, Outcome};
+use crate::owner;
+use crate::relay::Relay;
+use crate::ticket_table::{self, End};
+use crate::upstream;
+
+/// Shards of the flow cache.
+const CACHE_SHARDS: usize = 16;
+/// Weight of the latest load in a target's mean.
+const LOAD_WEIGHT: f64 = 0.2;
+
+/// Gates by target.
+pub type Gates = HashMap<target::Id, Arc<Mutex<Gate>>>;
+
+/// The shared tables of one instance.
+pub struct Node {
+    /// This instance.
+    pub me: instance::Id,
+    /// Its clock.
+    pub clock: Clock,
+    /// Links to other instances.
+    pub mesh: std::sync::OnceLock<Mesh>,
+    /// Gates of the targets that this instance owns, or lately owned.
+    pub gates: RwLock<Gates>,
+    /// Tickets of the gates.
+    pub tickets: ticket_table::Table,
+    /// Asks at other instances.
+    pub relay: Relay,
+    /// Once-only requests that were sent to owners.
+    pub forwarded: Mutex<forwarded::Table>,
+    /// Retries that may still be made.
+    pub budget: Mutex<Budget>,
+    /// Clients of targets.
+    pub upstream: upstream::Pool,
+    /// Where the node logs.
+    pub logger: slog::Logger,
+    /// Packets at their ingress that have no answer yet.
+    pub in_flight: AtomicU64,
+    /// Answers by reason, in the order of the table.
+    pub answers: [AtomicU64; mustardway_types::answer::TABLE.len()],
+    snapshot: RwLock<Arc<Snapshot>>,
+    cache: Vec<Mutex<Cache>>,
+    loads: Mutex<HashMap<target::Id, f64>>,
+    fenced: AtomicBool,
+    last_tick: AtomicU64,
+    tick_gap_max: Span,
+}
+
+impl Node {
+    /// Empty tables; `flows` bounds the cache, and a gap of `tick_gap_max`
+    /// between ticks of the control loop is a pause of the process.
+    pub fn new(me: instance::Id, flows: usize, tick_gap_max: Span, logger: slog::Logger) -> Self {
+        let shard = || Mutex::new(Cache::new(flows / CACHE_SHARDS));
+        Node {
+            snapshot: RwLock::new(Arc::new(Snapshot::empty(me.clone()))),
+            me,
+            clock: Clock::new(),
+            mesh: std::sync::OnceLock::new(),
+            gates: RwLock::default(),
+            tickets: ticket_table::Table::default(),
+            relay: Relay::default(),
+            forwarded: Mutex::default(),
+            budget: Mutex::default(),
+            upstream: upstream::Pool::default(),
+            logger,
+            in_flight: AtomicU64::new(0),
+            answers: std::array::from_fn(|_| AtomicU64::new(0)),
+            cache: std::iter::repeat_with(shard).take(CACHE_SHARDS).collect(),
+            loads: Mutex::default(),
+            fenced: AtomicBool::new(true),
+            last_tick: AtomicU64::new(0),
+            tick_gap_max,
+        }
+    }
+
+    /// The input of decisions now.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.snapshot.read())
+    }
+
+    /// Replaces the input of decisions.
+    pub fn set_snapshot(&self, snapshot: Arc<Snapshot>) {
+        *self.snapshot.write() = snapshot;
+    }
+
+    /// The gate of `target`, if this instance has one.
+    pub fn gate(&self, target: &target::Id) -> Option<Arc<Mutex<Gate>>> {
+        self.gates.read().get(target).cloned()
+    }
+
+    /// The shard of the flow cache for `flow`.
+    pub fn cache(&self, flow: flow::Id) -> &Mutex<Cache> {
+        &self.cache[(flow.0 % CACHE_SHARDS as u64) as usize]
+    }
+
+    /// All shards of the flow cache.
+    pub fn cache_shards(&self) -> &[Mutex<Cache>] {
+        &self.cache
+    }
+
+    /// Notes a tick of the control loop, and whether membership is fenced.
+    pub fn ticked(&self, now: Instant, fenced: bool) {
+        self.last_tick.store(now.0, Ordering::Release);
+        self.fenced.store(fenced, Ordering::Release);
+    }
+
+    /// Whether this instance may not act as an owner: it has just woken, or
+    /// has not heard its peers.
+    pub fn is_fenced(&self) -> bool {
+        let last = Instant(self.last_tick.load(Ordering::Acquire));
+        self.fenced.load(Ordering::Acquire) || self.clock.now().since(last) > self.tick_gap_max
+    }
+
+    /// Notes the load that the owner of `target` tells.
+    pub fn note_load(&self, target: &target::Id, load: f64) {
+        let mut loads = self.loads.lock();
+        let mean = loads.entry(target.clone()).or_insert(load);
+        *mean += (load - *mean) * LOAD_WEIGHT;
+    }
+
+    /// Mean of the known loads of `targets`.
+    pub fn mean_load(&self, targets: &[target::Id]) -> Option<f64> {
+        let loads = self.loads.lock();
+        let known: Vec<f64> = targets.iter().filter_map(|id| loads.get(id).copied()).collect();
+        (!known.is_empty()).then(|| known.iter().sum::<f64>() / known.len() as f64)
+    }
+
+    /// Forgets the loads of targets that `keep` does not name.
+    pub fn retain_loads(&self, keep: impl Fn(&target::Id) -> bool) {
+        self.loads.lock().retain(|target, _| keep(target));
+    }
+
+    /// Counts an answer.
+    pub fn count(&self, reason: Reason) {
+        self.answers[reason as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Sends a message to another instance; it may be lost.
+    pub fn send(&self, to: &instance::Id, priority: Priority, kind: Kind, message: &impl Message) {
+        let snapshot = self.snapshot();
+        let Some(instance) = snapshot.live.get(to) else { return };
+        self.send_to(&Peer { id: to.clone(), address: instance.peer }, priority, kind, message);
+    }
+
+    /// Sends a message to a peer whose address is known; it may be lost.
+    pub fn send_to(&self, to: &Peer, priority: Priority, kind: Kind, message: &impl Message) {
+        let Some(mesh) = self.mesh.get() else { return };
+        let body = Bytes::from(message.encode_to_vec());
+        // What is not taken is lost like any frame on the way.
+        let _ = mesh.send(to, priority, frame_kind(kind), body);
+    }
+
+    /// Sends a message and tells whether any byte of it can have left.
+    pub fn send_tracked(
+        &self,
+        to: &Peer,
+        kind: Kind,
+        message: &impl Message,
+    ) -> Option<Ticket> {
+        let body = Bytes::from(message.encode_to_vec());
+        self.mesh.get()?.send_tracked(to, Priority::Bulk, frame_kind(kind), body).ok()
+    }
+
+    /// Does what a gate decided.
+    pub fn dispatch(self: &Arc<Self>, steps: Vec<Step>, reply: Option<&Bytes>) {
+        for step in steps {
+            match step {
+                Step::Start(ticket) => owner::start(self, ticket),
+                Step::Abort(ticket) => self.tickets.abort(ticket),
+                Step::Redirect(ticket, to) => self.tickets.end(ticket, &End::Redirect(to)),
+                Step::Answer(ticket, answer) => {
+                    let end = match (answer.reason, reply) {
+                        (Reason::Answered, Some(reply)) => End::Done(reply.clone()),
+                        _ => End::Answer(answer),
+                    };
+                    self.tickets.end(ticket, &end);
+                }
+            }
+        }
+    }
+}
+
+/// The frame kind of a message.
+pub fn frame_kind(kind: Kind) -> frame::Kind {
+    frame::Kind(frame::Kind::FIRST_FREE.0 + kind as u32)
+}
+
+/// What an end means to the ingress.
+pub fn outcome(target: &target::Id, end: End) -> Outcome {
+    match end {
+        End::Done(payload) => {
+            Outcome::Done(crate::message::Done { target: target.to_string(), payload, load: 0.0 })
+        }
+        End::Answer(answer) => Outcome::Final(crate::message::Final::new(answer)),
+        End::Redirect(to) => {
+            Outcome::NotOwner(to.map_or_else(String::new, |owner| owner.to_string()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardway_runtime/src/owner.rs
@@ -0,0 +1,348 @@
+//! Asks of ingresses, judged by the gates of this instance and sent to targets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardway_gate::gate::Gate;
+use mustardway_gate::query::Explanation;
+use mustardway_gate::{
+    Admission, Ask, Choice, Ending, Key, Mode, Outcome as Ran, Tenure, tenure, ticket,
+};
+use mustardway_peer::link::Peer;
+use mustardway_routing::live::Instance;
+use mustardway_routing::snapshot::Snapshot;
+use mustardway_types::answer::{Answer, Reason};
+use mustardway_types::packet::Header;
+use mustardway_types::request::Repeat;
+use mustardway_types::target;
+use mustardway_types::time::{Instant, Span};
+use mustardway_view::model::Target;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::message::{self, Elsewhere, Final, Kind, Outcome, Witness, mode};
+use crate::node::{self, Node};
+use crate::ticket_table::{End, Job};
+use crate::upstream;
+
+/// Wait until a gate or a view that is expected here has come.
+const SOON: Span = Span::millis(100);
+/// When to come back where two instances hold different views.
+const VIEWS_DIFFER: Span = Span::seconds(1);
+/// Longest wait for one witness.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(250);
+/// Witnesses that are asked before a request is refused.
+const WITNESSES: usize = 2;
+
+/// Judges an ask and waits for its end; dropping the future cancels it.
+pub async fn serve(node: &Arc<Node>, ask: message::Ask, is_local: bool) -> Outcome {
+    let Some(header) = ask.header.as_ref().and_then(message::HeaderMessage::read) else {
+        return Outcome::Final(Final::new(Answer::new(Reason::Malformed)));
+    };
+    let Ok(target) = ask.target.parse::<target::Id>() else {
+        return Outcome::Final(Final::new(Answer::new(Reason::Malformed)));
+    };
+    let gate = match find_gate(node, &header, &target, ask.mode) {
+        Ok(gate) => gate,
+        Err(outcome) => return outcome,
+    };
+    let mode = match ask.mode {
+        mode::OPEN => Mode::Open(Choice::First),
+        mode::OPEN_LAST => Mode::Open(Choice::Last),
+        mode::RESERVE => match ask.elsewhere.parse() {
+            Ok(elsewhere) => Mode::Reserve { elsewhere },
+            Err(_) => return Outcome::Final(Final::new(Answer::new(Reason::Malformed))),
+        },
+        _ => Mode::Established,
+    };
+    let deadline = node.clock.now() + Span(ask.remaining_micros);
+    let asked = Ask { header: header.clone(), deadline, mode, ticket: node.tickets.next() };
+    let job = Job { gate, target: target.clone(), header, payload: ask.payload, is_local };
+    let outcome = admit(node, job, &asked, ask.doubted).await;
+    match outcome {
+        Outcome::UnknownFlow(_) if ask.mode == mode::FIND => found(node, &asked.header),
+        outcome => outcome,
+    }
+}
+
+/// The gate that judges `target` here, or where to ask instead.
+fn find_gate(
+    node: &Node,
+    header: &Header,
+    id: &target::Id,
+    mode: u32,
+) -> Result<Arc<Mutex<Gate>>, Outcome> {
+    if node.is_fenced() {
+        return Err(Outcome::NotOwner(String::new()));
+    }
+    let snapshot = node.snapshot();
+    let target = snapshot.target(id).ok_or(Outcome::Wait(SOON.0))?;
+    if !serves_address(&snapshot, header, target, mode) {
+        let answer = Answer::come_back(Reason::Quarantined, VIEWS_DIFFER);
+        return Err(Outcome::Final(Final::new(answer)));
+    }
+    if snapshot.is_out(&target.domain) {
+        return Err(Outcome::Final(Final::new(Answer::new(Reason::DomainOut))));
+    }
+    let owner = snapshot.owner(id);
+    let Some(gate) = node.gate(id) else {
+        return Err(match owner {
+            Some(owner) if owner.id != node.me => Outcome::NotOwner(owner.id.to_string()),
+            _ => Outcome::Wait(SOON.0),
+        });
+    };
+    if awaits_handover(&gate, node.clock.now()) {
+        let earlier = snapshot.owners(id).into_iter().find(|owner| owner.id != node.me);
+        let name = |owner: &Instance| owner.id.to_string();
+        return Err(Outcome::NotOwner(earlier.map_or_else(String::new, name)));
+    }
+    Ok(gate)
+}
+
+/// Whether the gate waits for an earlier owner that may still serve.
+fn awaits_handover(gate: &Mutex<Gate>, now: Instant) -> bool {
+    match gate.lock().tenure() {
+        Tenure::Pending { until } => until.since(now) > tenure::REBUILD,
+        _ => false,
+    }
+}
+
+/// Whether a packet of this address may go to this target.
+///
+/// An address that changed its service still reaches its earlier service's
+/// targets with the flows that live there, and with no new ones.
+fn serves_address(snapshot: &Snapshot, header: &Header, target: &Target, mode: u32) -> bool {
+    let Some(plan) = &snapshot.plan else { return false };
+    if plan.view.addresses.get(&header.address) == Some(&target.service) {
+        return true;
+    }
+    let opens = mode == mode::OPEN || mode == mode::OPEN_LAST || mode == mode::RESERVE;
+    let earlier = snapshot.earlier_services.get(&header.address);
+    !opens && earlier.is_some_and(|services| services.contains(&target.service))
+}
+
+/// Has the gate judge an ask and waits for its end.
+async fn admit(node: &Arc<Node>, job: Job, asked: &Ask, doubted: bool) -> Outcome {
+    let (gate, target) = (Arc::clone(&job.gate), job.target.clone());
+    let ticket = asked.ticket;
+    let receiver = node.tickets.register(ticket, job);
+    let mut guard = Guard { node: Arc::clone(node), gate: Arc::clone(&gate), ticket, armed: true };
+    let mut steps = Vec::new();
+    let (admission, joined) = {
+        let mut gate = gate.lock();
+        let now = node.clock.now();
+        if doubted && asked.header.repeat == Repeat::Once && asked.header.attempt > 1 {
+            gate.doubt(now);
+        }
+        let admission = gate.admit(now, asked, &mut steps);
+        let joined = match &admission {
+            Admission::Join(ticket) => node.tickets.join(*ticket),
+            _ => None,
+        };
+        (admission, joined)
+    };
+    node.dispatch(steps, None);
+    if admission == Admission::Run {
+        start(node, ticket);
+    }
+    if matches!(admission, Admission::Run | Admission::Queued) {
+        let ended = receiver.await;
+        guard.armed = false;
+        return with_load(node, &gate, ended_outcome(&target, ended.ok()));
+    }
+    guard.armed = false;
+    node.tickets.forget(ticket);
+    match admission {
+        Admission::Join(_) => join(node, &target, joined, asked.deadline).await,
+        Admission::Answer(answer) => Outcome::Final(Final::new(answer)),
+        Admission::Replay(payload) => node::outcome(&target, End::Done(payload)),
+        Admission::Moved(elsewhere) => Outcome::Moved(elsewhere.to_string()),
+        Admission::NotOwner(owner) => node::outcome(&target, End::Redirect(owner)),
+        Admission::Wait(span) => Outcome::Wait(span.0.max(1)),
+        Admission::UnknownFlow | Admission::Run | Admission::Queued => Outcome::UnknownFlow(true),
+    }
+}
+
+/// Waits for the end of another copy of the same request.
+async fn join(
+    node: &Node,
+    target: &target::Id,
+    joined: Option<oneshot::Receiver<End>>,
+    deadline: Instant,
+) -> Outcome {
+    let Some(receiver) = joined else { return ended_outcome(target, None) };
+    let limit = deadline.since(node.clock.now());
+    match tokio::time::timeout(limit.into(), receiver).await {
+        Ok(ended) => ended_outcome(target, ended.ok()),
+        Err(_) => Outcome::Final(Final::new(Answer::new(Reason::Overrun))),
+    }
+}
+
+/// The outcome of an end; one that is not told is unknown.
+fn ended_outcome(target: &target::Id, end: Option<End>) -> Outcome {
+    node::outcome(target, end.unwrap_or(End::Answer(Answer::new(Reason::TargetLost))))
+}
+
+/// Adds the target's load to an answer of the target.
+fn with_load(node: &Node, gate: &Mutex<Gate>, outcome: Outcome) -> Outcome {
+    let Outcome::Done(mut done) = outcome else { return outcome };
+    let gate = gate.lock();
+    done.load = gate.load_fraction(node.clock.now());
+    node.note_load(gate.target(), done.load);
+    Outcome::Done(done)
+}
+
+/// Cancels a ticket that is given up on.
+struct Guard {
+    node: Arc<Node>,
+    gate: Arc<Mutex<Gate>>,
+    ticket: ticket::Id,
+    armed: bool,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let mut steps = Vec::new();
+        self.gate.lock().cancel(self.node.clock.now(), self.ticket, &mut steps);
+        self.node.dispatch(steps, None);
+    }
+}
+
+/// Looks for a flow at all gates of this instance.
+fn found(node: &Node, header: &Header) -> Outcome {
+    let now = node.clock.now();
+    let gates: Vec<Arc<Mutex<Gate>>> = node.gates.read().values().cloned().collect();
+    for gate in gates {
+        let gate = gate.lock();
+        if !matches!(gate.tenure(), Tenure::Serving { .. }) {
+            continue;
+        }
+        match gate.explain(now, header.flow) {
+            Explanation::Open { .. } => return Outcome::Moved(gate.target().to_string()),
+            Explanation::Placed(target) => return Outcome::Moved(target.to_string()),
+            Explanation::Refused | Explanation::Unknown => {}
+        }
+    }
+    Outcome::UnknownFlow(true)
+}
+
+/// Takes note of where a flow went that was refused here.
+pub fn elsewhere(node: &Node, told: &Elsewhere) {
+    let Ok(target) = told.target.parse::<target::Id>() else { return };
+    let Some(gate) = node.gate(&target) else { return };
+    let now = node.clock.now();
+    let flow = mustardway_types::flow::Id(told.flow);
+    match told.elsewhere.parse() {
+        Ok(elsewhere) => gate.lock().place_elsewhere(now, flow, elsewhere),
+        Err(_) => {
+            let request = mustardway_types::request::Id(told.request);
+            gate.lock().place_nowhere(now, Key { flow, request, part: told.part });
+        }
+    }
+}
+
+/// Runs the job of `ticket`.
+pub fn start(node: &Arc<Node>, ticket: ticket::Id) {
+    let Some((job, abort)) = node.tickets.start(ticket) else { return };
+    tokio::spawn(run(Arc::clone(node), ticket, job, abort));
+}
+
+/// Sends a request to its target and tells the gate how it ended.
+async fn run(node: Arc<Node>, ticket: ticket::Id, job: Job, abort: CancellationToken) {
+    let started = node.clock.now();
+    let ending = tokio::select! {
+        biased;
+        () = abort.cancelled() => Ending::Aborted,
+        ending = call(&node, ticket, &job) => ending,
+    };
+    let now = node.clock.now();
+    let reply = match &ending {
+        Ending::Done(reply) => Some(reply.clone()),
+        _ => None,
+    };
+    let mut steps = Vec::new();
+    let outcome = Ran { ending, took: now.since(started) };
+    job.gate.lock().finish(now, ticket, outcome, &mut steps);
+    node.dispatch(steps, reply.as_ref());
+}
+
+/// The call itself.
+async fn call(node: &Arc<Node>, ticket: ticket::Id, job: &Job) -> Ending {
+    if job.is_local && job.header.repeat == Repeat::Once && !witnessed(node, job).await {
+        return Ending::Unsent;
+    }
+    let snapshot = node.snapshot();
+    let Some(target) = snapshot.target(&job.target) else { return Ending::Unsent };
+    let deadline = job.gate.lock().deadline(ticket);
+    let now = node.clock.now();
+    let remaining = deadline.map_or(Span::ZERO, |deadline| deadline.since(now));
+    if node.is_fenced() || snapshot.is_out(&target.domain) || remaining == Span::ZERO {
+        return Ending::Unsent;
+    }
+    let payload = job.payload.clone();
+    let (id, endpoint) = (&job.target, target.endpoint);
+    match node.upstream.send(id, endpoint, &job.header, payload, remaining).await {
+        upstream::Outcome::Done(payload) => Ending::Done(payload),
+        upstream::Outcome::Refused => Ending::Shed,
+        upstream::Outcome::NotSent => Ending::Unsent,
+        upstream::Outcome::Lost => Ending::Lost,
+        upstream::Outcome::Overrun => Ending::Overrun,
+    }
+}
+
+/// Has another instance remember the request, so that this owner's loss does
+/// not lose the knowledge that it may have run. An instance alone needs none.
+async fn witnessed(node: &Arc<Node>, job: &Job) -> bool {
+    let snapshot = node.snapshot();
+    let others = witnesses(&snapshot, job);
+    if others.is_empty() {
+        return true;
+    }
+    for peer in others {
+        if witness(node, job, &peer).await {
+            return true;
+        }
+    }
+    false
+}
+
+/// Instances to ask: the next in rank, then others.
+fn witnesses(snapshot: &Snapshot, job: &Job) -> Vec<Peer> {
+    let ranked = snapshot.owners(&job.target).into_iter();
+    let rest = snapshot.live.domains().flat_map(|(_, instances)| instances);
+    let mut peers: Vec<Peer> = Vec::with_capacity(WITNESSES);
+    for instance in ranked.chain(rest) {
+        if peers.len() == WITNESSES {
+            break;
+        }
+        let known = peers.iter().any(|peer| peer.id == instance.id);
+        if known || instance.id == snapshot.me {
+            continue;
+        }
+        peers.push(Peer { id: instance.id.clone(), address: instance.peer });
+    }
+    peers
+}
+
+async fn witness(node: &Arc<Node>, job: &Job, peer: &Peer) -> bool {
+    let Some(mesh) = node.mesh.get() else { return false };
+    let id = node.relay.next();
+    let message = Witness {
+        id,
+        target: job.target.to_string(),
+        flow: job.header.flow.0,
+        request: job.header.request.0,
+        part: job.header.part,
+        reply_to: mesh.address().to_string(),
+    };
+    let receiver = node.relay.expect_witness(id);
+    let sent = node.send_tracked(peer, Kind::Witness, &message).is_some();
+    let acknowledged =
+        sent && matches!(tokio::time::timeout(WITNESS_TIMEOUT, receiver).await, Ok(Ok(())));
+    node.relay.forget_witness(id);
+    acknowledged
+}
--- a/crates/mustardway_runtime/src/upstream.rs
+++ b/crates/mustardway_runtime/src/upstream.rs
@@ -25,12 +25,8 @@
 pub enum Outcome {
     /// The target answered.
     Done(Bytes),
-    /// The target refused before running it.
-    Shed,
-    /// The target does not know the flow and did not run it.
-    FlowEnded,
-    /// The target called the request malformed.
-    BadRequest,
+    /// The target said that it did not run it.
+    Refused,
     /// No byte of the request was sent.
     NotSent,
     /// The connection broke, or the target failed, after the request was sent.
@@ -122,10 +118,8 @@
 fn outcome(reply: packet::Reply) -> Outcome {
     match convert::kind(reply.answer) {
         answer::Kind::Done => Outcome::Done(reply.payload),
-        answer::Kind::Refused | answer::Kind::GaveUp => Outcome::Shed,
-        answer::Kind::FlowEnded => Outcome::FlowEnded,
-        answer::Kind::BadRequest => Outcome::BadRequest,
         answer::Kind::Unknown => Outcome::Lost,
+        _ => Outcome::Refused,
     }
 }
 
