Keep a history of views, list changes and prove the parser's problems

Cause: routing needs to know what was in force before, and operators and the audit trail need each change and each problem by name. Ruled out: taking an empty folder text as a view without services (found by the test with any bytes: one emptied file would have taken out everything); letting entries below a faulty section name fall to the section before it (found by the test that compares lines, which were then counted wrongly). Change: history with settle window and quarantine, typed changes, reading of a folder from disk, an example folder, tests for each feature. Conclusion: a view is whole, has a service and never reverts.

--- a/crates/mustardway_view/src/build.rs
+++ b/crates/mustardway_view/src/build.rs
@@ -183,8 +183,11 @@
     }
     let kind = Kind::ColdSlots { cold: limits.cold_slots, slots: limits.slots };
     let set_here = [key::COLD_SLOTS, key::SLOTS].into_iter().find_map(|key| fields.item.value(key));
-    let site = set_here.map_or(&fields.item.site, |value| &value.site);
-    let problem = Problem::new(kind).at(site).in_section(&fields.item.section);
+    let Some(value) = set_here else {
+        // The defaults alone are wrong, which is reported with them.
+        return None;
+    };
+    let problem = Problem::new(kind).at(&value.site).in_section(&fields.item.section);
     fields.problems.push(problem.with_key(key::COLD_SLOTS));
     None
 }
--- a/crates/mustardway_view/src/check.rs
+++ b/crates/mustardway_view/src/check.rs
@@ -28,8 +28,11 @@
     services(merged, problems);
 }
 
-/// Every service needs a target, also one that has problems of its own.
+/// At least one service is needed, and each needs a target, also one that has problems itself.
 fn services(merged: &Merged, problems: &mut List) {
+    if merged.items(Subject::Service).next().is_none() {
+        problems.push(Problem::new(Kind::NoServices));
+    }
     let mut served = BTreeSet::new();
     for (_, item) in merged.items(Subject::Target) {
         if let Some((_, value)) = find(item, merged.defaults(), key::SERVICE) {
--- a/crates/mustardway_view/src/ini.rs
+++ b/crates/mustardway_view/src/ini.rs
@@ -74,48 +74,67 @@
     unique(file, document, problems)
 }
 
-/// A line that carries a section or a key.
+/// A line with a section name or an entry, without needless blanks.
 struct Line {
     number: u32,
     text: String,
-    is_section: bool,
+}
+
+/// Where the lines after a section name belong.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Place {
+    /// Before the first section.
+    Outside,
+    /// In a section.
+    Inside,
+    /// Below a section name that is not understood.
+    Unknown,
 }
 
 fn scan(file: &str, text: &str, problems: &mut List) -> Vec<Line> {
     let mut lines = Vec::new();
-    let mut has_section = false;
+    let mut place = Place::Outside;
     for (index, raw) in text.lines().enumerate() {
         let number = u32::try_from(index + 1).unwrap_or(u32::MAX);
         let trimmed = raw.trim();
         if trimmed.is_empty() || trimmed.starts_with(['#', ';']) {
             continue;
         }
-        let line = match tidy(trimmed) {
-            Ok((text, is_section)) => Line { number, text, is_section },
+        let is_section = trimmed.starts_with('[');
+        let tidied = if is_section { tidy_section(trimmed) } else { tidy_entry(trimmed) };
+        if is_section {
+            place = if tidied.is_ok() { Place::Inside } else { Place::Unknown };
+        }
+        match tidied {
             Err(wanted) => {
-                let found = trimmed.chars().filter(|c| !c.is_control()).take(QUOTE_MAX).collect();
-                let kind = Kind::Syntax { found, wanted };
+                let kind = Kind::Syntax { found: quote(trimmed), wanted };
                 problems.push(Problem::new(kind).in_file(file).on_line(number));
-                has_section |= trimmed.starts_with('[');
-                continue;
             }
-        };
-        has_section |= line.is_section;
-        if !has_section {
-            problems.push(Problem::new(Kind::OutsideSection).in_file(file).on_line(number));
-            continue;
+            Ok(_) if place == Place::Outside => {
+                let problem = Problem::new(Kind::OutsideSection);
+                problems.push(problem.in_file(file).on_line(number));
+            }
+            Ok(text) if place == Place::Inside => lines.push(Line { number, text }),
+            Ok(_) => {}
         }
-        lines.push(line);
     }
     lines
 }
 
-/// The tidy form of a line and whether it is a section.
-fn tidy(trimmed: &str) -> Result<(String, bool), &'static str> {
-    if let Some(rest) = trimmed.strip_prefix('[') {
-        let name = rest.strip_suffix(']').ok_or(SECTIONS)?;
-        return Ok((format!("[{}]", tidy_name(name)?), true));
+fn quote(line: &str) -> CompactString {
+    line.chars().filter(|c| !c.is_control()).take(QUOTE_MAX).collect()
+}
+
+fn tidy_section(trimmed: &str) -> Result<String, &'static str> {
+    let name = trimmed.strip_prefix('[').and_then(|rest| rest.strip_suffix(']'));
+    let words: Vec<&str> = name.ok_or(SECTIONS)?.split_whitespace().collect();
+    if words.is_empty() || !words.iter().all(|word| word.bytes().all(is_word_byte)) {
+        return Err(SECTIONS);
     }
+    Ok(format!("[{}]", words.join(" ")))
+}
+
+fn tidy_entry(trimmed: &str) -> Result<String, &'static str> {
     let (key, value) = trimmed.split_once('=').ok_or(LINES)?;
     let key = key.trim();
     if key.is_empty() || !key.bytes().all(|byte| is_word_byte(byte) && byte != b'.') {
@@ -125,15 +144,7 @@
     if value.chars().any(char::is_control) || value.ends_with('\\') {
         return Err(VALUES);
     }
-    Ok((format!("{key}={value}"), false))
-}
-
-fn tidy_name(name: &str) -> Result<String, &'static str> {
-    let words: Vec<&str> = name.split_whitespace().collect();
-    if words.is_empty() || !words.iter().all(|word| word.bytes().all(is_word_byte)) {
-        return Err(SECTIONS);
-    }
-    Ok(words.join(" "))
+    Ok(format!("{key}={value}"))
 }
 
 fn is_word_byte(byte: u8) -> bool {
--- a/crates/mustardway_view/src/problem.rs
+++ b/crates/mustardway_view/src/problem.rs
@@ -202,6 +202,8 @@
     },
     /// nothing to take back: an empty value is allowed only for a key set in an earlier file
     NothingTakenBack,
+    /// no service is set: at least one is needed
+    NoServices,
     /// no target serves this service: at least one is needed
     NoTargets,
     /// address {address} is given twice: first at {first}
--- /dev/null
+++ b/crates/mustardway_view/tests/view/history.rs
@@ -0,0 +1,93 @@
+//! A history never reverts and keeps what instances may still act on.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{domain, revision};
+use mustardway_view::history::{History, PREVIOUS_MAX, Refused, SETTLE};
+
+use crate::sample::changed;
+
+const START: Instant = Instant(5_000_000);
+
+/// A history with the base in force under revision 5 since `START`.
+fn history() -> History {
+    let mut history = History::default();
+    history.adopt(Arc::new(changed(5, "")), START).expect("first view");
+    history
+}
+
+fn revisions(history: &History, now: Instant) -> Vec<u64> {
+    history.previous(now).map(|view| view.revision.0).collect()
+}
+
+#[test]
+fn first_view() {
+    let history = history();
+    assert_eq!(history.current().unwrap().revision, revision::Number(5));
+    assert!(revisions(&history, START).is_empty());
+}
+
+#[test]
+fn greater_adopted() {
+    let mut history = history();
+    let later = changed(9, "[domain rosario]\nstate = out\n");
+    let changes = history.adopt(Arc::new(later), START + Span::seconds(1)).unwrap();
+    assert_eq!(changes.len(), 1);
+    assert_eq!(history.current().unwrap().revision, revision::Number(9));
+}
+
+#[test]
+fn lower_refused() {
+    let mut history = history();
+    let lower = Arc::new(changed(4, "[domain rosario]\nstate = out\n"));
+    let result = history.adopt(lower, START + Span::seconds(60));
+    assert_matches!(result, Err(Refused::Lower { found, .. }) if found.0 == 4);
+    assert_eq!(history.current().unwrap().revision, revision::Number(5));
+    assert!(revisions(&history, START).is_empty());
+}
+
+#[test]
+fn same_refused() {
+    let mut history = history();
+    let same = history.adopt(Arc::new(changed(5, "")), START);
+    assert_matches!(same, Err(Refused::Same { .. }));
+    let other = history.adopt(Arc::new(changed(5, "# other\n")), START);
+    assert_matches!(other, Err(Refused::OtherDigest { .. }));
+}
+
+#[test]
+fn settle_window() {
+    let mut history = history();
+    let second = START + Span::seconds(1);
+    history.adopt(Arc::new(changed(6, "")), second).unwrap();
+    history.adopt(Arc::new(changed(7, "")), second + Span::seconds(2)).unwrap();
+    assert_eq!(revisions(&history, second + Span::seconds(2)), [6, 5]);
+    assert_eq!(revisions(&history, second + SETTLE), [6]);
+    assert!(revisions(&history, second + SETTLE + Span::seconds(2)).is_empty());
+}
+
+#[test]
+fn previous_bounded() {
+    let mut history = history();
+    for number in 6..100 {
+        history.adopt(Arc::new(changed(number, "")), START).unwrap();
+    }
+    assert_eq!(revisions(&history, START).len(), PREVIOUS_MAX);
+    assert_eq!(revisions(&history, START)[0], 98);
+}
+
+#[test]
+fn domain_out_since() {
+    let mut history = history();
+    let rosario: domain::Name = "rosario".parse().unwrap();
+    let out = "[domain rosario]\nstate = out\n";
+    assert_eq!(history.domain_out_since(&rosario), None);
+    let taken = START + Span::seconds(3);
+    history.adopt(Arc::new(changed(6, out)), taken).unwrap();
+    history.adopt(Arc::new(changed(7, out)), taken + Span::seconds(5)).unwrap();
+    assert_eq!(history.domain_out_since(&rosario), Some(taken));
+    history.adopt(Arc::new(changed(8, "")), taken + Span::seconds(9)).unwrap();
+    assert_eq!(history.domain_out_since(&rosario), None);
+}
--- /dev/null
+++ b/crates/mustardway_view/tests/view/main.rs
@@ -0,0 +1,13 @@
+//! Tests of the configuration in force, one file a feature.
+
+mod any_text;
+mod changes;
+mod digest;
+mod directory;
+mod file_bounds;
+mod history;
+mod merge_order;
+mod problem_lines;
+mod quarantine;
+mod removals;
+mod sample;
--- a/crates/mustardway_view/tests/merge_order.rs
+++ b/crates/mustardway_view/tests/view/merge_order.rs
@@ -1,35 +1,12 @@
 //! Files are merged in the order of their names, key by key.
 
 use mustardway_types::{revision, time};
-use mustardway_view::folder::{self, Files};
 use mustardway_view::model::{DomainState, Target, TargetState, View};
 
-const BASE: &str = "\
-# Failure domains and one service.
-[domain rosario]
-region = ar-centro
-
-[domain cordoba]
-region = ar-centro
-state = in
-
-[service central-reservas]
-addresses = 10.0.0.1:443, 10.0.0.2:443
-
-[target reservas-1]
-service = central-reservas
-domain = rosario
-endpoint = 10.1.0.1:7000
-weight = 200
-";
-
-fn view(files: &[(&str, &str)]) -> View {
-    let files: Files = files.iter().map(|(name, text)| (*name, text.as_bytes())).collect();
-    folder::parse(revision::Number(7), &files).unwrap()
-}
+use crate::sample::{BASE, view};
 
 fn target(view: &View) -> &Target {
-    view.targets.values().next().unwrap()
+    &view.targets[&"reservas-1".parse().expect("name")]
 }
 
 #[test]
@@ -37,7 +14,7 @@
     let view = view(&[("10-base.ini", BASE)]);
     assert_eq!(view.revision, revision::Number(7));
     assert_eq!(view.domains.len(), 2);
-    assert_eq!(view.addresses.len(), 2);
+    assert_eq!(view.addresses.len(), 3);
     assert_eq!(target(&view).weight, 200);
     assert_eq!(target(&view).endpoint, "10.1.0.1:7000".parse().unwrap());
 }
@@ -45,7 +22,8 @@
 #[test]
 fn constants_fill() {
     let view = view(&[("10-base.ini", BASE)]);
-    let target = target(&view);
+    let target = &view.targets[&"archivo-1".parse().unwrap()];
+    assert_eq!(target.weight, 100);
     assert_eq!(target.state, TargetState::Serving);
     assert_eq!(target.limits.slots, 2);
     assert_eq!(target.limits.cold_slots, 1);
@@ -62,7 +40,7 @@
     assert_eq!(cordoba.state, DomainState::Out);
     assert_eq!(cordoba.region, "ar-centro");
     assert_eq!(target(&view).weight, 50);
-    assert_eq!(target(&view).service, "central-reservas".parse().unwrap());
+    assert_eq!(target(&view).service, "reservas".parse().unwrap());
 }
 
 #[test]
@@ -93,11 +71,8 @@
 fn empty_value() {
     let defaults = "[defaults target]\nweight = 10\n";
     let change = "[target reservas-1]\nweight =\n";
-    let view = view(&[
-        ("10-base.ini", BASE),
-        ("20-defaults.ini", defaults),
-        ("30-change.ini", change),
-    ]);
+    let view =
+        view(&[("10-base.ini", BASE), ("20-defaults.ini", defaults), ("30-change.ini", change)]);
     assert_eq!(target(&view).weight, 10);
 }
 
@@ -105,7 +80,7 @@
 fn line_ends() {
     let text = BASE.replace('\n', "\r\n").replace(" = ", "=");
     let view = view(&[("10-base.ini", &text)]);
-    assert_eq!(view.services.len(), 1);
+    assert_eq!(view.services.len(), 2);
     assert_eq!(target(&view).weight, 200);
 }
 
