--- /dev/null
+++ b/crates/mustardway_runtime/src/custody.rs
@@ -0,0 +1,337 @@
+//! Gates that are opened, handed over and closed as ownership moves.
+//!
+//! The owner of a target is the first in its rank among the live instances.
+//! An instance that becomes first opens a gate that waits: for the state that
+//! the earlier owner hands over, or for what the others announce where that
+//! one was lost. An instance that is no longer first hands its gate over and
+//! sends it again until the next owner has taken it.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use mustardway_gate::gate::Gate;
+use mustardway_gate::{Announcement, Handover, Key, Tenure, message, tenure};
+use mustardway_peer::link::Peer;
+use mustardway_peer::send::Priority;
+use mustardway_routing::snapshot::{Snapshot, domain_in};
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{hash, instance, target};
+use mustardway_view::model::{Target, TargetState};
+use parking_lot::Mutex;
+
+use crate::message::{Accepted, Kind};
+use crate::node::Node;
+
+/// How long a gate waits for an earlier owner that is not known to be lost.
+const HANDOVER_WAIT: Span = Span::millis(2_500);
+/// Time after which a handover that was not taken is sent again.
+const RESEND: Span = Span::millis(500);
+
+/// A gate on its way to another owner.
+struct Leaving {
+    to: instance::Id,
+    state: Handover,
+    sent: Instant,
+    accepted: bool,
+}
+
+/// Gates on their way to other owners. Kept by the control loop.
+#[derive(Default)]
+pub struct Custody {
+    leaving: HashMap<target::Id, Leaving>,
+}
+
+impl Custody {
+    /// Brings the gates in line with a new snapshot; `lost` are instances that
+    /// were found dead since the last one.
+    pub fn settle(
+        &mut self,
+        node: &Arc<Node>,
+        snapshot: &Snapshot,
+        lost: &BTreeSet<instance::Id>,
+        before: &Snapshot,
+    ) {
+        let Some(plan) = &snapshot.plan else { return };
+        let now = node.clock.now();
+        for (id, target) in &plan.view.targets {
+            let owned = snapshot.heir(id).is_some_and(|heir| heir.id == node.me);
+            let gate = node.gate(id);
+            match gate {
+                Some(gate) => self.keep(node, snapshot, id, target, &gate, owned, now),
+                None if owned => open(node, id, target, before, lost, now),
+                None => {}
+            }
+        }
+        self.drop_strangers(node, snapshot);
+        for instance in lost {
+            self.take_back(node, instance);
+        }
+    }
+
+    /// Sends again what was not taken, and tells outcomes that came late.
+    pub fn tick(&mut self, node: &Arc<Node>) {
+        let now = node.clock.now();
+        for (id, leaving) in &mut self.leaving {
+            if !leaving.accepted && now.since(leaving.sent) >= RESEND {
+                leaving.sent = now;
+                send(node, &leaving.to, leaving.state.clone());
+            }
+            let Some(gate) = node.gate(id) else { continue };
+            let late = gate.lock().take_late();
+            if let Some(late) = late {
+                send(node, &leaving.to, late);
+            }
+        }
+    }
+
+    /// Notes that the next owner has taken a gate.
+    pub fn accepted(&mut self, from: &instance::Id, accepted: &Accepted) {
+        let Ok(target) = accepted.target.parse::<target::Id>() else { return };
+        let Some(leaving) = self.leaving.get_mut(&target) else { return };
+        if leaving.to == *from {
+            leaving.accepted = true;
+        }
+    }
+
+    /// Whether every gate of this instance has been taken by its next owner.
+    pub fn is_empty(&self, node: &Node) -> bool {
+        for (id, gate) in node.gates.read().iter() {
+            let serves = matches!(gate.lock().tenure(), Tenure::Serving { .. });
+            if serves || self.leaving.get(id).is_some_and(|leaving| !leaving.accepted) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Keeps a gate in line with the view, or hands it over.
+    #[allow(clippy::too_many_arguments)]
+    fn keep(
+        &mut self,
+        node: &Arc<Node>,
+        snapshot: &Snapshot,
+        id: &target::Id,
+        target: &Target,
+        gate: &Mutex<Gate>,
+        owned: bool,
+        now: Instant,
+    ) {
+        let mut steps = Vec::new();
+        let mut state = None;
+        {
+            let mut gate = gate.lock();
+            adjust(&mut gate, snapshot, target, now, &mut steps);
+            let tenure = gate.tenure().clone();
+            match (tenure, snapshot.heir(id)) {
+                (Tenure::Closed { .. }, _) if owned => {
+                    drop(gate);
+                    self.reopen(node, id, target, now);
+                    node.dispatch(steps, None);
+                    return;
+                }
+                (Tenure::Serving { .. }, Some(heir)) if !owned => {
+                    let to = heir.id.clone();
+                    state = Some((to.clone(), gate.hand_over(now, to, &mut steps)));
+                }
+                (Tenure::Closed { .. }, Some(heir)) => self.turn(node, id, &heir.id, now),
+                (Tenure::Pending { .. }, _) if !owned => {
+                    drop(gate);
+                    node.gates.write().remove(id);
+                }
+                _ => {}
+            }
+        }
+        node.dispatch(steps, None);
+        let Some((to, state)) = state else { return };
+        slog::info!(node.logger, "hands a target over"; "target" => %id, "to" => %to);
+        send(node, &to, state.clone());
+        self.leaving.insert(id.clone(), Leaving { to, state, sent: now, accepted: false });
+    }
+
+    /// Sends a gate that nobody has taken to another owner.
+    fn turn(&mut self, node: &Node, id: &target::Id, heir: &instance::Id, now: Instant) {
+        let Some(leaving) = self.leaving.get_mut(id) else { return };
+        if leaving.accepted || leaving.to == *heir {
+            return;
+        }
+        leaving.to = heir.clone();
+        leaving.sent = now;
+        send(node, heir, leaving.state.clone());
+    }
+
+    /// Opens a gate anew that this instance had handed over.
+    fn reopen(&mut self, node: &Arc<Node>, id: &target::Id, target: &Target, now: Instant) {
+        let left = self.leaving.remove(id);
+        let mut gate = new_gate(node, id, target, Tenure::Pending { until: now + HANDOVER_WAIT });
+        if let Some(left) = left.filter(|left| !left.accepted) {
+            // Nobody took it: its own state is the latest.
+            for part in left.state.into_parts() {
+                let _ = gate.receive(now, &part);
+            }
+        }
+        node.gates.write().insert(id.clone(), Arc::new(Mutex::new(gate)));
+    }
+
+    /// Gives up on handing over to an instance that was lost.
+    fn take_back(&mut self, node: &Node, lost: &instance::Id) {
+        for gate in node.gates.read().values() {
+            gate.lock().lose_instance(lost);
+        }
+        self.leaving.retain(|_, leaving| !(leaving.accepted && leaving.to == *lost));
+    }
+
+    /// Drops gates of targets that no view names any more.
+    fn drop_strangers(&mut self, node: &Node, snapshot: &Snapshot) {
+        let known = |id: &target::Id| snapshot.target(id).is_some();
+        node.gates.write().retain(|id, _| known(id));
+        self.leaving.retain(|id, _| known(id));
+        node.upstream.retain(known);
+        node.retain_loads(known);
+    }
+}
+
+/// Opens a gate for a target that this instance now owns.
+fn open(
+    node: &Arc<Node>,
+    id: &target::Id,
+    target: &Target,
+    before: &Snapshot,
+    lost: &BTreeSet<instance::Id>,
+    now: Instant,
+) {
+    let owner_lost = before.owner(id).is_some_and(|owner| lost.contains(&owner.id));
+    let wait = if owner_lost { tenure::REBUILD } else { HANDOVER_WAIT };
+    slog::info!(node.logger, "opens a gate";
+        "target" => %id, "owner-lost" => owner_lost, "wait" => %wait);
+    let gate = new_gate(node, id, target, Tenure::Pending { until: now + wait });
+    node.gates.write().insert(id.clone(), Arc::new(Mutex::new(gate)));
+}
+
+fn new_gate(node: &Node, id: &target::Id, target: &Target, tenure: Tenure) -> Gate {
+    let seed = hash::seeded(node.clock.now().0, id.as_str().as_bytes());
+    let (me, limits) = (node.me.clone(), target.limits.clone());
+    Gate::new(id.clone(), me, limits, tenure, seed, node.clock.now())
+}
+
+/// Applies what the view says of a target.
+fn adjust(
+    gate: &mut Gate,
+    snapshot: &Snapshot,
+    target: &Target,
+    now: Instant,
+    steps: &mut Vec<mustardway_gate::Step>,
+) {
+    let Some(plan) = &snapshot.plan else { return };
+    if *gate.limits() != target.limits {
+        gate.set_limits(now, target.limits.clone(), steps);
+    }
+    gate.set_leaving(target.state == TargetState::Leaving);
+    if domain_in(&plan.view, &target.domain) {
+        gate.set_domain_in(now);
+    } else {
+        gate.set_domain_out(now, steps);
+    }
+}
+
+/// Sends a gate's state in parts.
+fn send(node: &Node, to: &instance::Id, state: Handover) {
+    for part in state.into_parts() {
+        node.send(to, Priority::Bulk, Kind::Handover, &part);
+    }
+}
+
+/// Takes in a part of the state of an earlier owner.
+pub fn receive(node: &Arc<Node>, from: &instance::Id, part: &Handover) {
+    let Ok(id) = part.target.parse::<target::Id>() else { return };
+    let snapshot = node.snapshot();
+    let Some(target) = snapshot.target(&id) else { return };
+    let now = node.clock.now();
+    let gate = match node.gate(&id) {
+        Some(gate) if matches!(gate.lock().tenure(), Tenure::Closed { .. }) => {
+            if part.parts == 0 {
+                return;
+            }
+            replace(node, &id, target)
+        }
+        Some(gate) => gate,
+        None => replace(node, &id, target),
+    };
+    let opened = {
+        let mut gate = gate.lock();
+        if gate.receive(now, part).is_err() {
+            return;
+        }
+        gate.set_leaving(target.state == TargetState::Leaving);
+        matches!(gate.tenure(), Tenure::Serving { .. })
+    };
+    if opened && part.parts > 0 && part.part + 1 == part.parts {
+        slog::info!(node.logger, "has taken a target over"; "target" => %id, "from" => %from);
+        let accepted = Accepted { target: id.to_string() };
+        node.send(from, Priority::Bulk, Kind::Accepted, &accepted);
+    }
+}
+
+/// A gate that waits for the state which is just coming in.
+fn replace(node: &Node, id: &target::Id, target: &Target) -> Arc<Mutex<Gate>> {
+    let until = node.clock.now() + HANDOVER_WAIT;
+    let gate = new_gate(node, id, target, Tenure::Pending { until });
+    let gate = Arc::new(Mutex::new(gate));
+    node.gates.write().insert(id.clone(), Arc::clone(&gate));
+    gate
+}
+
+/// Tells the next owners of lost instances' targets what this instance knows.
+pub fn announce(
+    node: &Arc<Node>,
+    before: &Snapshot,
+    snapshot: &Snapshot,
+    lost: &BTreeSet<instance::Id>,
+) {
+    if lost.is_empty() {
+        return;
+    }
+    let affected = |id: &target::Id| {
+        before.owner(id).is_some_and(|owner| lost.contains(&owner.id))
+    };
+    let mut known: HashMap<target::Id, Announcement> = HashMap::new();
+    for shard in node.cache_shards() {
+        for (flow, target) in shard.lock().iter() {
+            if affected(target) {
+                known.entry(target.clone()).or_default().flows.push(flow.0);
+            }
+        }
+    }
+    for (target, keys) in node.forwarded.lock().by_target(affected) {
+        let entry = known.entry(target).or_default();
+        entry.requests.extend(keys.into_iter().map(request));
+    }
+    for (target, mut announcement) in known {
+        announcement.target = target.to_string();
+        tell(node, snapshot, &target, announcement);
+    }
+}
+
+fn tell(node: &Arc<Node>, snapshot: &Snapshot, target: &target::Id, known: Announcement) {
+    let Some(owner) = snapshot.owner(target) else { return };
+    for part in known.into_parts() {
+        if owner.id != node.me {
+            let peer = Peer { id: owner.id.clone(), address: owner.peer };
+            node.send_to(&peer, Priority::Control, Kind::Announcement, &part);
+            continue;
+        }
+        let Some(gate) = node.gate(target) else { continue };
+        let mut steps = Vec::new();
+        // A gate that has just been opened takes announcements.
+        let _ = gate.lock().announce(node.clock.now(), &part, &mut steps);
+        node.dispatch(steps, None);
+    }
+}
+
+fn request(key: Key) -> message::Request {
+    message::Request {
+        flow: key.flow.0,
+        request: key.request.0,
+        part: key.part,
+        ..message::Request::default()
+    }
+}
--- /dev/null
+++ b/crates/mustardway_runtime/src/front.rs
@@ -0,0 +1,69 @@
+//! Packets of callers, over gRPC.
+
+use std::sync::Arc;
+
+use mustardway_types::answer::{Answer, Reason};
+use mustardway_types::size::Bytes;
+use mustardway_types::time::Span;
+use mustardway_wire::{convert, packet, timeout};
+use volo_grpc::{Request, Response, Status};
+
+use crate::ingress::{self, Served};
+use crate::node::Node;
+
+/// Deadline of a packet that names none.
+const DEADLINE_DEFAULT: Span = Span::seconds(5);
+/// Longest deadline that is kept.
+const DEADLINE_MAX: Span = Span::seconds(30);
+
+/// The service towards callers.
+pub struct Front {
+    node: Arc<Node>,
+    packet_max: Bytes,
+}
+
+impl Front {
+    /// A service that takes packets of at most `packet_max`.
+    pub fn new(node: Arc<Node>, packet_max: Bytes) -> Self {
+        Front { node, packet_max }
+    }
+
+    async fn serve(&self, packet: packet::Packet, deadline: Option<Span>) -> packet::Reply {
+        let wire = packet.header;
+        let header = match convert::header(wire.as_ref()) {
+            Ok(header) => header,
+            Err(error) => {
+                slog::debug!(self.node.logger, "malformed packet"; "error" => %error);
+                return self.refuse(wire.as_ref(), Reason::Malformed);
+            }
+        };
+        if packet.payload.len() as u64 > self.packet_max.0 {
+            return self.refuse(wire.as_ref(), Reason::TooLarge);
+        }
+        let span = deadline.unwrap_or(DEADLINE_DEFAULT).min(DEADLINE_MAX);
+        let deadline = self.node.clock.now() + span;
+        match ingress::serve(&self.node, header, packet.payload, deadline).await {
+            Served::Answer(answer) => convert::wire_answer(wire.as_ref(), &answer),
+            Served::Done { target, payload } => {
+                let answer = Answer::new(Reason::Answered);
+                let reply = convert::wire_answer(wire.as_ref(), &answer);
+                packet::Reply { payload, target: target.to_string().into(), ..reply }
+            }
+        }
+    }
+
+    fn refuse(&self, header: Option<&packet::Header>, reason: Reason) -> packet::Reply {
+        self.node.count(reason);
+        convert::wire_answer(header, &Answer::new(reason))
+    }
+}
+
+impl packet::Front for Front {
+    async fn send(
+        &self,
+        request: Request<packet::Packet>,
+    ) -> Result<Response<packet::Reply>, Status> {
+        let deadline = timeout::read(request.metadata());
+        Ok(Response::new(self.serve(request.into_inner(), deadline).await))
+    }
+}
--- /dev/null
+++ b/crates/mustardway_runtime/src/peers.rs
@@ -0,0 +1,160 @@
+//! Frames that come in from other instances.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Weak};
+
+use bytes::Bytes;
+use mustardway_gate::{Announcement, Handover, Key};
+use mustardway_peer::frame::Frame;
+use mustardway_peer::handler::Handler;
+use mustardway_peer::link::{Down, Peer};
+use mustardway_peer::send::Priority;
+use mustardway_types::{flow, instance, request};
+use parking_lot::Mutex;
+use prost::Message;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::custody;
+use crate::message::{
+    Accepted, Ask, Cancel, Elsewhere, Kind, Reply, Witness, Witnessed,
+};
+use crate::node::{Node, frame_kind};
+use crate::owner;
+
+/// What the control loop is told by peers.
+#[derive(Debug)]
+pub enum Note {
+    /// A message of membership.
+    Membership(instance::Id, Bytes),
+    /// A message of the spread of configuration.
+    Spread(instance::Id, Bytes),
+    /// A link to this peer broke.
+    LinkDown(instance::Id),
+    /// The peer has taken over a gate.
+    Accepted(instance::Id, Accepted),
+}
+
+/// Asks of one peer that are served now.
+type Served = Mutex<HashMap<(instance::Id, u64), CancellationToken>>;
+
+/// Takes frames and gives each to whom it concerns.
+pub struct Peers {
+    node: Weak<Node>,
+    notes: mpsc::Sender<Note>,
+    served: Arc<Served>,
+    runtime: tokio::runtime::Handle,
+}
+
+impl Peers {
+    /// A handler for `node`; the control loop reads `notes`.
+    pub fn new(node: &Arc<Node>, notes: mpsc::Sender<Note>) -> Self {
+        Peers {
+            node: Arc::downgrade(node),
+            notes,
+            served: Arc::default(),
+            runtime: tokio::runtime::Handle::current(),
+        }
+    }
+
+    fn note(&self, note: Note) {
+        // A control loop that is behind loses messages as a network would.
+        let _ = self.notes.try_send(note);
+    }
+
+    fn ask(&self, node: &Arc<Node>, from: &instance::Id, ask: Ask) {
+        let Ok(address) = ask.reply_to.parse() else { return };
+        let peer = Peer { id: from.clone(), address };
+        let id = ask.id;
+        let key = (from.clone(), id);
+        let cancelled = CancellationToken::new();
+        self.served.lock().insert(key.clone(), cancelled.clone());
+        let (node, served) = (Arc::clone(node), Arc::clone(&self.served));
+        self.runtime.spawn(async move {
+            let outcome = tokio::select! {
+                outcome = owner::serve(&node, ask, false) => Some(outcome),
+                () = cancelled.cancelled() => None,
+            };
+            served.lock().remove(&key);
+            if outcome.is_some() {
+                node.send_to(&peer, Priority::Bulk, Kind::Reply, &Reply { id, outcome });
+            }
+        });
+    }
+
+    fn cancel(&self, from: &instance::Id, cancel: Cancel) {
+        let served = self.served.lock();
+        if let Some(cancelled) = served.get(&(from.clone(), cancel.id)) {
+            cancelled.cancel();
+        }
+    }
+
+    fn take(&self, from: &instance::Id, kind: Kind, body: Bytes) -> Result<(), prost::DecodeError> {
+        let Some(node) = self.node.upgrade() else { return Ok(()) };
+        match kind {
+            Kind::Membership => self.note(Note::Membership(from.clone(), body)),
+            Kind::Spread => self.note(Note::Spread(from.clone(), body)),
+            Kind::Ask => self.ask(&node, from, Ask::decode(body)?),
+            Kind::Reply => reply(&node, Reply::decode(body)?),
+            Kind::Cancel => self.cancel(from, Cancel::decode(body)?),
+            Kind::Witness => witness(&node, from, &Witness::decode(body)?),
+            Kind::Witnessed => node.relay.witnessed(Witnessed::decode(body)?.id),
+            Kind::Handover => custody::receive(&node, from, &Handover::decode(body)?),
+            Kind::Accepted => self.note(Note::Accepted(from.clone(), Accepted::decode(body)?)),
+            Kind::Announcement => announcement(&node, &Announcement::decode(body)?),
+            Kind::Elsewhere => owner::elsewhere(&node, &Elsewhere::decode(body)?),
+        }
+        Ok(())
+    }
+}
+
+impl Handler for Peers {
+    fn frame(&self, from: &instance::Id, frame: Frame) {
+        let number = frame.kind;
+        let mut kinds = Kind::ALL.into_iter();
+        let Some(kind) = kinds.find(|kind| frame_kind(*kind).0 == number) else { return };
+        if let Err(error) = self.take(from, kind, frame.body)
+            && let Some(node) = self.node.upgrade()
+        {
+            slog::warn!(node.logger, "skipped a malformed message";
+                "peer" => %from, "kind" => ?kind, "error" => %error);
+        }
+    }
+
+    fn link_down(&self, down: &Down) {
+        if let Some(node) = self.node.upgrade() {
+            node.relay.link_down(down.link);
+        }
+        self.note(Note::LinkDown(down.peer.id.clone()));
+    }
+}
+
+fn reply(node: &Node, reply: Reply) {
+    if let Some(outcome) = reply.outcome {
+        node.relay.replied(reply.id, outcome);
+    }
+}
+
+/// Remembers a request for an owner that is its own ingress.
+fn witness(node: &Node, from: &instance::Id, witness: &Witness) {
+    let Ok(target) = witness.target.parse() else { return };
+    let Ok(address) = witness.reply_to.parse() else { return };
+    let key = Key {
+        flow: flow::Id(witness.flow),
+        request: request::Id(witness.request),
+        part: witness.part,
+    };
+    node.forwarded.lock().insert(target, key, node.clock.now());
+    let peer = Peer { id: from.clone(), address };
+    node.send_to(&peer, Priority::Bulk, Kind::Witnessed, &Witnessed { id: witness.id });
+}
+
+/// Takes in what another instance remembers of a target.
+fn announcement(node: &Arc<Node>, announcement: &Announcement) {
+    let Ok(target) = announcement.target.parse() else { return };
+    let Some(gate) = node.gate(&target) else { return };
+    let mut steps = Vec::new();
+    // One that comes too late is of no use to this gate.
+    let _ = gate.lock().announce(node.clock.now(), announcement, &mut steps);
+    node.dispatch(steps, None);
+}
--- /dev/null
+++ b/crates/mustardway_runtime/src/probe.rs
@@ -0,0 +1,63 @@
+//! Health checks of owned targets: one prober a target, its owner.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardway_gate::{Observation, Tenure};
+use mustardway_types::target;
+
+use crate::node::Node;
+
+/// Time between two checks of a target.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Checks the owned targets for ever.
+pub async fn run(node: Arc<Node>) {
+    let mut failed: HashSet<target::Id> = HashSet::new();
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        for (id, is_healthy) in check(&node).await {
+            let Some(gate) = node.gate(&id) else { continue };
+            let now = node.clock.now();
+            let mut gate = gate.lock();
+            if !is_healthy {
+                gate.observe(now, Observation::HealthFailed);
+                failed.insert(id);
+                continue;
+            }
+            gate.observe(now, Observation::HealthOk);
+            if failed.remove(&id) {
+                gate.observe(now, Observation::Reconnected);
+            }
+        }
+    }
+}
+
+/// Checks every target that this instance serves.
+async fn check(node: &Arc<Node>) -> HashMap<target::Id, bool> {
+    let snapshot = node.snapshot();
+    let mut checks = tokio::task::JoinSet::new();
+    for id in served(node) {
+        let Some(target) = snapshot.target(&id) else { continue };
+        if snapshot.is_out(&target.domain) || node.is_fenced() {
+            continue;
+        }
+        let (node, endpoint) = (Arc::clone(node), target.endpoint);
+        checks.spawn(async move {
+            let is_healthy = node.upstream.is_healthy(&id, endpoint).await;
+            (id, is_healthy)
+        });
+    }
+    checks.join_all().await.into_iter().collect()
+}
+
+fn served(node: &Node) -> Vec<target::Id> {
+    let mut served = Vec::new();
+    for (id, gate) in node.gates.read().iter() {
+        if !matches!(gate.lock().tenure(), Tenure::Closed { .. }) {
+            served.push(id.clone());
+        }
+    }
+    served
+}
