--- a/crates/mustardway_routing/src/attempt.rs
+++ b/crates/mustardway_routing/src/attempt.rs
@@ -413,7 +413,10 @@
 
 /// Whether a refusal by one candidate lets another be asked.
 fn lets_try_elsewhere(reason: Reason) -> bool {
-    matches!(reason, Reason::Full | Reason::Shed | Reason::Leaving | Reason::TooLate | Reason::NoTarget)
+    matches!(
+        reason,
+        Reason::Full | Reason::Shed | Reason::Leaving | Reason::TooLate | Reason::NoTarget
+    )
 }
 
 /// Pools of all services that the address has or had.
--- a/crates/mustardway_runtime/src/custody.rs
+++ b/crates/mustardway_runtime/src/custody.rs
@@ -290,9 +290,7 @@
     if lost.is_empty() {
         return;
     }
-    let affected = |id: &target::Id| {
-        before.owner(id).is_some_and(|owner| lost.contains(&owner.id))
-    };
+    let affected = |id: &target::Id| before.owner(id).is_some_and(|owner| lost.contains(&owner.id));
     let mut known: HashMap<target::Id, Announcement> = HashMap::new();
     for shard in node.cache_shards() {
         for (flow, target) in shard.lock().iter() {
--- a/crates/mustardway_runtime/src/forwarded.rs
+++ b/crates/mustardway_runtime/src/forwarded.rs
@@ -46,10 +46,7 @@
     }
 
     /// Requests by target, of those targets that `wanted` names.
-    pub fn by_target(
-        &self,
-        wanted: impl Fn(&target::Id) -> bool,
-    ) -> HashMap<target::Id, Vec<Key>> {
+    pub fn by_target(&self, wanted: impl Fn(&target::Id) -> bool) -> HashMap<target::Id, Vec<Key>> {
         let mut found: HashMap<target::Id, Vec<Key>> = HashMap::new();
         for entry in &self.entries {
             if !wanted(&entry.target) {
--- a/crates/mustardway_runtime/src/ingress.rs
+++ b/crates/mustardway_runtime/src/ingress.rs
@@ -43,12 +43,7 @@
 }
 
 /// Serves one packet; dropping the future cancels it.
-pub async fn serve(
-    node: &Arc<Node>,
-    header: Header,
-    payload: Bytes,
-    deadline: Instant,
-) -> Served {
+pub async fn serve(node: &Arc<Node>, header: Header, payload: Bytes, deadline: Instant) -> Served {
     node.in_flight.fetch_add(1, Ordering::Relaxed);
     let _in_flight = InFlight(Arc::clone(node));
     let served = match heard_peers(node, deadline).await {
@@ -84,12 +79,7 @@
 }
 
 /// Takes the steps of one packet.
-async fn attempt(
-    node: &Arc<Node>,
-    header: Header,
-    payload: Bytes,
-    deadline: Instant,
-) -> Served {
+async fn attempt(node: &Arc<Node>, header: Header, payload: Bytes, deadline: Instant) -> Served {
     node.budget.lock().earn();
     let cached = node.cache(header.flow).lock().touch(header.flow);
     let snapshot = node.snapshot();
--- a/crates/mustardway_runtime/src/node.rs
+++ b/crates/mustardway_runtime/src/node.rs
@@ -175,12 +175,7 @@
     }
 
     /// Sends a message and tells whether any byte of it can have left.
-    pub fn send_tracked(
-        &self,
-        to: &Peer,
-        kind: Kind,
-        message: &impl Message,
-    ) -> Option<Ticket> {
+    pub fn send_tracked(&self, to: &Peer, kind: Kind, message: &impl Message) -> Option<Ticket> {
         let body = Bytes::from(message.encode_to_vec());
         self.mesh.get()?.send_tracked(to, Priority::Bulk, frame_kind(kind), body).ok()
     }
--- a/crates/mustardway_runtime/src/peers.rs
+++ b/crates/mustardway_runtime/src/peers.rs
@@ -16,9 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::custody;
-use crate::message::{
-    Accepted, Ask, Cancel, Elsewhere, Kind, Reply, Witness, Witnessed,
-};
+use crate::message::{Accepted, Ask, Cancel, Elsewhere, Kind, Reply, Witness, Witnessed};
 use crate::node::{Node, frame_kind};
 use crate::owner;
 
--- /dev/null
+++ b/crates/mustardway_runtime/src/run.rs
@@ -0,0 +1,231 @@
+//! The start of an instance and its planned stop.
+//!
+//! A planned stop has one deadline for all of it. Ownership is handed over
+//! first, while packets are still served; then the front takes no more
+//! connections and what is in flight ends; then the peers are told that this
+//! instance has left. A second signal ends the process at once.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use mustardway_membership::{member, settings as membership};
+use mustardway_peer::mesh::Mesh;
+use mustardway_peer::settings as peer;
+use mustardway_platform::platform::Platform;
+use mustardway_types::size::Bytes;
+use mustardway_types::time::Span;
+use mustardway_types::{domain, hash, instance};
+use mustardway_wire::packet::FrontServer;
+use parking_lot::RwLock;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant as Deadline;
+use volo::net::Address;
+use volo_grpc::server::{Server, ServiceBuilder};
+
+use crate::control::{self, Control, Observer, Order, Report};
+use crate::front::Front;
+use crate::message::Kind;
+use crate::node::{Node, frame_kind};
+use crate::peers::Peers;
+use crate::probe;
+
+/// Time between two looks at how far a stop has come.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// Part of the stop's deadline that is kept for the last words to peers.
+const CLOSE_SPAN: Span = Span::seconds(1);
+
+/// What an instance needs to start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this instance.
+    pub id: instance::Id,
+    /// Failure domain that it lives in.
+    pub domain: domain::Name,
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address for other instances.
+    pub peer: SocketAddr,
+    /// Time between two heartbeats.
+    pub heartbeat: Span,
+    /// Silence after which an instance is declared dead.
+    pub lease: Span,
+    /// Deadline of a planned stop.
+    pub drain: Span,
+    /// Greatest payload of a packet.
+    pub packet_max: Bytes,
+    /// Flows that the cache remembers.
+    pub flows_max: usize,
+    /// Seed of every random choice.
+    pub seed: u64,
+    /// Incarnation: greater with every start.
+    pub incarnation: instance::Incarnation,
+    /// Whether links may be cut for failure tests.
+    pub cut_allowed: bool,
+}
+
+/// Why an instance could not start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot listen for instances on {address}: {error}
+    Peer {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Why.
+        error: io::Error,
+    },
+    /// cannot listen for callers on {address}: {error}
+    Front {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Why.
+        error: io::Error,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// An instance that runs.
+pub struct Instance {
+    /// Its tables.
+    pub node: Arc<Node>,
+    /// What its control loop reports.
+    pub report: Arc<RwLock<Report>>,
+    /// Orders to its control loop.
+    pub orders: mpsc::Sender<Order>,
+    mesh: Mesh,
+    front: tokio::task::JoinHandle<()>,
+    front_stop: oneshot::Sender<()>,
+    drain: Span,
+}
+
+impl Instance {
+    /// Starts an instance.
+    ///
+    /// # Errors
+    /// When an address in the settings cannot be listened on.
+    pub async fn start(
+        settings: Settings,
+        platform: Arc<dyn Platform>,
+        observer: Box<dyn Observer>,
+        logger: slog::Logger,
+    ) -> Result<Self, Error> {
+        let gap_max = Span(settings.lease.0 / 2);
+        let id = settings.id.clone();
+        let node = Arc::new(Node::new(id, settings.flows_max, gap_max, logger.clone()));
+        let (handles, inbox) = control::channels();
+        let mesh = start_mesh(&settings, &node, handles.notes, logger).await?;
+        let _ = node.mesh.set(mesh.clone());
+        let report = Arc::new(RwLock::new(Report::default()));
+        let membership = membership_settings(&settings, mesh.address());
+        let control =
+            Control::new(Arc::clone(&node), platform, observer, membership, Arc::clone(&report));
+        tokio::spawn(control.run(inbox));
+        tokio::spawn(probe::run(Arc::clone(&node)));
+        let (front, front_stop) = start_front(&settings, &node).await?;
+        let (orders, drain) = (handles.orders, settings.drain);
+        Ok(Instance { node, report, orders, mesh, front, front_stop, drain })
+    }
+
+    /// Stops as planned, within the deadline of the settings.
+    pub async fn stop(self) {
+        let logger = self.node.logger.clone();
+        let deadline = Deadline::now() + Duration::from(self.drain);
+        let handover_deadline = deadline - Duration::from(CLOSE_SPAN);
+        slog::info!(logger, "stops: hands over"; "deadline" => %self.drain);
+        // The loop ends only after the last order.
+        let _ = self.orders.send(Order::Leave).await;
+        let report = Arc::clone(&self.report);
+        tokio::time::sleep(control::TICK * 2).await;
+        let handed_over = wait(handover_deadline, || report.read().handed_over).await;
+        slog::info!(logger, "stops: takes no more packets"; "handed-over" => handed_over);
+        // The front may have failed before.
+        let _ = self.front_stop.send(());
+        let node = Arc::clone(&self.node);
+        let ended = wait(handover_deadline, || {
+            node.tickets.is_empty()
+                && node.in_flight.load(std::sync::atomic::Ordering::Relaxed) == 0
+        });
+        let is_empty = ended.await;
+        let (told, heard) = oneshot::channel();
+        let _ = self.orders.send(Order::Stop(told)).await;
+        let _ = tokio::time::timeout_at(deadline, heard).await;
+        let left = deadline.saturating_duration_since(Deadline::now());
+        self.mesh.close(Span::from(left).min(CLOSE_SPAN)).await;
+        let _ = tokio::time::timeout_at(deadline, self.front).await;
+        slog::info!(logger, "stopped"; "in-flight-ended" => is_empty);
+    }
+}
+
+/// Waits until `done`; false at the deadline.
+async fn wait(deadline: Deadline, done: impl Fn() -> bool) -> bool {
+    while !done() {
+        if Deadline::now() >= deadline {
+            return false;
+        }
+        tokio::time::sleep(STOP_POLL).await;
+    }
+    true
+}
+
+fn membership_settings(settings: &Settings, address: SocketAddr) -> membership::Settings {
+    let me = member::Member {
+        id: settings.id.clone(),
+        domain: settings.domain.clone(),
+        address,
+        incarnation: settings.incarnation,
+    };
+    let seed = hash::seeded(settings.seed, settings.id.as_str().as_bytes());
+    membership::Settings {
+        heartbeat: settings.heartbeat,
+        lease: settings.lease,
+        ..membership::Settings::new(me, seed)
+    }
+}
+
+async fn start_mesh(
+    settings: &Settings,
+    node: &Arc<Node>,
+    notes: mpsc::Sender<crate::peers::Note>,
+    logger: slog::Logger,
+) -> Result<Mesh, Error> {
+    let kinds = Kind::ALL.into_iter().map(frame_kind).collect();
+    let peer_settings = peer::Settings {
+        kinds,
+        cut_allowed: settings.cut_allowed,
+        ..peer::Settings::new(settings.id.clone(), settings.peer, logger)
+    };
+    let handler = Arc::new(Peers::new(node, notes));
+    let address = settings.peer;
+    let started = Mesh::start(peer_settings, handler).await;
+    started.map_err(|error| Error::Peer { address, error })
+}
+
+async fn start_front(
+    settings: &Settings,
+    node: &Arc<Node>,
+) -> Result<(tokio::task::JoinHandle<()>, oneshot::Sender<()>), Error> {
+    let address = settings.front;
+    // Fails here and now where the server would only log it.
+    let probe = tokio::net::TcpListener::bind(address).await;
+    drop(probe.map_err(|error| Error::Front { address, error })?);
+    let front = Front::new(Arc::clone(node), settings.packet_max);
+    let service = ServiceBuilder::new(FrontServer::new(front)).build();
+    let (stop, stopped) = oneshot::channel::<()>();
+    let logger = node.logger.clone();
+    let server = tokio::spawn(async move {
+        let signal = async {
+            // A dropped sender is a stop too.
+            let _ = stopped.await;
+            Ok(())
+        };
+        let served =
+            Server::new().add_service(service).run_with_shutdown(Address::from(address), signal);
+        if let Err(error) = served.await {
+            slog::error!(logger, "the front failed"; "error" => %error);
+        }
+    });
+    Ok((server, stop))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,7 @@
 //! The mustardway binary.
-fn main() {}
+
+mod thin;
+
+fn main() -> std::process::ExitCode {
+    thin::main()
+}
