Take value parsing out of the build of views, and quote no values

Cause: the instance settings need the same bounds, lists and errors; a faulty line that is quoted whole could show a secret of the settings in a log. Ruled out: a second set of parsers in the settings crate.

--- a/crates/mustardway_view/src/ini.rs
+++ b/crates/mustardway_view/src/ini.rs
@@ -65,7 +65,7 @@
         Ok(plain) => plain,
         Err(error) => {
             let kind = Kind::Syntax { found: error.msg.into(), wanted: LINES };
-            let line = lines.get(error.line.saturating_sub(1)).map_or(1, |line| line.number);
+            let line = lines.numbers.get(error.line.saturating_sub(1)).copied().unwrap_or(1);
             problems.push(Problem::new(kind).in_file(file).on_line(line));
             return Document::default();
         }
@@ -74,10 +74,11 @@
     unique(file, document, problems)
 }
 
-/// A line with a section name or an entry, without needless blanks.
-struct Line {
-    number: u32,
+/// Lines with a section name or an entry, without needless blanks.
+#[derive(Default)]
+struct Lines {
     text: String,
+    numbers: Vec<u32>,
 }
 
 /// Where the lines after a section name belong.
@@ -91,8 +92,8 @@
     Unknown,
 }
 
-fn scan(file: &str, text: &str, problems: &mut List) -> Vec<Line> {
-    let mut lines = Vec::new();
+fn scan(file: &str, text: &str, problems: &mut List) -> Lines {
+    let mut lines = Lines::default();
     let mut place = Place::Outside;
     for (index, raw) in text.lines().enumerate() {
         let number = u32::try_from(index + 1).unwrap_or(u32::MAX);
@@ -101,7 +102,7 @@
             continue;
         }
         let is_section = trimmed.starts_with('[');
-        let tidied = if is_section { tidy_section(trimmed) } else { tidy_entry(trimmed) };
+        let tidied = if is_section { Tidy::section(trimmed) } else { Tidy::entry(trimmed) };
         if is_section {
             place = if tidied.is_ok() { Place::Inside } else { Place::Unknown };
         }
@@ -114,37 +115,62 @@
                 let problem = Problem::new(Kind::OutsideSection);
                 problems.push(problem.in_file(file).on_line(number));
             }
-            Ok(text) if place == Place::Inside => lines.push(Line { number, text }),
+            Ok(tidy) if place == Place::Inside => lines.push(number, &tidy),
             Ok(_) => {}
         }
     }
     lines
 }
 
+/// A section name whole, of any other line its first word: its value may be a secret.
 fn quote(line: &str) -> CompactString {
-    line.chars().filter(|c| !c.is_control()).take(QUOTE_MAX).collect()
+    let is_end = |c: char| c.is_whitespace() || matches!(c, '=' | ':');
+    let end = if line.starts_with('[') { None } else { line.find(is_end) };
+    let part = &line[..end.unwrap_or(line.len())];
+    part.chars().filter(|c| !c.is_control()).take(QUOTE_MAX).collect()
 }
 
-fn tidy_section(trimmed: &str) -> Result<String, &'static str> {
-    let name = trimmed.strip_prefix('[').and_then(|rest| rest.strip_suffix(']'));
-    let words: Vec<&str> = name.ok_or(SECTIONS)?.split_whitespace().collect();
-    if words.is_empty() || !words.iter().all(|word| word.bytes().all(is_word_byte)) {
-        return Err(SECTIONS);
+impl Lines {
+    fn push(&mut self, number: u32, tidy: &Tidy<'_>) {
+        match tidy {
+            Tidy::Section(words) => {
+                let parts = ["[", &words.join(" "), "]\n"];
+                self.text.extend(parts);
+            }
+            Tidy::Entry(key, value) => self.text.extend([key, "=", value, "\n"]),
+        }
+        self.numbers.push(number);
     }
-    Ok(format!("[{}]", words.join(" ")))
 }
 
-fn tidy_entry(trimmed: &str) -> Result<String, &'static str> {
-    let (key, value) = trimmed.split_once('=').ok_or(LINES)?;
-    let key = key.trim();
-    if key.is_empty() || !key.bytes().all(|byte| is_word_byte(byte) && byte != b'.') {
-        return Err(KEYS);
+/// The parts of a line that is in order.
+enum Tidy<'a> {
+    Section(Vec<&'a str>),
+    Entry(&'a str, &'a str),
+}
+
+impl<'a> Tidy<'a> {
+    fn section(trimmed: &'a str) -> Result<Self, &'static str> {
+        let name = trimmed.strip_prefix('[').and_then(|rest| rest.strip_suffix(']'));
+        let words: Vec<&str> = name.ok_or(SECTIONS)?.split_whitespace().collect();
+        if words.is_empty() || !words.iter().all(|word| word.bytes().all(is_word_byte)) {
+            return Err(SECTIONS);
+        }
+        Ok(Tidy::Section(words))
     }
-    let value = value.trim();
-    if value.chars().any(char::is_control) || value.ends_with('\\') {
-        return Err(VALUES);
+
+    fn entry(trimmed: &'a str) -> Result<Self, &'static str> {
+        let (key, value) = trimmed.split_once('=').ok_or(LINES)?;
+        let key = key.trim();
+        if key.is_empty() || !key.bytes().all(|byte| is_word_byte(byte) && byte != b'.') {
+            return Err(KEYS);
+        }
+        let value = value.trim();
+        if value.chars().any(char::is_control) || value.ends_with('\\') {
+            return Err(VALUES);
+        }
+        Ok(Tidy::Entry(key, value))
     }
-    Ok(format!("{key}={value}"))
 }
 
 fn is_word_byte(byte: u8) -> bool {
@@ -152,24 +178,19 @@
 }
 
 /// Splits tidy lines into sections, keys and values.
-fn split(lines: &[Line]) -> Result<Ini, ::ini::ParseError> {
-    let mut text = String::new();
-    for line in lines {
-        text.push_str(&line.text);
-        text.push('\n');
-    }
+fn split(lines: &Lines) -> Result<Ini, ::ini::ParseError> {
     let options = ParseOption {
         enabled_quote: false,
         enabled_escape: false,
         enabled_indented_mutiline_value: false,
         enabled_preserve_key_leading_whitespace: false,
     };
-    Ini::load_from_str_opt(&text, options)
+    Ini::load_from_str_opt(&lines.text, options)
 }
 
 /// Gives each section and entry its line.
-fn number(lines: &[Line], plain: &Ini) -> Document {
-    let mut numbers = lines.iter().map(|line| line.number);
+fn number(lines: &Lines, plain: &Ini) -> Document {
+    let mut numbers = lines.numbers.iter().copied();
     let mut next = || numbers.next().unwrap_or_default();
     let mut sections = Vec::new();
     for (name, properties) in plain {
--- a/crates/mustardway_view/src/lib.rs
+++ b/crates/mustardway_view/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`build`]: typed values with their defaults and bounds.
 //! - [`model`]: the validated configuration as plain data.
 //! - [`problem`]: what can be wrong, and where.
+//! - [`value`]: values of keys within their bounds.
 
 pub mod build;
 pub mod change;
@@ -21,3 +22,4 @@
 pub mod model;
 pub mod problem;
 mod section;
+pub mod value;
--- /dev/null
+++ b/crates/mustardway_view/src/value.rs
@@ -0,0 +1,84 @@
+//! Values of keys: text to type within bounds, with the problem where it fails.
+
+use std::fmt::Display;
+use std::net::{IpAddr, SocketAddr};
+use std::str::FromStr;
+
+use compact_str::{ToCompactString, format_compact};
+use mustardway_types::parse;
+
+use crate::problem::{Choices, Kind};
+
+/// What an address must be.
+const REACHABLE: &str = "IP address of one host with a port, such as 10.0.0.7:443";
+/// What a number must be.
+const NUMBER: &str = "whole number";
+
+/// A value of a type that reads itself.
+pub fn text<T: FromStr<Err = parse::Error>>(text: &str) -> Result<T, Kind> {
+    text.parse().map_err(Kind::Value)
+}
+
+/// A value of a type that reads itself, from `least` to `greatest`.
+pub fn within<T>(found: &str, least: T, greatest: T) -> Result<T, Kind>
+where
+    T: FromStr<Err = parse::Error> + PartialOrd + Display + Copy,
+{
+    let value: T = text(found)?;
+    if value < least || value > greatest {
+        return Err(out_of_range(found, &least, &greatest));
+    }
+    Ok(value)
+}
+
+/// A whole number from `least` to `greatest`, digits only.
+pub fn number(found: &str, least: u32, greatest: u32) -> Result<u32, Kind> {
+    if found.is_empty() || !found.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(Kind::Value(parse::Error::value(found, NUMBER)));
+    }
+    let number = found.parse().ok().filter(|number| (least..=greatest).contains(number));
+    number.ok_or_else(|| out_of_range(found, &least, &greatest))
+}
+
+/// One of `words`, each with what it stands for.
+pub fn choice<T: Copy>(
+    found: &str,
+    words: &[(&str, T)],
+    allowed: &'static [&'static str],
+) -> Result<T, Kind> {
+    for (word, choice) in words {
+        if found == *word {
+            return Ok(*choice);
+        }
+    }
+    Err(Kind::Choice { found: found.to_compact_string(), allowed: Choices(allowed) })
+}
+
+/// An address that packets can be sent to, IPv4 in its own form.
+pub fn reachable(found: &str) -> Result<SocketAddr, Kind> {
+    let error = || Kind::Value(parse::Error::value(found, REACHABLE));
+    let address: SocketAddr = found.parse().map_err(|_| error())?;
+    let ip = address.ip().to_canonical();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+        return Err(error());
+    }
+    Ok(SocketAddr::new(ip, address.port()))
+}
+
+/// Addresses that packets can be sent to, parted by commas.
+pub fn reachable_list(found: &str) -> Result<Vec<SocketAddr>, Kind> {
+    let mut addresses = Vec::new();
+    for part in found.split(',') {
+        addresses.push(reachable(part.trim())?);
+    }
+    Ok(addresses)
+}
+
+fn out_of_range(found: &str, least: &impl Display, greatest: &impl Display) -> Kind {
+    Kind::Range {
+        found: found.to_compact_string(),
+        least: format_compact!("{least}"),
+        greatest: format_compact!("{greatest}"),
+    }
+}
