Read the settings of an instance

Cause: an instance learns its addresses, failure domain, bounds and timing from a file of its own. Ruled out: a reader apart from that of the configuration; quoting a bad token in its problem. Change: typed settings with defaults, ranges and relations between them; a token with a redacted Debug and a comparison that does not stop at the first difference; a documented example, whose commented keys the tests prove. Conclusion: every key of the settings has a bound and a one-line problem.

--- /dev/null
+++ b/crates/mustardway_settings/src/fields.rs
@@ -0,0 +1,112 @@
+//! Sections of the settings and the reading of their keys.
+
+use mustardway_view::ini::{Document, Entry, Section};
+use mustardway_view::problem::{Choices, Kind, List, Problem};
+
+/// Name of the settings in problems.
+pub(crate) const FILE: &str = "settings";
+
+/// Names of all sections.
+const NAMES: Choices =
+    Choices(&["[instance]", "[platform]", "[limits]", "[log]", "[metrics]", "[timing]"]);
+
+/// Every section with its keys.
+const SECTIONS: [(&str, Choices); 6] = [
+    ("instance", Choices(&["name", "domain", "front", "peer", "admin", "token", "workers"])),
+    ("platform", Choices(&["addresses", "wait"])),
+    ("limits", Choices(&["packet", "flows", "audit"])),
+    ("log", Choices(&["level", "form"])),
+    ("metrics", Choices(&["statsd"])),
+    ("timing", Choices(&["heartbeat", "lease", "drain"])),
+];
+
+/// Reports every section and key that is not known.
+pub(crate) fn check_names(document: &Document, problems: &mut List) {
+    for section in &document.sections {
+        let known = SECTIONS.iter().find(|(name, _)| section.name == *name);
+        let Some((_, allowed)) = known else {
+            problems.push(place(section, Kind::UnknownSection { allowed: NAMES }));
+            continue;
+        };
+        for entry in &section.entries {
+            if allowed.0.contains(&entry.key.as_str()) {
+                continue;
+            }
+            let problem = place(section, Kind::UnknownKey { allowed: *allowed });
+            problems.push(problem.on_line(entry.line).with_key(&entry.key));
+        }
+    }
+}
+
+fn place(section: &Section, kind: Kind) -> Problem {
+    Problem::new(kind).in_file(FILE).on_line(section.line).in_section(&section.name)
+}
+
+/// Reads the keys of one section, which may be absent.
+pub(crate) struct Fields<'a> {
+    name: &'static str,
+    section: Option<&'a Section>,
+    problems: &'a mut List,
+}
+
+impl<'a> Fields<'a> {
+    /// The keys of section `name`.
+    pub(crate) fn new(document: &'a Document, name: &'static str, problems: &'a mut List) -> Self {
+        let section = document.sections.iter().find(|section| section.name == name);
+        Fields { name, section, problems }
+    }
+
+    /// A key that must be set.
+    pub(crate) fn required<T>(
+        &mut self,
+        key: &str,
+        parse: impl Fn(&str) -> Result<T, Kind>,
+    ) -> Option<T> {
+        let value = self.optional(key, parse)?;
+        if value.is_none() {
+            self.fail(key, Kind::MissingKey);
+        }
+        value
+    }
+
+    /// A key that may be set, or its default.
+    pub(crate) fn or<T>(
+        &mut self,
+        key: &str,
+        default: T,
+        parse: impl Fn(&str) -> Result<T, Kind>,
+    ) -> Option<T> {
+        Some(self.optional(key, parse)?.unwrap_or(default))
+    }
+
+    /// A key that may be set: nothing where it is wrong.
+    pub(crate) fn optional<T>(
+        &mut self,
+        key: &str,
+        parse: impl Fn(&str) -> Result<T, Kind>,
+    ) -> Option<Option<T>> {
+        let Some(entry) = self.entry(key) else {
+            return Some(None);
+        };
+        match parse(&entry.value) {
+            Ok(value) => Some(Some(value)),
+            Err(kind) => {
+                self.fail(key, kind);
+                None
+            }
+        }
+    }
+
+    /// Reports a problem with `key`, at its line if it is set.
+    pub(crate) fn fail(&mut self, key: &str, kind: Kind) {
+        let line = self.entry(key).map(|entry| entry.line);
+        let line = line.or(self.section.map(|section| section.line));
+        let mut problem = Problem::new(kind).in_file(FILE).in_section(self.name).with_key(key);
+        problem.line = line;
+        self.problems.push(problem);
+    }
+
+    fn entry(&self, key: &str) -> Option<&'a Entry> {
+        self.section?.entries.iter().find(|entry| entry.key == key)
+    }
+}
--- /dev/null
+++ b/crates/mustardway_settings/src/parse.rs
@@ -0,0 +1,230 @@
+//! Text to settings, with defaults and bounds.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use compact_str::{ToCompactString, format_compact};
+use mustardway_types::{size, time};
+use mustardway_view::history;
+use mustardway_view::ini::{self, Document};
+use mustardway_view::problem::{Kind, List, Problem};
+use mustardway_view::value;
+
+use crate::fields::{self, Fields};
+use crate::settings::{Form, Instance, Level, Limits, Log, Metrics, Platform, Settings, Timing};
+use crate::token::Token;
+
+/// Most bytes of the settings.
+pub const BYTES_MAX: usize = 1 << 16;
+/// Where operators ask, where none is stated.
+pub const ADMIN_DEFAULT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7002);
+/// Threads that serve the shared tables, where none are stated.
+pub const WORKERS_DEFAULT: u32 = 4;
+/// Most threads that serve the shared tables.
+pub const WORKERS_MAX: u32 = 256;
+/// Most readers of the configuration service.
+pub const PLATFORM_ADDRESSES_MAX: usize = 16;
+/// Longest wait of one blocking get, where none is stated.
+pub const WAIT_DEFAULT: time::Span = time::Span::seconds(30);
+/// Bounds of the longest wait of one blocking get.
+pub const WAIT_RANGE: (time::Span, time::Span) = (time::Span::seconds(1), time::Span::seconds(300));
+/// Largest packet, where none is stated.
+pub const PACKET_DEFAULT: size::Bytes = size::Bytes(1 << 20);
+/// Bounds of the largest packet.
+pub const PACKET_RANGE: (size::Bytes, size::Bytes) = (size::Bytes(1 << 10), size::Bytes(16 << 20));
+/// Most flows that are cached, where none are stated.
+pub const FLOWS_DEFAULT: u32 = 500_000;
+/// Bounds of the most flows that are cached.
+pub const FLOWS_RANGE: (u32, u32) = (1_000, 10_000_000);
+/// Most audit records that are kept, where none are stated.
+pub const AUDIT_DEFAULT: u32 = 10_000;
+/// Bounds of the most audit records that are kept.
+pub const AUDIT_RANGE: (u32, u32) = (100, 1_000_000);
+/// Between two heartbeats, where none is stated.
+pub const HEARTBEAT_DEFAULT: time::Span = time::Span::millis(250);
+/// Bounds of the time between two heartbeats.
+pub const HEARTBEAT_RANGE: (time::Span, time::Span) =
+    (time::Span::millis(20), time::Span::seconds(2));
+/// Silence after which an instance is taken for dead, where none is stated.
+pub const LEASE_DEFAULT: time::Span = time::Span::millis(1_500);
+/// Bounds of that silence: no longer than a view takes to be in force.
+pub const LEASE_RANGE: (time::Span, time::Span) = (time::Span::millis(100), history::IN_FORCE);
+/// Fewest heartbeats in a lease, so that a few lost ones end none.
+pub const HEARTBEATS_PER_LEASE_MIN: u64 = 4;
+/// Longest time of a graceful shutdown, where none is stated.
+pub const DRAIN_DEFAULT: time::Span = time::Span::seconds(20);
+/// Bounds of the longest time of a graceful shutdown.
+pub const DRAIN_RANGE: (time::Span, time::Span) =
+    (time::Span::seconds(1), time::Span::seconds(600));
+/// Fewest leases in a drain, so that the hand-over is seen by all.
+pub const LEASES_PER_DRAIN_MIN: u64 = 2;
+
+const LEVELS: [(&str, Level); 5] = [
+    ("error", Level::Error),
+    ("warning", Level::Warning),
+    ("info", Level::Info),
+    ("debug", Level::Debug),
+    ("trace", Level::Trace),
+];
+const FORMS: [(&str, Form); 2] = [("json", Form::Json), ("terminal", Form::Terminal)];
+
+impl Settings {
+    /// The settings that `text` states, or every problem that it has.
+    pub fn parse(text: &str) -> Result<Settings, Vec<Problem>> {
+        let mut problems = List::default();
+        if text.len() > BYTES_MAX {
+            let kind = Kind::FileTooLarge { found: text.len(), allowed: BYTES_MAX };
+            return Err(vec![Problem::new(kind).in_file(fields::FILE)]);
+        }
+        let document = ini::read(fields::FILE, text, &mut problems);
+        fields::check_names(&document, &mut problems);
+        let settings = settings(&document, &mut problems);
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => Err(problems.into_vec()),
+        }
+    }
+}
+
+fn settings(document: &Document, problems: &mut List) -> Option<Settings> {
+    let instance = instance(&mut Fields::new(document, "instance", problems));
+    let platform = platform(&mut Fields::new(document, "platform", problems));
+    let limits = limits(&mut Fields::new(document, "limits", problems));
+    let log = log(&mut Fields::new(document, "log", problems));
+    let metrics = metrics(&mut Fields::new(document, "metrics", problems));
+    let timing = timing(&mut Fields::new(document, "timing", problems));
+    Some(Settings {
+        instance: instance?,
+        platform: platform?,
+        limits: limits?,
+        log: log?,
+        metrics: metrics?,
+        timing: timing?,
+    })
+}
+
+fn instance(fields: &mut Fields<'_>) -> Option<Instance> {
+    let name = fields.required("name", value::text);
+    let domain = fields.required("domain", value::text);
+    let front = fields.required("front", value::reachable);
+    let peer = fields.required("peer", value::reachable);
+    let admin = fields.or("admin", ADMIN_DEFAULT, value::reachable);
+    let token = fields.optional("token", token);
+    let workers = |text: &str| value::number(text, 1, WORKERS_MAX);
+    let workers = fields.or("workers", WORKERS_DEFAULT, workers);
+    let instance = Instance {
+        name: name?,
+        domain: domain?,
+        front: front?,
+        peer: peer?,
+        admin: admin?,
+        token: token?,
+        workers: workers?,
+    };
+    check_admin(&instance, fields);
+    check_own(&instance, fields);
+    Some(instance)
+}
+
+/// The secret; a problem shows nothing of it.
+fn token(text: &str) -> Result<Token, Kind> {
+    const WANTED: &str = "allowed are 16 to 256 visible ASCII characters";
+    text.parse().map_err(|error: crate::token::Error| Kind::Relation {
+        found: error.to_compact_string(),
+        wanted: WANTED,
+    })
+}
+
+fn check_admin(instance: &Instance, fields: &mut Fields<'_>) {
+    const WANTED: &str = "beyond loopback a token is needed";
+    if instance.admin.ip().is_loopback() || instance.token.is_some() {
+        return;
+    }
+    let found = instance.admin.to_compact_string();
+    fields.fail("admin", Kind::Relation { found, wanted: WANTED });
+}
+
+fn check_own(instance: &Instance, fields: &mut Fields<'_>) {
+    const WANTED: &str = "front, peer and admin each need their own";
+    let Instance { front, peer, admin, .. } = instance;
+    if peer == front {
+        let found = peer.to_compact_string();
+        fields.fail("peer", Kind::Relation { found, wanted: WANTED });
+    }
+    if admin == front || admin == peer {
+        let found = admin.to_compact_string();
+        fields.fail("admin", Kind::Relation { found, wanted: WANTED });
+    }
+}
+
+fn platform(fields: &mut Fields<'_>) -> Option<Platform> {
+    let addresses = fields.required("addresses", platform_addresses);
+    let wait = |text: &str| value::within(text, WAIT_RANGE.0, WAIT_RANGE.1);
+    let wait = fields.or("wait", WAIT_DEFAULT, wait);
+    Some(Platform { addresses: addresses?, wait: wait? })
+}
+
+fn platform_addresses(text: &str) -> Result<Vec<SocketAddr>, Kind> {
+    const NUMBER: &str = "allowed are 1 to 16 addresses";
+    const ONCE: &str = "each address may be given once";
+    let addresses = value::reachable_list(text)?;
+    if addresses.len() > PLATFORM_ADDRESSES_MAX {
+        let found = format_compact!("a list of {}", addresses.len());
+        return Err(Kind::Relation { found, wanted: NUMBER });
+    }
+    for (index, address) in addresses.iter().enumerate() {
+        if addresses[..index].contains(address) {
+            return Err(Kind::Relation { found: address.to_compact_string(), wanted: ONCE });
+        }
+    }
+    Ok(addresses)
+}
+
+fn limits(fields: &mut Fields<'_>) -> Option<Limits> {
+    let packet = |text: &str| value::within(text, PACKET_RANGE.0, PACKET_RANGE.1);
+    let flows = |text: &str| value::number(text, FLOWS_RANGE.0, FLOWS_RANGE.1);
+    let audit = |text: &str| value::number(text, AUDIT_RANGE.0, AUDIT_RANGE.1);
+    let packet = fields.or("packet", PACKET_DEFAULT, packet);
+    let flows = fields.or("flows", FLOWS_DEFAULT, flows);
+    let audit = fields.or("audit", AUDIT_DEFAULT, audit);
+    Some(Limits { packet: packet?, flows: flows?, audit: audit? })
+}
+
+fn log(fields: &mut Fields<'_>) -> Option<Log> {
+    const LEVEL_WORDS: &[&str] = &["error", "warning", "info", "debug", "trace"];
+    const FORM_WORDS: &[&str] = &["json", "terminal"];
+    let level = |text: &str| value::choice(text, &LEVELS, LEVEL_WORDS);
+    let form = |text: &str| value::choice(text, &FORMS, FORM_WORDS);
+    let level = fields.or("level", Level::Info, level);
+    let form = fields.or("form", Form::Json, form);
+    Some(Log { level: level?, form: form? })
+}
+
+fn metrics(fields: &mut Fields<'_>) -> Option<Metrics> {
+    let statsd = fields.optional("statsd", value::reachable);
+    Some(Metrics { statsd: statsd? })
+}
+
+fn timing(fields: &mut Fields<'_>) -> Option<Timing> {
+    let heartbeat = |text: &str| value::within(text, HEARTBEAT_RANGE.0, HEARTBEAT_RANGE.1);
+    let lease = |text: &str| value::within(text, LEASE_RANGE.0, LEASE_RANGE.1);
+    let drain = |text: &str| value::within(text, DRAIN_RANGE.0, DRAIN_RANGE.1);
+    let heartbeat = fields.or("heartbeat", HEARTBEAT_DEFAULT, heartbeat);
+    let lease = fields.or("lease", LEASE_DEFAULT, lease);
+    let drain = fields.or("drain", DRAIN_DEFAULT, drain);
+    let timing = Timing { heartbeat: heartbeat?, lease: lease?, drain: drain? };
+    check_timing(&timing, fields);
+    Some(timing)
+}
+
+fn check_timing(timing: &Timing, fields: &mut Fields<'_>) {
+    const LEASE: &str = "a lease is at least 4 heartbeats";
+    const DRAIN: &str = "a drain is at least 2 leases";
+    if timing.lease.0 < timing.heartbeat.0 * HEARTBEATS_PER_LEASE_MIN {
+        let found = format_compact!("{} with a heartbeat of {}", timing.lease, timing.heartbeat);
+        fields.fail("lease", Kind::Relation { found, wanted: LEASE });
+    }
+    if timing.drain.0 < timing.lease.0 * LEASES_PER_DRAIN_MIN {
+        let found = format_compact!("{} with a lease of {}", timing.drain, timing.lease);
+        fields.fail("drain", Kind::Relation { found, wanted: DRAIN });
+    }
+}
