--- a/crates/mustardway_view/tests/view/any_text.rs
+++ b/crates/mustardway_view/tests/view/any_text.rs
@@ -5,30 +5,15 @@
 use mustardway_view::ini;
 use mustardway_view::problem::List;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestCaseError, TestRunner};
 
+use crate::fixed_cases::check;
 use crate::sample::BASE;
 
-const SEED: u64 = 11;
-const CASES: u32 = 2_000;
-
 const WORDS: &[&str] = &["domain", "service", "target", "defaults", "remove", "a", "b"];
 const KEYS: &[&str] = &["region", "state", "addresses", "service", "endpoint", "weight", "slots"];
 const VALUES: &[&str] =
     &["in", "a", "10.0.0.9:1", "10.0.0.8:1, 10.0.0.7:1", "3", "", "\\", "\"", "'"];
 
-/// Runs `test` on `CASES` values that are the same in every run.
-fn check<S: Strategy>(strategy: S, test: impl Fn(S::Value) -> Result<(), TestCaseError>) {
-    let config = Config {
-        cases: CASES,
-        failure_persistence: None,
-        rng_algorithm: RngAlgorithm::ChaCha,
-        rng_seed: RngSeed::Fixed(SEED),
-        ..Config::default()
-    };
-    TestRunner::new(config).run(&strategy, test).expect("holds for every value");
-}
-
 /// A line that is right or nearly so.
 fn line() -> impl Strategy<Value = String> {
     prop_oneof![
