--- a/crates/mustardway_settings/tests/settings/problem_lines.rs
+++ b/crates/mustardway_settings/tests/settings/problem_lines.rs
@@ -12,57 +12,9 @@
 addresses = 10.0.9.1:8500
 ";
 
-/// Additions to the base, each with its one problem.
-const CASES: &[(&str, &str)] = &[
-    (
-        "[instances]\n",
-        "settings:8: [instances] unknown section: allowed are [instance], [platform], [limits], [log], [metrics], [timing]",
-    ),
-    ("[log]\nlevels = info\n", "settings:9: [log] levels: unknown key: allowed are level, form"),
-    (
-        "[log]\nlevel = loud\n",
-        "settings:9: [log] level: 'loud' is not allowed: allowed are error, warning, info, debug, trace",
-    ),
-    (
-        "[log]\nform = xml\n",
-        "settings:9: [log] form: 'xml' is not allowed: allowed are json, terminal",
-    ),
-    ("[log]\n[log]\n", "settings:9: [log] section given twice in one file: first on line 8"),
-    ("wait = 0s\n", "settings:8: [platform] wait: '0s' is out of range: allowed are 1s to 5min"),
-    (
-        "[limits]\npacket = 32MiB\n",
-        "settings:9: [limits] packet: '32MiB' is out of range: allowed are 1KiB to 16MiB",
-    ),
-    (
-        "[limits]\nflows = 1\n",
-        "settings:9: [limits] flows: '1' is out of range: allowed are 1000 to 10000000",
-    ),
-    ("[limits]\naudit = few\n", "settings:9: [limits] audit: 'few' is no whole number"),
-    (
-        "[metrics]\nstatsd = localhost:8125\n",
-        "settings:9: [metrics] statsd: 'localhost:8125' is no IP address of one host with a port, such as 10.0.0.7:443",
-    ),
-    (
-        "[timing]\nlease = 900ms\n",
-        "settings:9: [timing] lease: 900ms with a heartbeat of 250ms does not fit: a lease is at least 4 heartbeats",
-    ),
-    (
-        "[timing]\nheartbeat = 400ms\n",
-        "settings:8: [timing] lease: 1500ms with a heartbeat of 400ms does not fit: a lease is at least 4 heartbeats",
-    ),
-    (
-        "[timing]\nlease = 7s\n",
-        "settings:9: [timing] lease: '7s' is out of range: allowed are 100ms to 6s",
-    ),
-    (
-        "[timing]\ndrain = 2s\n",
-        "settings:9: [timing] drain: 2s with a lease of 1500ms does not fit: a drain is at least 2 leases",
-    ),
-    (
-        "loose\n",
-        "settings:8: 'loose' is not understood: allowed are blank lines, # comments, [section] and key = value",
-    ),
-];
+/// Additions to the base, each with its one problem after it.
+const CASES: &str = include_str!("problem_lines.txt");
+const CASES_COUNT: usize = 15;
 
 /// Replacements in the base, each with its one problem.
 const REPLACED: &[(&str, &str, &str)] = &[
@@ -110,9 +62,13 @@
 
 #[test]
 fn one_line_each() {
-    for (addition, wanted) in CASES {
-        assert_eq!(lines(&format!("{BASE}{addition}")), [*wanted], "{addition}");
+    let mut count = 0;
+    for case in CASES.split("\n\n") {
+        let (change, wanted) = case.split_once("\n=> ").unwrap();
+        assert_eq!(lines(&format!("{BASE}{change}")), [wanted.trim_end()], "{change}");
+        count += 1;
     }
+    assert_eq!(count, CASES_COUNT);
 }
 
 #[test]
--- a/crates/mustardway_view/src/folder.rs
+++ b/crates/mustardway_view/src/folder.rs
@@ -12,7 +12,7 @@
 //!   holds again.
 //! - `[defaults target]` gives defaults for all keys of a target but its
 //!   endpoint, in whatever file it stands. Keys without any value take the
-//!   constants of [`build`](crate::build).
+//!   constants of [`build`].
 //! - An empty `[remove domain NAME]`, `[remove service NAME]` or
 //!   `[remove target NAME]` removes what earlier files set. A later file may set
 //!   the item anew, from nothing. It may not be removed again after that: what
