Mend the texts of problems that the documentation took for links

Change: the texts say "a section"; the expected lines follow. Conclusion: the problems read alike on the terminal and in the documentation.

--- a/crates/mustardway_view/src/problem.rs
+++ b/crates/mustardway_view/src/problem.rs
@@ -153,7 +153,7 @@
         /// What is allowed.
         wanted: &'static str,
     },
-    /// key before the first section: allowed are keys below a [section]
+    /// key before the first section: allowed are keys below a section
     OutsideSection,
     /// section given twice in one file: first on line {first}
     DuplicateSection {
@@ -229,24 +229,24 @@
         /// Where it was given first.
         first: Site,
     },
-    /// no failure domain '{found}': allowed is one with its own [domain] section
+    /// no failure domain '{found}': allowed is one with its own section
     UnknownDomain {
         /// Name as given.
         found: domain::Name,
     },
-    /// failure domain '{found}' was removed at {by}: allowed is one with its own [domain] section
+    /// failure domain '{found}' was removed at {by}: allowed is one with its own section
     RemovedDomain {
         /// Name as given.
         found: domain::Name,
         /// Where it was removed.
         by: Site,
     },
-    /// no service '{found}': allowed is one with its own [service] section
+    /// no service '{found}': allowed is one with its own section
     UnknownService {
         /// Name as given.
         found: service::Name,
     },
-    /// service '{found}' was removed at {by}: allowed is one with its own [service] section
+    /// service '{found}' was removed at {by}: allowed is one with its own section
     RemovedService {
         /// Name as given.
         found: service::Name,
