Add the stand-ins: platform, target, fabric and caller

Cause: nothing yet plays the platform, targets and callers around an instance. Change: a library and a small binary with 'platform', 'target' and 'load'. The platform answers a blocking get and fails by switches; targets bear a bounded load and keep a ledger; callers check that each answer is whole and their own. Ruled out: streams for long flows, since a call must not outlive a planned stop.

--- /dev/null
+++ b/crates/mustardway_stand_in/src/caller/load.rs
@@ -0,0 +1,113 @@
+//! Sends a workload.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::flow::Pool;
+use super::report::{Course, Outcome, Report};
+use super::request::{NotRun, Request};
+use super::workload::{Kind, Persistence};
+use crate::fabric::Fabric;
+
+/// One kind of request, its flows and its report.
+pub struct Line {
+    kind: Kind,
+    persistence: Persistence,
+    fabric: Arc<Fabric>,
+    pool: Pool,
+    report: Mutex<Report>,
+    not_run: Mutex<Vec<NotRun>>,
+    next: AtomicU64,
+}
+
+impl Line {
+    /// A line of `kind` requests over `fabric`.
+    pub fn new(kind: Kind, persistence: Persistence, fabric: Arc<Fabric>, seed: u64) -> Arc<Line> {
+        let pool = Pool::new(seed, kind.flows);
+        Arc::new(Line {
+            kind,
+            persistence,
+            fabric,
+            pool,
+            report: Mutex::default(),
+            not_run: Mutex::default(),
+            next: AtomicU64::new(1),
+        })
+    }
+
+    /// Its kind.
+    pub fn kind(&self) -> &Kind {
+        &self.kind
+    }
+
+    /// What became of its requests so far.
+    pub fn report(&self) -> Report {
+        self.report.lock().clone()
+    }
+
+    /// Answers "not run" so far.
+    pub fn not_run(&self) -> Vec<NotRun> {
+        self.not_run.lock().clone()
+    }
+
+    /// Flows that are open.
+    pub fn open_flows(&self) -> usize {
+        self.pool.open()
+    }
+
+    /// Sends requests at the kind's rate for `time`, and waits for the last.
+    pub async fn run(self: &Arc<Line>, time: Duration) {
+        self.run_at(self.kind.rate, time).await;
+    }
+
+    /// Sends requests at `rate` a second for `time`, and waits for the last.
+    pub async fn run_at(self: &Arc<Line>, rate: f64, time: Duration) {
+        if rate <= 0.0 {
+            return;
+        }
+        let start = Instant::now();
+        let total = (rate * time.as_secs_f64()) as u64;
+        let mut tasks = JoinSet::new();
+        for index in 0..total {
+            let due = start + Duration::from_secs_f64(index as f64 / rate);
+            tokio::time::sleep_until(due).await;
+            let line = Arc::clone(self);
+            tasks.spawn(async move { line.ask(due).await });
+            while tasks.try_join_next().is_some() {}
+        }
+        while tasks.join_next().await.is_some() {}
+    }
+
+    /// Sends one request that was due at `due`.
+    pub async fn ask(&self, due: Instant) -> Outcome {
+        let mut flow = self.pool.take();
+        flow.requests += 1;
+        let is_last = self.kind.requests_per_flow.is_some_and(|most| flow.requests >= most);
+        self.report.lock().begin();
+        let mut request = Request {
+            kind: &self.kind,
+            persistence: self.persistence,
+            fabric: &self.fabric,
+            pool: &self.pool,
+            flow,
+            id: self.next.fetch_add(1, Ordering::Relaxed),
+            course: Course::default(),
+            not_run: Vec::new(),
+        };
+        let outcome = request.run(due, is_last).await;
+        let Request { flow, course, not_run, .. } = request;
+        self.not_run.lock().extend(not_run);
+        self.report.lock().end(&outcome, due.elapsed(), course);
+        let is_open = !is_last && !matches!(outcome, Outcome::FlowEnded(_));
+        match is_open {
+            true => self.pool.give_back(flow),
+            false => self.pool.forget(),
+        }
+        outcome
+    }
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/command/load.rs
@@ -0,0 +1,86 @@
+//! `load`: sends one kind of request to given addresses.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use mustardway_types::address;
+use mustardway_types::request::{Repeat, Urgency};
+
+use super::Failure;
+use crate::caller::load::Line;
+use crate::caller::workload::{Kind, Persistence};
+use crate::fabric::Fabric;
+use crate::payload::Wish;
+
+/// send requests through the fabric and print what became of them
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct Arguments {
+    /// where an instance or a target listens, ip:port; may be given again
+    #[argh(option)]
+    front: Vec<SocketAddr>,
+    /// service address that packets are meant for, ip:port
+    #[argh(option)]
+    address: address::Address,
+    /// requests a second
+    #[argh(option, default = "100.0")]
+    rate: f64,
+    /// how long
+    #[argh(option, default = "Duration::from_secs(5)", from_str_fn(super::duration))]
+    time: Duration,
+    /// flows held open
+    #[argh(option, default = "20")]
+    flows: usize,
+    /// parts of each answer
+    #[argh(option, default = "1")]
+    parts: u32,
+    /// requests may not be repeated
+    #[argh(switch)]
+    once: bool,
+    /// requests are urgent
+    #[argh(switch)]
+    urgent: bool,
+    /// work of the target on each request
+    #[argh(option, default = "Duration::from_millis(2)", from_str_fn(super::duration))]
+    work: Duration,
+    /// time until an answer is late
+    #[argh(option, default = "Duration::from_secs(2)", from_str_fn(super::duration))]
+    deadline: Duration,
+    /// size of each answer, in bytes
+    #[argh(option, default = "200")]
+    answer_bytes: u32,
+    /// seed of flows and of the fabric
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Sends the requests; content when every one was answered in time.
+pub(super) async fn run(arguments: &Arguments) -> Result<bool, Failure> {
+    let fabric = Arc::new(Fabric::new(arguments.seed, &arguments.front));
+    let line = Line::new(kind(arguments), Persistence::default(), fabric, arguments.seed);
+    line.run(arguments.time).await;
+    let report = line.report();
+    println!("{}", serde_json::to_string_pretty(&report.counts)?);
+    println!("{}", serde_json::to_string_pretty(&report.latency())?);
+    Ok(report.counts.is_whole())
+}
+
+fn kind(arguments: &Arguments) -> Kind {
+    let work_micros = u32::try_from(arguments.work.as_micros()).unwrap_or(u32::MAX);
+    Kind {
+        name: "load".into(),
+        address: arguments.address,
+        urgency: if arguments.urgent { Urgency::Urgent } else { Urgency::Ordinary },
+        repeat: if arguments.once { Repeat::Once } else { Repeat::Idempotent },
+        rate: arguments.rate,
+        flows: arguments.flows,
+        requests_per_flow: None,
+        parts: arguments.parts,
+        deadline: arguments.deadline,
+        patience: arguments.deadline,
+        request_bytes: 100,
+        wish: Wish { answer_bytes: arguments.answer_bytes, work_micros },
+    }
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/command/mod.rs
@@ -0,0 +1,76 @@
+//! The command line.
+//!
+//! Modules:
+//! - [`platform`], [`target`], [`load`]: one stand-in each.
+
+pub mod load;
+pub mod platform;
+pub mod target;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use mustardway_types::time;
+
+/// Stand-ins for what surrounds mustardway
+#[derive(Debug, FromArgs)]
+pub struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Platform(platform::Arguments),
+    Target(target::Arguments),
+    Load(load::Arguments),
+}
+
+/// Why a command failed, in one line.
+pub type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// Runs a command; exits 0 when it is content, 1 when not, 2 when it failed.
+pub fn main(arguments: &Arguments) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error.into()),
+    };
+    let result = runtime.block_on(async {
+        match &arguments.command {
+            Command::Platform(arguments) => platform::run(arguments).await,
+            Command::Target(arguments) => target::run(arguments).await,
+            Command::Load(arguments) => load::run(arguments).await,
+        }
+    });
+    runtime.shutdown_background();
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &Failure) -> ExitCode {
+    eprintln!("mustardway_stand_in: {error}");
+    ExitCode::from(2)
+}
+
+/// Reads a length of time such as `20ms`.
+fn duration(text: &str) -> Result<Duration, String> {
+    let span: time::Span = text.parse().map_err(|error| format!("{error}"))?;
+    Ok(span.into())
+}
+
+/// Waits for the signal to stop.
+async fn stopped() -> Result<(), Failure> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/command/platform.rs
@@ -0,0 +1,35 @@
+//! `platform`: publishes a folder.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use argh::FromArgs;
+
+use super::Failure;
+use crate::platform::{Server, folder};
+
+/// publish a folder of configuration files as the platform would
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct Arguments {
+    /// where it listens, ip:port
+    #[argh(option)]
+    listen: SocketAddr,
+    /// folder of .ini files
+    #[argh(option)]
+    folder: PathBuf,
+    /// JSON file of the instance list
+    #[argh(option)]
+    instances: Option<PathBuf>,
+}
+
+/// Runs until it is stopped.
+pub(super) async fn run(arguments: &Arguments) -> Result<bool, Failure> {
+    folder::read(&arguments.folder)?;
+    let server = Server::start(arguments.listen).await?;
+    let state = Arc::clone(server.state());
+    tokio::spawn(folder::follow(state, arguments.folder.clone(), arguments.instances.clone()));
+    super::stopped().await?;
+    Ok(true)
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/http.rs
@@ -0,0 +1,110 @@
+//! A small JSON client for the HTTP endpoints of stand-ins and instances.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use displaydoc::Display;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use volo_http::body::BodyConversion;
+use volo_http::response::Response;
+
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Why a call failed.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// no answer from {address}{path}: {cause}
+    Unreachable {
+        /// Where the call went.
+        address: SocketAddr,
+        /// What was asked.
+        path: String,
+        /// What the client said.
+        cause: String,
+    },
+    /// {address}{path} answered {status}
+    Status {
+        /// Where the call went.
+        address: SocketAddr,
+        /// What was asked.
+        path: String,
+        /// HTTP status code.
+        status: u16,
+    },
+    /// {address}{path} answered no JSON of the expected shape: {cause}
+    Shape {
+        /// Where the call went.
+        address: SocketAddr,
+        /// What was asked.
+        path: String,
+        /// What the parser said.
+        cause: String,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// Gets a JSON value.
+///
+/// # Errors
+///
+/// Fails when the peer cannot be reached or answers other than 200 with a `T`.
+pub async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Error> {
+    let response = call(address, path, None::<&()>).await?;
+    read(address, path, response).await
+}
+
+/// Posts a JSON value and drops the answer.
+///
+/// # Errors
+///
+/// Fails when the peer cannot be reached or answers other than 200.
+pub async fn post<T: Serialize>(address: SocketAddr, path: &str, value: &T) -> Result<(), Error> {
+    call(address, path, Some(value)).await?;
+    Ok(())
+}
+
+/// Whether `path` answers 200.
+pub async fn is_ok(address: SocketAddr, path: &str) -> bool {
+    call(address, path, None::<&()>).await.is_ok()
+}
+
+async fn call<T: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    value: Option<&T>,
+) -> Result<Response, Error> {
+    let fail = |cause: String| Error::Unreachable { address, path: path.to_owned(), cause };
+    let client =
+        volo_http::ClientBuilder::new().build().map_err(|error| fail(error.to_string()))?;
+    let client: volo_http::Client = client;
+    let uri = format!("http://{address}{path}");
+    let sending = async {
+        match value {
+            Some(value) => client.post(uri.as_str()).json(value).send().await,
+            None => client.get(uri.as_str()).send().await,
+        }
+    };
+    let response = tokio::time::timeout(TIMEOUT, sending)
+        .await
+        .map_err(|_| fail("timeout".to_owned()))?
+        .map_err(|error| fail(error.to_string()))?;
+    if !response.status().is_success() {
+        let status = response.status().as_u16();
+        return Err(Error::Status { address, path: path.to_owned(), status });
+    }
+    Ok(response)
+}
+
+async fn read<T: DeserializeOwned>(
+    address: SocketAddr,
+    path: &str,
+    response: Response,
+) -> Result<T, Error> {
+    let shape = |cause: String| Error::Shape { address, path: path.to_owned(), cause };
+    let text =
+        response.into_body().into_string().await.map_err(|error| shape(error.to_string()))?;
+    serde_json::from_str(&text).map_err(|error| shape(error.to_string()))
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/listener.rs
@@ -0,0 +1,111 @@
+//! A TCP listener that can be closed and opened again while its server runs.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use volo::net::conn::Conn;
+use volo::net::{MakeIncoming, incoming};
+
+/// Wait before a failed bind or accept is tried again.
+const RETRY: Duration = Duration::from_millis(20);
+
+/// Accepts connections while its switch is open.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    socket: Option<TcpListener>,
+    open: watch::Receiver<bool>,
+}
+
+/// Opens and closes a [`Listener`]; closes it for good when dropped.
+#[derive(Debug)]
+pub struct Switch {
+    address: SocketAddr,
+    open: watch::Sender<bool>,
+}
+
+/// Listens on `address`; port 0 takes a free one.
+///
+/// # Errors
+///
+/// Returns the error of the bind.
+pub async fn listen(address: SocketAddr) -> io::Result<(Listener, Switch)> {
+    let socket = TcpListener::bind(address).await?;
+    let address = socket.local_addr()?;
+    let (sender, receiver) = watch::channel(true);
+    let listener = Listener { address, socket: Some(socket), open: receiver };
+    Ok((listener, Switch { address, open: sender }))
+}
+
+impl Switch {
+    /// Where the listener accepts connections.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Opens or closes the listener.
+    pub fn set(&self, open: bool) {
+        self.open.send_replace(open);
+    }
+
+    /// Whether the listener is open.
+    pub fn is_open(&self) -> bool {
+        *self.open.borrow()
+    }
+}
+
+impl MakeIncoming for Listener {
+    type Incoming = Listener;
+
+    async fn make_incoming(self) -> io::Result<Listener> {
+        Ok(self)
+    }
+}
+
+impl incoming::Incoming for Listener {
+    async fn accept(&mut self) -> io::Result<Option<Conn>> {
+        loop {
+            if !*self.open.borrow_and_update() {
+                self.socket = None;
+                self.wait().await;
+                continue;
+            }
+            let Some(socket) = &self.socket else {
+                self.bind().await;
+                continue;
+            };
+            tokio::select! {
+                accepted = socket.accept() => match accepted {
+                    Ok((stream, _)) => return Ok(Some(Conn::from(stream))),
+                    Err(_) => tokio::time::sleep(RETRY).await,
+                },
+                changed = self.open.changed() => {
+                    if changed.is_err() {
+                        self.socket = None;
+                        std::future::pending::<()>().await;
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Listener {
+    /// Waits for the switch to move; forever when it is gone.
+    async fn wait(&mut self) {
+        if self.open.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Binds anew, or waits a little.
+    async fn bind(&mut self) {
+        match TcpListener::bind(self.address).await {
+            Ok(socket) => self.socket = Some(socket),
+            Err(_) => tokio::time::sleep(RETRY).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/platform/serve.rs
@@ -0,0 +1,107 @@
+//! The HTTP routes of the platform.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::time::Instant;
+use volo::net::Address;
+use volo_http::http::StatusCode;
+
+use volo_http::response::Response;
+use volo_http::server::IntoResponse;
+use volo_http::server::extract::{Json, Query};
+use volo_http::server::route::{Router, get};
+
+use super::message;
+use super::state::State;
+use super::switch::Switch;
+use crate::listener;
+
+/// Longest time that a watch waits.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+
+/// How long a cut reader is kept waiting.
+const CUT_WAIT: Duration = Duration::from_secs(3600);
+
+/// The routes.
+pub(super) fn router(state: Arc<State>, listener: Arc<listener::Switch>) -> Router {
+    let (watched, listed, counted, shown) =
+        (Arc::clone(&state), Arc::clone(&state), Arc::clone(&state), Arc::clone(&state));
+    Router::new()
+        .route(
+            "/configuration",
+            get(async move |Query(query): Query<message::Query>, reader: Address| {
+                configuration(&watched, &query, &reader).await
+            }),
+        )
+        .route("/instances", get(async move |reader: Address| instances(&listed, &reader).await))
+        .route("/calls", get(async move || Json(counted.calls())))
+        .route(
+            "/switch",
+            get(async move || Json(shown.switch())).post(
+                async move |Json(switch): Json<Switch>| {
+                    listener.set(!switch.down);
+                    state.set_switch(switch);
+                    Json(state.switch())
+                },
+            ),
+        )
+}
+
+async fn configuration(state: &State, query: &message::Query, reader: &Address) -> Response {
+    state.count_configuration();
+    if let Some(response) = fail(state, reader).await {
+        return response;
+    }
+    let deadline = Instant::now() + Duration::from_millis(query.wait).min(WAIT_MAX);
+    let mut changed = state.watch();
+    loop {
+        let configuration = state.configuration(query.after);
+        if configuration.files.is_some() {
+            return answer(state, &configuration);
+        }
+        if tokio::time::timeout_at(deadline, changed.changed()).await.is_err() {
+            return answer(state, &configuration);
+        }
+    }
+}
+
+async fn instances(state: &State, reader: &Address) -> Response {
+    state.count_instances();
+    if let Some(response) = fail(state, reader).await {
+        return response;
+    }
+    answer(state, &state.instances())
+}
+
+/// Waits as the switch says; gives the answer where there is no proper one.
+async fn fail(state: &State, reader: &Address) -> Option<Response> {
+    if ip(reader).is_some_and(|ip| state.is_cut(ip)) {
+        tokio::time::sleep(CUT_WAIT).await;
+    }
+    let switch = state.switch();
+    if switch.down {
+        return Some((StatusCode::SERVICE_UNAVAILABLE, "down").into_response());
+    }
+    if switch.slow_millis > 0 {
+        tokio::time::sleep(Duration::from_millis(switch.slow_millis)).await;
+    }
+    None
+}
+
+/// The answer, or nonsense in its place.
+fn answer<T: Serialize>(state: &State, value: &T) -> Response {
+    match state.switch().nonsense {
+        Some(nonsense) => nonsense.text().into_response(),
+        None => Json(value).into_response(),
+    }
+}
+
+fn ip(reader: &Address) -> Option<IpAddr> {
+    match reader {
+        Address::Ip(address) => Some(address.ip()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/platform/switch.rs
@@ -0,0 +1,51 @@
+//! Ways for the platform to fail.
+
+use std::net::IpAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// How the platform fails; the default does not.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
+pub struct Switch {
+    /// Refuses connections.
+    pub down: bool,
+    /// Serves nothing later than this revision.
+    pub stale: Option<u64>,
+    /// Goes back by one revision.
+    pub back: bool,
+    /// Waits so long before each answer, in milliseconds.
+    pub slow_millis: u64,
+    /// Answers without sense.
+    pub nonsense: Option<Nonsense>,
+    /// Keeps the instance list as it is now.
+    pub list_lags: bool,
+    /// Readers whose calls get no answer.
+    pub cut: Vec<IpAddr>,
+}
+
+/// An answer without sense.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Nonsense {
+    /// No JSON.
+    NoJson,
+    /// JSON of another shape.
+    Shape,
+    /// JSON that ends half-way.
+    Half,
+    /// An empty answer.
+    Empty,
+}
+
+impl Nonsense {
+    /// The answer.
+    pub fn text(self) -> &'static str {
+        match self {
+            Nonsense::NoJson => "\u{0}<html>no</html>",
+            Nonsense::Shape => r#"{"revision":"many","files":[1,2],"instances":{}}"#,
+            Nonsense::Half => r#"{"revision":7,"files":{"a.ini":"[dom"#,
+            Nonsense::Empty => "",
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/target/front.rs
@@ -0,0 +1,150 @@
+//! The gRPC services of a target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardway_types::answer::{Answer, Reason};
+use mustardway_types::packet::Header;
+use mustardway_wire::convert;
+use mustardway_wire::health::health_check_response::ServingStatus;
+use mustardway_wire::health::{Health, HealthCheckRequest, HealthCheckResponse};
+use mustardway_wire::packet::{self, Front, Packet, Reply};
+use tokio::time::Instant;
+use volo_grpc::{Request, Response, Status};
+
+use super::behaviour;
+use super::core::{Core, Denial, Outcome};
+use crate::deadline;
+use crate::payload::{self, Key, Wish};
+
+/// Longest time that a call may take which brings no deadline.
+const DEADLINE_MAX: Duration = Duration::from_secs(60);
+
+/// Both services.
+#[derive(Debug, Clone)]
+pub(super) struct Service {
+    core: Arc<Core>,
+}
+
+/// The load of one call; given back when dropped.
+struct Load<'a> {
+    core: &'a Core,
+    outcome: Outcome,
+}
+
+impl Drop for Load<'_> {
+    fn drop(&mut self) {
+        self.core.release(self.outcome);
+    }
+}
+
+impl Service {
+    pub(super) fn new(core: Arc<Core>) -> Service {
+        Service { core }
+    }
+
+    async fn answer(&self, packet: Packet, deadline: Instant) -> Result<Reply, Status> {
+        let wire = packet.header.as_ref();
+        let header =
+            convert::header(wire).map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let wish = Wish::decode(&packet.payload)
+            .ok_or_else(|| Status::invalid_argument("the payload makes no wish"))?;
+        match self.core.admit(&header) {
+            Ok(()) => {}
+            Err(Denial::Refused) => return Ok(refusal(wire)),
+            Err(Denial::Away) => return Err(Status::unavailable("the target is away")),
+        }
+        let mut load = Load { core: &self.core, outcome: Outcome::Cancelled };
+        let mut falls = self.core.watch_falls();
+        let result = tokio::select! {
+            result = self.run(&header, wish, deadline, &mut load) => result,
+            _ = falls.changed() => Err(Status::unavailable("the target fell over")),
+        };
+        if load.outcome == Outcome::Expired {
+            return Ok(refusal(wire));
+        }
+        load.outcome = Outcome::Done;
+        result?;
+        Ok(self.reply(&header, wish))
+    }
+
+    /// Waits for a slot and works on the request.
+    async fn run(
+        &self,
+        header: &Header,
+        wish: Wish,
+        deadline: Instant,
+        load: &mut Load<'_>,
+    ) -> Result<(), Status> {
+        let behaviour = self.core.behaviour();
+        if behaviour.mute {
+            std::future::pending::<()>().await;
+        }
+        let Ok(slot) = tokio::time::timeout_at(deadline, self.core.slots().acquire()).await else {
+            load.outcome = Outcome::Expired;
+            return Ok(());
+        };
+        let _slot = slot.map_err(|_| Status::unavailable("the target is away"))?;
+        let index = self.core.begin(header);
+        tokio::time::sleep(self.work(wish, behaviour)).await;
+        self.core.end(index, header);
+        Ok(())
+    }
+
+    fn work(&self, wish: Wish, behaviour: behaviour::Behaviour) -> Duration {
+        let own = match wish.work_micros {
+            0 => self.core.settings().service_time,
+            micros => Duration::from_micros(u64::from(micros)),
+        };
+        own + Duration::from_millis(behaviour.slow_millis)
+    }
+
+    fn reply(&self, header: &Header, wish: Wish) -> Reply {
+        let key = Key { flow: header.flow.0, request: header.request.0, part: header.part };
+        Reply {
+            answer: packet::Answer::DONE,
+            reason: Reason::Answered.to_string().into(),
+            come_back_millis: 0,
+            flow: key.flow,
+            request: key.request,
+            part: key.part,
+            parts: header.parts,
+            payload: payload::answer(key, wish.answer_bytes),
+            target: self.core.settings().name.to_string().into(),
+        }
+    }
+}
+
+/// The answer "not run" to the request of `header`.
+fn refusal(header: Option<&packet::Header>) -> Reply {
+    convert::wire_answer(header, &Answer::new(Reason::Shed))
+}
+
+impl Front for Service {
+    async fn send(&self, request: Request<Packet>) -> Result<Response<Reply>, Status> {
+        let left = deadline::read(request.metadata()).unwrap_or(DEADLINE_MAX);
+        let deadline = Instant::now() + left;
+        let reply = self.answer(request.into_inner(), deadline).await?;
+        Ok(Response::new(reply))
+    }
+}
+
+impl Health for Service {
+    async fn check(
+        &self,
+        _request: Request<HealthCheckRequest>,
+    ) -> Result<Response<HealthCheckResponse>, Status> {
+        let behaviour = self.core.behaviour();
+        let serves = match behaviour.health {
+            behaviour::Health::Serving => true,
+            behaviour::Health::NotServing => false,
+            behaviour::Health::Error => return Err(Status::internal("health is not known")),
+            behaviour::Health::Honest if !self.core.is_up() => {
+                return Err(Status::unavailable("the target is away"));
+            }
+            behaviour::Health::Honest => !behaviour.draining,
+        };
+        let status = if serves { ServingStatus::SERVING } else { ServingStatus::NOT_SERVING };
+        Ok(Response::new(HealthCheckResponse { status }))
+    }
+}
