Bring up whole deployments on loopback

Cause: the path needs today's sizes as real processes with real callers. Change: 'deploy' starts the platform, a process of targets for each failure domain and eight instances, runs the user's workload and joins the callers' answers with the targets' ledgers. Children end on every exit path of the tool. Ruled out: all targets in the tool's own process, as its load would slow them. Not run yet against instances: their binary is built elsewhere.

--- a/crates/mustardway_stand_in/src/caller/load.rs
+++ b/crates/mustardway_stand_in/src/caller/load.rs
@@ -21,6 +21,7 @@
     fabric: Arc<Fabric>,
     pool: Pool,
     report: Mutex<Report>,
+    openings: Mutex<Report>,
     not_run: Mutex<Vec<NotRun>>,
     next: AtomicU64,
 }
@@ -35,6 +36,7 @@
             fabric,
             pool,
             report: Mutex::default(),
+            openings: Mutex::default(),
             not_run: Mutex::default(),
             next: AtomicU64::new(1),
         })
@@ -50,6 +52,11 @@
         self.report.lock().clone()
     }
 
+    /// What became of the packets that only opened flows.
+    pub fn openings(&self) -> Report {
+        self.openings.lock().clone()
+    }
+
     /// Answers "not run" so far.
     pub fn not_run(&self) -> Vec<NotRun> {
         self.not_run.lock().clone()
@@ -83,14 +90,34 @@
         while tasks.join_next().await.is_some() {}
     }
 
+    /// Opens the kind's flows at `rate` a second, with `work` on each opening.
+    pub async fn open(self: &Arc<Line>, rate: f64, work: Duration) {
+        let mut kind = self.kind.clone();
+        kind.wish.work_micros = u32::try_from(work.as_micros()).unwrap_or(u32::MAX);
+        let kind = Arc::new(kind);
+        let start = Instant::now();
+        let mut tasks = JoinSet::new();
+        for index in 0..self.kind.flows {
+            let due = start + Duration::from_secs_f64(index as f64 / rate);
+            tokio::time::sleep_until(due).await;
+            let (line, kind) = (Arc::clone(self), Arc::clone(&kind));
+            tasks.spawn(async move { line.ask_as(&kind, &line.openings, due).await });
+        }
+        while tasks.join_next().await.is_some() {}
+    }
+
     /// Sends one request that was due at `due`.
     pub async fn ask(&self, due: Instant) -> Outcome {
+        self.ask_as(&self.kind, &self.report, due).await
+    }
+
+    async fn ask_as(&self, kind: &Kind, report: &Mutex<Report>, due: Instant) -> Outcome {
         let mut flow = self.pool.take();
         flow.requests += 1;
         let is_last = self.kind.requests_per_flow.is_some_and(|most| flow.requests >= most);
-        self.report.lock().begin();
+        report.lock().begin();
         let mut request = Request {
-            kind: &self.kind,
+            kind,
             persistence: self.persistence,
             fabric: &self.fabric,
             pool: &self.pool,
@@ -102,7 +129,7 @@
         let outcome = request.run(due, is_last).await;
         let Request { flow, course, not_run, .. } = request;
         self.not_run.lock().extend(not_run);
-        self.report.lock().end(&outcome, due.elapsed(), course);
+        report.lock().end(&outcome, due.elapsed(), course);
         let is_open = !is_last && !matches!(outcome, Outcome::FlowEnded(_));
         match is_open {
             true => self.pool.give_back(flow),
--- /dev/null
+++ b/crates/mustardway_stand_in/src/command/deploy.rs
@@ -0,0 +1,166 @@
+//! `deploy`: a user's whole deployment on loopback.
+
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+use std::time::Duration;
+
+use argh::FromArgs;
+use compact_str::CompactString;
+
+use super::Failure;
+use crate::caller::report::Report;
+use crate::deployment::audit::Audit;
+use crate::deployment::fleet::Fleet;
+use crate::deployment::plan::Plan;
+use crate::deployment::process::Signal;
+use crate::deployment::summary::{Row, Stop, Summary};
+use crate::deployment::traffic::{Traffic, Volume};
+use crate::deployment::user::User;
+
+/// Longest wait for the end of a stopped instance.
+const STOP_MAX: Duration = Duration::from_secs(30);
+
+/// Time that the platform takes to drop a stopped instance from its list.
+const LIST_LAG: Duration = Duration::from_secs(1);
+
+/// bring up a user's deployment of today's size on loopback and run its
+/// workload; exits 0 when every request was answered once, else 1
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "deploy")]
+pub struct Arguments {
+    /// frio-austral or partitura-viva
+    #[argh(option)]
+    user: User,
+    /// the mustardway binary; by default the one beside this program
+    #[argh(option)]
+    binary: Option<PathBuf>,
+    /// length of the run in seconds
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// work given to the services, in percent of what their targets bear
+    #[argh(option, default = "Percent(50)")]
+    rate: Percent,
+    /// long flows for each target
+    #[argh(option, default = "100")]
+    flows: usize,
+    /// seed of flows and of the fabric
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// stop one instance by SIGTERM when so much of the run is over
+    #[argh(option)]
+    stop_one_at: Option<Percent>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+    /// keep logs and files, and say where they are
+    #[argh(switch)]
+    keep: bool,
+}
+
+/// A share, such as `50%`.
+#[derive(Debug, Clone, Copy)]
+struct Percent(u32);
+
+impl Percent {
+    fn share(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
+impl FromStr for Percent {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.strip_suffix('%').unwrap_or(text);
+        digits.parse().map(Percent).map_err(|_| format!("{text}: no share such as 50%"))
+    }
+}
+
+/// Runs the deployment; content when its summary is good.
+pub(super) async fn run(arguments: &Arguments) -> Result<bool, Failure> {
+    let binary = binary(arguments.binary.as_deref())?;
+    let root = std::env::temp_dir().join(format!("mustardway-{}", std::process::id()));
+    let plan = Plan::new(arguments.user)?;
+    let running = async {
+        let mut fleet = Fleet::start(plan, &binary, root).await?;
+        if arguments.keep {
+            fleet.keep_folder();
+            eprintln!("files and logs: {}", fleet.folder().root().display());
+        }
+        measure(arguments, &mut fleet).await
+    };
+    let summary = tokio::select! {
+        summary = running => summary?,
+        stopped = super::stopped() => {
+            stopped?;
+            return Err("stopped by a signal".into());
+        }
+    };
+    match arguments.json {
+        true => println!("{}", serde_json::to_string_pretty(&summary)?),
+        false => print!("{summary}"),
+    }
+    Ok(summary.is_good())
+}
+
+async fn measure(arguments: &Arguments, fleet: &mut Fleet) -> Result<Summary, Failure> {
+    let volume = Volume {
+        load: arguments.rate.share(),
+        flows_per_target: arguments.flows,
+        seed: arguments.seed,
+    };
+    let time = Duration::from_secs(arguments.seconds);
+    let traffic = Traffic::new(fleet.plan(), volume);
+    traffic.settle(fleet.plan().limits.warm_up).await;
+    let stop_at = arguments.stop_one_at.map(|at| time.mul_f64(at.share()));
+    let (stopped, ()) = tokio::join!(stop_one(fleet, stop_at), traffic.run(time));
+    let targets = fleet.ledgers().await?;
+    let audit = Audit::new(&fleet.runs().await?, &traffic.not_run());
+    Ok(Summary { requests: rows(&traffic), targets, audit, stopped: stopped? })
+}
+
+/// Stops the first instance after `at`, and takes it off the platform's list.
+async fn stop_one(fleet: &mut Fleet, at: Option<Duration>) -> Result<Option<Stop>, Failure> {
+    let Some(at) = at else { return Ok(None) };
+    tokio::time::sleep(at).await;
+    let instance = fleet.plan().instances[0].id.clone();
+    fleet.signal(&instance, Signal::Terminate)?;
+    let code = fleet.wait_end(&instance, STOP_MAX).await?;
+    tokio::time::sleep(LIST_LAG).await;
+    let left = fleet.plan().instances.iter().filter(|other| other.id != instance);
+    fleet.folder().put_instances(left)?;
+    Ok(Some(Stop { instance, code }))
+}
+
+fn rows(traffic: &Traffic) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for line in traffic.lines() {
+        let openings = line.openings();
+        if openings.counts.asked > 0 {
+            let name = compact_str::format_compact!("{} (flow openings)", line.kind().name);
+            rows.push(row(name, &openings));
+        }
+        rows.push(row(line.kind().name.clone(), &line.report()));
+    }
+    rows
+}
+
+fn row(name: CompactString, report: &Report) -> Row {
+    Row { name, counts: report.counts.clone(), latency: report.latency() }
+}
+
+/// The binary to run: as given, or the one beside this program.
+fn binary(given: Option<&Path>) -> Result<PathBuf, Failure> {
+    let path = match given {
+        Some(path) => path.to_owned(),
+        None => std::env::current_exe()?.with_file_name("mustardway"),
+    };
+    match path.is_file() {
+        true => Ok(path),
+        false => Err(format!(
+            "no binary at {}; build it with: cargo build --release --workspace",
+            path.display()
+        )
+        .into()),
+    }
+}
--- a/crates/mustardway_stand_in/src/command/mod.rs
+++ b/crates/mustardway_stand_in/src/command/mod.rs
@@ -2,7 +2,9 @@
 //!
 //! Modules:
 //! - [`platform`], [`target`], [`load`]: one stand-in each.
+//! - [`deploy`]: a user's whole deployment.
 
+pub mod deploy;
 pub mod load;
 pub mod platform;
 pub mod target;
@@ -26,6 +28,7 @@
     Platform(platform::Arguments),
     Target(target::Arguments),
     Load(load::Arguments),
+    Deploy(deploy::Arguments),
 }
 
 /// Why a command failed, in one line.
@@ -42,6 +45,7 @@
             Command::Platform(arguments) => platform::run(arguments).await,
             Command::Target(arguments) => target::run(arguments).await,
             Command::Load(arguments) => load::run(arguments).await,
+            Command::Deploy(arguments) => deploy::run(arguments).await,
         }
     });
     runtime.shutdown_background();
--- /dev/null
+++ b/crates/mustardway_stand_in/src/deployment/audit.rs
@@ -0,0 +1,41 @@
+//! What callers were told against what targets ran.
+
+use std::collections::{HashMap, HashSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::caller::request::NotRun;
+use crate::payload::Key;
+use crate::target::ledger::Run;
+
+/// Broken promises.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Audit {
+    /// Requests that may not be repeated and ran more than once, anywhere.
+    pub doubles: u64,
+    /// Answers "not run" to an attempt that did run.
+    pub false_not_run: u64,
+}
+
+impl Audit {
+    /// Joins the ledgers of all targets with what callers were told.
+    pub fn new(runs: &[Run], not_run: &[NotRun]) -> Audit {
+        Audit { doubles: doubles(runs), false_not_run: false_not_run(runs, not_run) }
+    }
+}
+
+fn doubles(runs: &[Run]) -> u64 {
+    let mut times: HashMap<Key, u64> = HashMap::new();
+    for run in runs {
+        if run.once {
+            *times.entry(run.key()).or_default() += 1;
+        }
+    }
+    times.values().filter(|times| **times > 1).count() as u64
+}
+
+fn false_not_run(runs: &[Run], not_run: &[NotRun]) -> u64 {
+    let ran: HashSet<(Key, u32)> = runs.iter().map(|run| (run.key(), run.attempt)).collect();
+    not_run.iter().filter(|answer| ran.contains(&(answer.key, answer.attempt))).count() as u64
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/deployment/files.rs
@@ -0,0 +1,201 @@
+//! Configuration files and settings of a deployment, one file a thing, so that
+//! a change is one file added, replaced or removed.
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use mustardway_types::time;
+
+use super::plan::{Domain, Instance, Limits, Plan, Service, Target};
+use crate::platform::message::{self, InstanceState, Instances};
+
+/// Whether a failure domain serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DomainState {
+    /// It serves.
+    In,
+    /// Operators have taken it out.
+    Out,
+}
+
+/// Whether a target takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetState {
+    /// It does.
+    Serving,
+    /// It keeps its flows.
+    Leaving,
+}
+
+/// A folder with everything that a deployment reads.
+#[derive(Debug)]
+pub struct Folder {
+    root: PathBuf,
+}
+
+impl Folder {
+    /// Writes the folder of `plan` under `root`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error of writing.
+    pub fn create(root: PathBuf, plan: &Plan) -> io::Result<Folder> {
+        let folder = Folder { root };
+        fs::create_dir_all(folder.configuration())?;
+        fs::create_dir_all(folder.logs())?;
+        folder.put("00-defaults.ini", &defaults(&plan.limits))?;
+        for domain in &plan.domains {
+            folder.put_domain(plan, domain, DomainState::In)?;
+        }
+        for service in &plan.services {
+            folder.put(&format!("20-service-{}.ini", service.name), &service_text(service))?;
+        }
+        for target in &plan.targets {
+            folder.put_target(target, TargetState::Serving)?;
+        }
+        for instance in &plan.instances {
+            fs::write(folder.settings(instance), settings(plan, instance))?;
+        }
+        folder.put_instances(&plan.instances)?;
+        Ok(folder)
+    }
+
+    /// Folder of configuration files.
+    pub fn configuration(&self) -> PathBuf {
+        self.root.join("configuration")
+    }
+
+    /// Folder of logs.
+    pub fn logs(&self) -> PathBuf {
+        self.root.join("logs")
+    }
+
+    /// Settings of one instance.
+    pub fn settings(&self, instance: &Instance) -> PathBuf {
+        self.root.join(format!("{}.ini", instance.id))
+    }
+
+    /// File of the instance list.
+    pub fn instances(&self) -> PathBuf {
+        self.root.join("instances.json")
+    }
+
+    /// Everything.
+    pub fn root(&self) -> &Path {
+        &self.root
+    }
+
+    /// Adds or replaces a configuration file, at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of writing.
+    pub fn put(&self, name: &str, text: &str) -> io::Result<()> {
+        replace(&self.configuration().join(name), text)
+    }
+
+    /// Removes a configuration file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of removing.
+    pub fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.configuration().join(name))
+    }
+
+    /// Takes a failure domain out, or back in.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of writing.
+    pub fn put_domain(&self, plan: &Plan, domain: &Domain, state: DomainState) -> io::Result<()> {
+        let text = domain_text(plan, domain, state);
+        self.put(&format!("10-domain-{}.ini", domain.name), &text)
+    }
+
+    /// Adds a target or sets its state.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of writing.
+    pub fn put_target(&self, target: &Target, state: TargetState) -> io::Result<()> {
+        self.put(&target_file(target), &target_text(target, state))
+    }
+
+    /// Writes the instance list.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of writing.
+    pub fn put_instances<'a>(
+        &self,
+        instances: impl IntoIterator<Item = &'a Instance>,
+    ) -> io::Result<()> {
+        let instances = instances.into_iter().map(listed).collect();
+        let text = serde_json::to_string(&Instances { instances })?;
+        replace(&self.instances(), &text)
+    }
+}
+
+/// Configuration file of a target.
+pub fn target_file(target: &Target) -> String {
+    format!("30-target-{}.ini", target.id)
+}
+
+/// Replaces a file at once, so that no reader sees half of it.
+fn replace(path: &Path, text: &str) -> io::Result<()> {
+    let half = path.with_extension("half");
+    fs::write(&half, text)?;
+    fs::rename(half, path)
+}
+
+fn listed(instance: &Instance) -> message::Instance {
+    message::Instance {
+        id: instance.id.clone(),
+        domain: instance.domain.clone(),
+        peer: instance.peer,
+        state: InstanceState::Live,
+    }
+}
+
+fn defaults(limits: &Limits) -> String {
+    let Limits { slots, cold_slots, connections, warm_up, queue } = limits;
+    let warm_up = time::Span::from(*warm_up);
+    format!(
+        "[defaults target]\nweight=100\nslots={slots}\ncold-slots={cold_slots}\n\
+         connections={connections}\nwarm-up={warm_up}\nqueue={queue}\n"
+    )
+}
+
+fn domain_text(plan: &Plan, domain: &Domain, state: DomainState) -> String {
+    let state = match state {
+        DomainState::In => "in",
+        DomainState::Out => "out",
+    };
+    format!("[domain {}]\nregion={}\nstate={state}\n", domain.name, plan.user.region())
+}
+
+fn service_text(service: &Service) -> String {
+    format!("[service {}]\naddresses={}\n", service.name, service.address)
+}
+
+fn target_text(target: &Target, state: TargetState) -> String {
+    let state = match state {
+        TargetState::Serving => "serving",
+        TargetState::Leaving => "leaving",
+    };
+    let Target { id, service, domain, endpoint, .. } = target;
+    format!(
+        "[target {id}]\nservice={service}\ndomain={domain}\nendpoint={endpoint}\nstate={state}\n"
+    )
+}
+
+fn settings(plan: &Plan, instance: &Instance) -> String {
+    let Instance { id, domain, front, peer, admin } = instance;
+    format!(
+        "[instance]\nname={id}\ndomain={domain}\nfront={front}\npeer={peer}\nadmin={admin}\n\n\
+         [platform]\naddresses={}\n\n[log]\nlevel=info\nform=json\n",
+        plan.platform
+    )
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/deployment/summary.rs
@@ -0,0 +1,158 @@
+//! The result of a run.
+
+use std::fmt;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use super::audit::Audit;
+use super::table::Table;
+use crate::caller::report::{Counts, Latency};
+use crate::target::ledger;
+
+/// One kind of request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Row {
+    /// Kind of request.
+    pub name: CompactString,
+    /// What became of them.
+    pub counts: Counts,
+    /// Latencies of whole answers.
+    pub latency: Latency,
+}
+
+/// What became of a run.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Summary {
+    /// One row for each kind of request, openings apart.
+    pub requests: Vec<Row>,
+    /// One row for each target.
+    pub targets: Vec<ledger::Summary>,
+    /// Broken promises.
+    pub audit: Audit,
+    /// Exit code of the instance that was stopped; `None` where none was.
+    pub stopped: Option<Stop>,
+}
+
+/// How the stopped instance ended.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Stop {
+    /// Instance.
+    pub instance: CompactString,
+    /// Exit code; `None` when it did not end in time or was killed.
+    pub code: Option<i32>,
+}
+
+impl Summary {
+    /// Whether every request was answered once, with its own answer, and no
+    /// promise was broken.
+    pub fn is_good(&self) -> bool {
+        let answered = self.requests.iter().all(|row| {
+            let counts = &row.counts;
+            counts.in_time + counts.late == counts.asked
+        });
+        let kept = self.audit == Audit::default();
+        let placed = self.targets.iter().all(|target| target.wrong_service == 0);
+        let stopped = self.stopped.as_ref().is_none_or(|stop| stop.code == Some(0));
+        answered && kept && placed && stopped
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}", requests(&self.requests))?;
+        writeln!(f, "{}", targets(&self.targets))?;
+        for row in &self.requests {
+            for (reason, count) in &row.counts.reasons {
+                writeln!(f, "{}: {count} ended with: {reason}", row.name)?;
+            }
+        }
+        writeln!(f, "requests run twice that may run once: {}", self.audit.doubles)?;
+        writeln!(f, "answers \"not run\" that were not true: {}", self.audit.false_not_run)?;
+        if let Some(stop) = &self.stopped {
+            let code = stop.code.map_or("none in time".to_owned(), |code| code.to_string());
+            writeln!(f, "instance {} stopped, exit code: {code}", stop.instance)?;
+        }
+        let verdict = if self.is_good() { "yes" } else { "NO" };
+        writeln!(f, "every request answered once: {verdict}")
+    }
+}
+
+fn requests(rows: &[Row]) -> Table {
+    let mut table = Table::new(&[
+        "requests",
+        "asked",
+        "in time",
+        "late",
+        "refused",
+        "unknown",
+        "ended",
+        "wrong",
+        "lost",
+        "broken flows",
+        "resent",
+        "p50 ms",
+        "p99 ms",
+        "max ms",
+    ]);
+    for row in rows {
+        let counts = &row.counts;
+        let numbers = [
+            counts.asked,
+            counts.in_time,
+            counts.late,
+            counts.refused,
+            counts.unknown,
+            counts.flow_ended,
+            counts.wrong + counts.bad,
+            counts.lost,
+            counts.broken_flows,
+            counts.resent,
+        ];
+        let mut cells = vec![row.name.to_string()];
+        cells.extend(numbers.iter().map(u64::to_string));
+        let Latency { p50_micros, p99_micros, max_micros } = row.latency;
+        cells.extend([p50_micros, p99_micros, max_micros].map(millis));
+        table.add(cells);
+    }
+    table
+}
+
+fn targets(rows: &[ledger::Summary]) -> Table {
+    let mut table = Table::new(&[
+        "targets",
+        "packets",
+        "runs",
+        "flows",
+        "in flight max",
+        "overloads",
+        "cold overloads",
+        "falls",
+        "doubles",
+        "wrong service",
+    ]);
+    for row in rows {
+        let numbers = [
+            row.packets,
+            row.runs,
+            row.flows,
+            u64::from(row.in_flight_max),
+            row.overloads,
+            row.cold_overloads,
+            row.falls,
+            row.doubles,
+            row.wrong_service,
+        ];
+        let mut cells = vec![row.name.to_string()];
+        cells.extend(numbers.iter().map(u64::to_string));
+        table.add(cells);
+    }
+    table
+}
+
+fn millis(micros: u64) -> String {
+    format!("{:.1}", micros as f64 / 1_000.0)
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/deployment/user.rs
@@ -0,0 +1,179 @@
+//! Whose deployment, with its workload.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use mustardway_types::request::{Repeat, Urgency};
+
+/// A user of mustardway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum User {
+    /// Cooperativa de Transporte Refrigerado Frío Austral.
+    FrioAustral,
+    /// Partitura Viva.
+    PartituraViva,
+}
+
+/// A service of a user.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Service {
+    /// Name.
+    pub name: &'static str,
+    /// Number of targets.
+    pub targets: usize,
+}
+
+/// One kind of request of a user.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Activity {
+    /// Name in the tables.
+    pub name: &'static str,
+    /// Index of its service.
+    pub service: usize,
+    /// How soon it is wanted.
+    pub urgency: Urgency,
+    /// Whether it may run again.
+    pub repeat: Repeat,
+    /// Share of the work that the service is given.
+    pub share: f64,
+    /// Work on each part.
+    pub work: Duration,
+    /// Parts of each answer.
+    pub parts: u32,
+    /// Size of each part, in bytes.
+    pub answer_bytes: u32,
+    /// Time until an answer is late.
+    pub deadline: Duration,
+    /// Requests after which a flow is closed; `None` keeps it open.
+    pub requests_per_flow: Option<u32>,
+}
+
+const BOOKINGS: Activity = Activity {
+    name: "bookings",
+    service: 0,
+    urgency: Urgency::Ordinary,
+    repeat: Repeat::Once,
+    share: 0.8,
+    work: Duration::from_millis(20),
+    parts: 1,
+    answer_bytes: 400,
+    deadline: Duration::from_secs(3),
+    requests_per_flow: Some(20),
+};
+
+const FRIO_AUSTRAL: [Activity; 3] = [
+    BOOKINGS,
+    Activity {
+        name: "alerts",
+        urgency: Urgency::Urgent,
+        repeat: Repeat::Idempotent,
+        share: 0.2,
+        work: Duration::from_millis(5),
+        answer_bytes: 100,
+        deadline: Duration::from_secs(1),
+        requests_per_flow: None,
+        ..BOOKINGS
+    },
+    Activity {
+        name: "manifests",
+        service: 1,
+        repeat: Repeat::Idempotent,
+        share: 1.0,
+        answer_bytes: 4_000,
+        ..BOOKINGS
+    },
+];
+
+const PARTITURA_VIVA: [Activity; 3] = [
+    Activity { name: "orders", work: Duration::from_millis(40), ..BOOKINGS },
+    Activity {
+        name: "sessions",
+        repeat: Repeat::Idempotent,
+        share: 0.2,
+        work: Duration::from_millis(10),
+        requests_per_flow: None,
+        ..BOOKINGS
+    },
+    Activity {
+        name: "downloads",
+        service: 1,
+        repeat: Repeat::Idempotent,
+        share: 1.0,
+        work: Duration::from_millis(10),
+        parts: 8,
+        answer_bytes: 32_768,
+        deadline: Duration::from_secs(5),
+        requests_per_flow: Some(1),
+        ..BOOKINGS
+    },
+];
+
+impl User {
+    /// Its region.
+    pub fn region(self) -> &'static str {
+        match self {
+            User::FrioAustral => "ar-centro",
+            User::PartituraViva => "cr-central",
+        }
+    }
+
+    /// Its failure domains.
+    pub fn domains(self) -> [&'static str; 3] {
+        match self {
+            User::FrioAustral => ["rosario", "cordoba", "santa-fe"],
+            User::PartituraViva => ["cr-central-a", "cr-central-b", "cr-central-c"],
+        }
+    }
+
+    /// Its services.
+    pub fn services(self) -> [Service; 2] {
+        match self {
+            User::FrioAustral => [
+                Service { name: "central-reservas", targets: 14 },
+                Service { name: "archivo-viajes", targets: 4 },
+            ],
+            User::PartituraViva => [
+                Service { name: "order-desk", targets: 14 },
+                Service { name: "score-vault", targets: 4 },
+            ],
+        }
+    }
+
+    /// Slots of each of its targets.
+    pub fn slots(self) -> u32 {
+        match self {
+            User::FrioAustral => 2,
+            User::PartituraViva => 4,
+        }
+    }
+
+    /// What its callers do.
+    pub fn activities(self) -> &'static [Activity] {
+        match self {
+            User::FrioAustral => &FRIO_AUSTRAL,
+            User::PartituraViva => &PARTITURA_VIVA,
+        }
+    }
+}
+
+impl fmt::Display for User {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            User::FrioAustral => "frio-austral",
+            User::PartituraViva => "partitura-viva",
+        })
+    }
+}
+
+impl FromStr for User {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "frio-austral" => Ok(User::FrioAustral),
+            "partitura-viva" => Ok(User::PartituraViva),
+            _ => Err(format!("{text}: no such user, try frio-austral or partitura-viva")),
+        }
+    }
+}
--- a/crates/mustardway_stand_in/src/lib.rs
+++ b/crates/mustardway_stand_in/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`target`]: answers packets, bears a bounded load and keeps a ledger.
 //! - [`fabric`]: sprays packets over the instances.
 //! - [`caller`]: opens flows, sends requests and checks their answers.
+//! - [`deployment`]: a user's whole deployment on loopback.
 //! - [`payload`]: the bytes that callers send and expect.
 //! - [`listener`]: a TCP listener that can be closed and opened again.
 //! - [`http`]: a small JSON client.
@@ -18,6 +19,7 @@
 pub mod clock;
 pub mod command;
 pub mod deadline;
+pub mod deployment;
 pub mod fabric;
 pub mod http;
 pub mod listener;
