--- /dev/null
+++ b/crates/mustardway_admin/src/report.rs
@@ -0,0 +1,189 @@
+//! Answers as tables or JSON text.
+
+use serde::Serialize;
+
+use crate::shape;
+use crate::table::Table;
+
+/// How an answer is printed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// For reading.
+    Table,
+    /// For programs.
+    Json,
+}
+
+/// An answer that can be printed as a table.
+pub trait Report: Serialize {
+    /// The answer as a table.
+    fn table(&self) -> Table;
+}
+
+/// The text of an answer.
+pub fn text(report: &impl Report, form: Form) -> String {
+    match form {
+        Form::Table => report.table().to_string(),
+        // The answers are plain data, which always serialises.
+        Form::Json => serde_json::to_string_pretty(report).unwrap_or_default() + "\n",
+    }
+}
+
+fn or_none<T: ToString>(value: Option<&T>) -> String {
+    value.map_or_else(|| "-".to_owned(), ToString::to_string)
+}
+
+/// The name that a value without members has in JSON.
+fn label(value: impl Serialize) -> String {
+    let json = serde_json::to_value(value).unwrap_or_default();
+    json.as_str().unwrap_or_default().to_owned()
+}
+
+impl Report for shape::Status {
+    fn table(&self) -> Table {
+        let mut table = Table::new(&["what", "value"]);
+        let mut row = |what: &str, value: String| table.row([what.to_owned(), value]);
+        row("instance", self.id.to_string());
+        row("failure domain", self.domain.to_string());
+        row("state", label(self.state));
+        row("up", format!("{:.0}s", self.up.as_seconds()));
+        row("revision", self.revision.to_string());
+        row("digest", self.digest.to_string());
+        row("live peers", self.peers.to_string());
+        row("targets owned", self.targets_owned.to_string());
+        row("flows", self.flows.to_string());
+        row("running", self.running.to_string());
+        row("queued", self.queued.to_string());
+        row("platform calls", self.platform_calls.to_string());
+        table
+    }
+}
+
+impl Report for shape::Ready {
+    fn table(&self) -> Table {
+        let mut table = Table::new(&["ready", "reason"]);
+        table.row([self.ready.to_string(), or_none(self.reason.as_ref())]);
+        table
+    }
+}
+
+impl Report for shape::Targets {
+    fn table(&self) -> Table {
+        let mut table = Table::new(&[
+            "target", "service", "domain", "endpoint", "owner", "state", "running", "queued",
+            "flows",
+        ]);
+        for target in &self.targets {
+            let load = target.load.as_ref();
+            table.row([
+                target.id.to_string(),
+                target.service.to_string(),
+                target.domain.to_string(),
+                target.endpoint.to_string(),
+                or_none(target.owner.as_ref()),
+                or_none(load.map(|load| &load.state)),
+                load.map_or_else(|| "-".into(), |load| format!("{}/{}", load.running, load.slots)),
+                or_none(load.map(|load| &load.queued)),
+                or_none(load.map(|load| &load.flows)),
+            ]);
+        }
+        table
+    }
+}
+
+impl Report for shape::Flows {
+    fn table(&self) -> Table {
+        let mut table = Table::new(&["flow", "address", "target", "idle"]);
+        for flow in &self.shown {
+            table.row([
+                flow.id.to_string(),
+                flow.address.to_string(),
+                flow.target.to_string(),
+                format!("{:.1}s", flow.idle.as_seconds()),
+            ]);
+        }
+        table
+    }
+}
+
+impl Report for shape::Peers {
+    fn table(&self) -> Table {
+        let mut table =
+            Table::new(&["instance", "domain", "address", "state", "heard", "revision"]);
+        for peer in &self.peers {
+            let heard = peer.heard.map(|heard| format!("{:.1}s", heard.as_seconds()));
+            table.row([
+                peer.id.to_string(),
+                peer.domain.to_string(),
+                peer.address.to_string(),
+                peer.state.to_string(),
+                or_none(heard.as_ref()),
+                peer.revision.to_string(),
+            ]);
+        }
+        table
+    }
+}
+
+impl Report for shape::Audit {
+    fn table(&self) -> Table {
+        let mut table =
+            Table::new(&["revision", "digest", "adopted at", "in force after", "change"]);
+        for change in &self.changes {
+            let in_force = change.in_force_at.map(|at| {
+                let micros = at.0.saturating_sub(change.adopted_at.0);
+                format!("{:.3}s", micros as f64 / 1e6)
+            });
+            for (index, line) in change.changes.iter().enumerate() {
+                let first = |text: String| if index == 0 { text } else { String::new() };
+                table.row([
+                    first(change.revision.to_string()),
+                    first(change.digest.to_string()),
+                    first(change.adopted_at.to_string()),
+                    first(or_none(in_force.as_ref())),
+                    line.to_string(),
+                ]);
+            }
+        }
+        table
+    }
+}
+
+impl Report for shape::Promises {
+    fn table(&self) -> Table {
+        let mut table = Table::new(&["promise", "decided", "violated", "unknown"]);
+        for count in &self.promises {
+            table.row([
+                count.promise.to_string(),
+                count.decided.to_string(),
+                count.violated.to_string(),
+                count.unknown.to_string(),
+            ]);
+        }
+        table
+    }
+}
+
+impl Report for shape::Explanation {
+    fn table(&self) -> Table {
+        let mut table = Table::new(&["what", "value"]);
+        let mut row = |what: &str, value: String| table.row([what.to_owned(), value]);
+        row("flow", self.flow.to_string());
+        row("address", self.address.to_string());
+        row("service", or_none(self.service.as_ref()));
+        row("target", or_none(self.target.as_ref()));
+        row("owner", or_none(self.owner.as_ref()));
+        for step in &self.steps {
+            row("step", step.to_string());
+        }
+        table
+    }
+}
+
+impl Report for shape::Command {
+    fn table(&self) -> Table {
+        let mut table = Table::new(&["state"]);
+        table.row([label(self.state)]);
+        table
+    }
+}
--- a/crates/mustardway_telemetry/src/audit.rs
+++ b/crates/mustardway_telemetry/src/audit.rs
@@ -7,6 +7,7 @@
 //! against [`Trail::head`], or against any other instance's log.
 
 use std::collections::VecDeque;
+use std::fmt;
 
 use compact_str::CompactString;
 use displaydoc::Display;
@@ -19,12 +20,21 @@
 
 /// Records that a trail keeps unless told otherwise.
 pub const RECORDS_KEPT: usize = 512;
+/// Microseconds in a second.
+const MICROS_PER_SECOND: u64 = 1_000_000;
 
 /// A point of time on the wall clock: microseconds since 1970 UTC.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Time(pub u64);
 
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds = self.0 / MICROS_PER_SECOND;
+        write!(f, "{seconds}.{:06}", self.0 % MICROS_PER_SECOND)
+    }
+}
+
 /// Position of a record in its chain, from 1.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/mustardway_telemetry/src/fingerprint.rs
+++ b/crates/mustardway_telemetry/src/fingerprint.rs
@@ -23,6 +23,15 @@
     pub fn of(bytes: &[u8]) -> Self {
         Fingerprint(Sha256::digest(bytes).into())
     }
+
+    /// Whether both are equal, in a time that does not depend on where they differ.
+    pub fn same(&self, other: &Fingerprint) -> bool {
+        let mut difference = 0;
+        for (one, another) in self.0.iter().zip(other.0) {
+            difference |= std::hint::black_box(one ^ another);
+        }
+        difference == 0
+    }
 }
 
 impl fmt::Display for Fingerprint {
