--- /dev/null
+++ b/crates/mustardway_admin/tests/access.rs
@@ -0,0 +1,86 @@
+//! Who may ask, and where the API listens.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use common::{Fake, TOKEN, ask, server};
+use mustardway_admin::server::{Error, Server, Settings};
+use mustardway_admin::token::Token;
+
+#[tokio::test]
+async fn token_wanted() {
+    let server = server(Some(TOKEN), true).await;
+    let wrong = [
+        String::new(),
+        "authorization: Bearer\r\n".into(),
+        format!("authorization: {TOKEN}\r\n"),
+        format!("authorization: Basic {TOKEN}\r\n"),
+        format!("authorization: Bearer {TOKEN}0\r\n"),
+        format!("authorization: Bearer {}\r\n", &TOKEN[1..]),
+        format!("authorization: Bearer {}\r\n", TOKEN.to_uppercase()),
+    ];
+    for header in &wrong {
+        for request in ["GET /status", "POST /drain", "GET /nothing"] {
+            let (status, body) = ask(server.address(), request, header).await;
+            assert_eq!(status, 401, "{request} {header}");
+            assert!(body.contains("\"error\""), "{body}");
+            assert!(!body.contains(TOKEN));
+        }
+    }
+    let right = format!("authorization: Bearer {TOKEN}\r\n");
+    assert_eq!(ask(server.address(), "GET /status", &right).await.0, 200);
+}
+
+#[tokio::test]
+async fn open_paths() {
+    let server = server(Some(TOKEN), true).await;
+    assert_eq!(ask(server.address(), "GET /live", "").await.0, 200);
+    assert_eq!(ask(server.address(), "GET /ready", "").await.0, 200);
+    // Only these very paths are open.
+    assert_eq!(ask(server.address(), "GET /live/", "").await.0, 401);
+}
+
+#[tokio::test]
+async fn beyond_loopback() {
+    let settings = Settings { listen: "0.0.0.0:0".parse().unwrap(), token: None };
+    let refused = Server::start(settings, Arc::new(Fake::default())).await;
+    assert_matches!(refused, Err(Error::TokenNeeded(_)));
+}
+
+#[tokio::test]
+async fn address_taken() {
+    let first = server(None, true).await;
+    let settings = Settings { listen: first.address(), token: None };
+    let refused = Server::start(settings, Arc::new(Fake::default())).await;
+    assert_matches!(refused, Err(Error::Listen { .. }));
+}
+
+#[tokio::test]
+async fn stop_frees_address() {
+    let first = server(None, true).await;
+    assert_eq!(ask(first.address(), "GET /live", "").await.0, 200);
+    first.stop();
+    let mut freed = false;
+    for _ in 0..1_000 {
+        let settings = Settings { listen: first.address(), token: None };
+        if Server::start(settings, Arc::new(Fake::default())).await.is_ok() {
+            freed = true;
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    assert!(freed);
+}
+
+#[test]
+fn token_text() {
+    let token: Token = TOKEN.parse().unwrap();
+    assert!(!format!("{token:?}").contains(TOKEN));
+    for text in ["", "short", "0123456789abcde f", "0123456789abcd\u{e9}f"] {
+        let error = text.parse::<Token>().unwrap_err();
+        assert!(text.is_empty() || !error.to_string().contains(text));
+    }
+}
--- /dev/null
+++ b/crates/mustardway_admin/tests/command_line.rs
@@ -0,0 +1,91 @@
+//! The client, its tables and its JSON text.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use assert_matches::assert_matches;
+use common::{TOKEN, server};
+use mustardway_admin::client::{Client, Error};
+use mustardway_admin::report::{Form, Report, text};
+use mustardway_admin::shape;
+use mustardway_telemetry::audit;
+use mustardway_types::{flow, revision};
+
+#[tokio::test]
+async fn each_call() {
+    let server = server(Some(TOKEN), true).await;
+    let client = Client::new(server.address(), Some(TOKEN.parse().unwrap())).unwrap();
+    assert!(client.ready().await.unwrap().ready);
+    assert_eq!(client.status().await.unwrap().flows, 40);
+    assert_eq!(client.view().await.unwrap().revision, revision::Number(7));
+    assert_eq!(client.targets().await.unwrap().targets.len(), 1);
+    assert_eq!(client.flows().await.unwrap().total, 5_000);
+    assert_eq!(client.peers().await.unwrap().peers.len(), 1);
+    assert_eq!(client.promises().await.unwrap().promises.len(), 10);
+    let explained = client.explain(flow::Id(0xaa), "10.0.0.1:443".parse().unwrap()).await;
+    assert_eq!(explained.unwrap().flow, "00000000000000aa");
+    assert_eq!(client.drain().await.unwrap().state, shape::State::Draining);
+    assert_eq!(client.undrain().await.unwrap().state, shape::State::Serving);
+}
+
+#[tokio::test]
+async fn audit_verifies() {
+    let server = server(None, true).await;
+    let client = Client::new(server.address(), None).unwrap();
+    let answer = client.audit().await.unwrap();
+    assert_eq!(audit::verify(&answer.records), Ok(()));
+    assert_eq!(answer.records.last().unwrap().hash, answer.head.hash);
+}
+
+#[tokio::test]
+async fn refusals() {
+    let server = server(Some(TOKEN), true).await;
+    let stranger = Client::new(server.address(), None).unwrap();
+    assert_matches!(stranger.status().await, Err(Error::Refused { status: 401, .. }));
+    let client = Client::new(server.address(), Some(TOKEN.parse().unwrap())).unwrap();
+    assert_matches!(client.undrain().await, Err(Error::Refused { status: 409, .. }));
+}
+
+#[tokio::test]
+async fn not_ready() {
+    let server = server(None, false).await;
+    let client = Client::new(server.address(), None).unwrap();
+    assert!(!client.ready().await.unwrap().ready);
+    assert_matches!(client.view().await, Err(Error::Refused { status: 503, .. }));
+}
+
+#[tokio::test]
+async fn unreachable() {
+    let server = server(None, true).await;
+    let address = server.address();
+    server.stop();
+    let client = Client::new(address, None).unwrap();
+    let mut refused = false;
+    for _ in 0..1_000 {
+        refused = matches!(client.status().await, Err(Error::Unreachable(_)));
+        if refused {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    assert!(refused);
+}
+
+#[tokio::test]
+async fn printed() {
+    let server = server(None, true).await;
+    let client = Client::new(server.address(), None).unwrap();
+    let targets = client.targets().await.unwrap();
+    let lines = [
+        "target  service           domain   endpoint        owner  state  running  queued  flows",
+        "t1      central-reservas  rosario  127.0.2.1:9000  e1     cold   1/2      0       9",
+    ];
+    assert_eq!(text(&targets, Form::Table), lines.join("\n") + "\n");
+    let read: shape::Targets = serde_json::from_str(&text(&targets, Form::Json)).unwrap();
+    assert_eq!(read, targets);
+
+    let audit = text(&client.audit().await.unwrap(), Form::Table);
+    assert!(audit.contains("failure domain rosario: in -> out"), "{audit}");
+    let status = client.status().await.unwrap().table().to_string();
+    assert!(status.contains("state           serving"), "{status}");
+}
--- /dev/null
+++ b/crates/mustardway_admin/tests/common/mod.rs
@@ -0,0 +1,157 @@
+//! A desk that answers fixed values, and bare HTTP towards it.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+
+use mustardway_admin::desk::Desk;
+use mustardway_admin::error::Error;
+use mustardway_admin::server::{Server, Settings};
+use mustardway_admin::shape;
+use mustardway_telemetry::promise::{self, Promise, Verdict};
+use mustardway_telemetry::{audit, tally};
+use mustardway_types::answer::Reason;
+use mustardway_types::{address, flow, instance, revision, time};
+use mustardway_view::model::View;
+use slog::{Discard, Logger, o};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+pub const TOKEN: &str = "0123456789abcdef";
+
+/// A desk of a test.
+#[derive(Default)]
+pub struct Fake {
+    pub started: bool,
+    pub draining: AtomicBool,
+}
+
+impl Desk for Fake {
+    fn live(&self) -> shape::Live {
+        shape::Live { id: "e1".parse().unwrap(), live: true }
+    }
+
+    fn ready(&self) -> shape::Ready {
+        let reason = (!self.started).then(|| "no configuration is in force yet".into());
+        shape::Ready { ready: self.started, reason }
+    }
+
+    fn status(&self) -> shape::Status {
+        shape::Status {
+            id: "e1".parse().unwrap(),
+            domain: "rosario".parse().unwrap(),
+            incarnation: instance::Incarnation(3),
+            state: shape::State::Serving,
+            up: time::Span::seconds(90),
+            revision: revision::Number(7),
+            digest: "00000000000000ff".into(),
+            peers: 7,
+            targets_owned: 2,
+            flows: 40,
+            running: 3,
+            queued: 1,
+            platform_calls: 12,
+        }
+    }
+
+    fn view(&self) -> Option<Arc<View>> {
+        let view = View { revision: revision::Number(7), ..View::default() };
+        self.started.then(|| Arc::new(view))
+    }
+
+    fn targets(&self) -> shape::Targets {
+        let load = shape::Load { state: "cold".into(), running: 1, slots: 2, queued: 0, flows: 9 };
+        let target = shape::Target {
+            id: "t1".parse().unwrap(),
+            service: "central-reservas".parse().unwrap(),
+            domain: "rosario".parse().unwrap(),
+            endpoint: "127.0.2.1:9000".parse().unwrap(),
+            owner: Some("e1".parse().unwrap()),
+            load: Some(load),
+        };
+        shape::Targets { targets: vec![target] }
+    }
+
+    fn flows(&self, shown_max: usize) -> shape::Flows {
+        let flow = shape::Flow {
+            id: "00000000000000aa".into(),
+            address: "10.0.0.1:443".parse().unwrap(),
+            target: "t1".parse().unwrap(),
+            idle: time::Span::millis(250),
+        };
+        shape::Flows { total: 5_000, shown: vec![flow; shown_max.min(5_000)] }
+    }
+
+    fn peers(&self) -> shape::Peers {
+        let peer = shape::Peer {
+            id: "e2".parse().unwrap(),
+            domain: "cordoba".parse().unwrap(),
+            address: "127.0.1.2:7000".parse().unwrap(),
+            state: "live".into(),
+            heard: Some(time::Span::millis(100)),
+            revision: revision::Number(7),
+        };
+        shape::Peers { peers: vec![peer] }
+    }
+
+    fn audit(&self) -> shape::Audit {
+        let trail = audit::Trail::new(10, Logger::root(Discard, o!()));
+        let event = audit::Event::Adopted {
+            revision: revision::Number(7),
+            digest: revision::Digest(255),
+            files: Vec::new(),
+            changes: vec!["failure domain rosario: in -> out".into()],
+        };
+        trail.write(audit::Time(1_500_000), event);
+        shape::Audit::of(&trail)
+    }
+
+    fn promises(&self) -> shape::Promises {
+        let promises = promise::Counters::default();
+        promises.add(Promise::AtMostOnce, Verdict::Kept);
+        let answers = tally::Tally::default();
+        answers.add(Reason::Full);
+        shape::Promises { promises: promises.counts(), answers: answers.counts() }
+    }
+
+    fn explain(&self, flow: flow::Id, address: address::Address) -> shape::Explanation {
+        let mut explanation = shape::Explanation::new(flow, address);
+        explanation.steps.push("no service has the address".into());
+        explanation
+    }
+
+    fn drain(&self) -> Result<shape::Command, Error> {
+        self.draining.store(true, Relaxed);
+        Ok(shape::Command { state: shape::State::Draining })
+    }
+
+    fn undrain(&self) -> Result<shape::Command, Error> {
+        if !self.draining.swap(false, Relaxed) {
+            return Err(Error::Conflict("the instance is not draining".into()));
+        }
+        Ok(shape::Command { state: shape::State::Serving })
+    }
+}
+
+/// The API on loopback before a desk.
+pub async fn server(token: Option<&str>, started: bool) -> Server {
+    let settings = Settings {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        token: token.map(|token| token.parse().unwrap()),
+    };
+    let desk = Fake { started, ..Fake::default() };
+    Server::start(settings, Arc::new(desk)).await.unwrap()
+}
+
+/// Status and body of one bare request; `headers` end with line breaks.
+pub async fn ask(address: SocketAddr, request: &str, headers: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let text = format!("{request} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}\r\n");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    let status = answer.split(' ').nth(1).unwrap().parse().unwrap();
+    let body = answer.split_once("\r\n\r\n").unwrap().1.to_owned();
+    (status, body)
+}
