Run an instance by its settings, with the administration API, the audit trail and a planned stop

Cause: the thin start read its settings without checks and had no desk. Change: crates mustardway_command (run, signals) and the desk and trail of the runtime; the thin start is gone.

--- /dev/null
+++ b/crates/mustardway_runtime/src/desk.rs
@@ -0,0 +1,302 @@
+//! What operators are told of this instance, and what they may order.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use compact_str::{CompactString, ToCompactString, format_compact};
+use mustardway_admin::desk::Desk;
+use mustardway_admin::error::Error;
+use mustardway_admin::shape;
+use mustardway_gate::{Gate, Tenure};
+use mustardway_membership::member;
+use mustardway_routing::attempt::{Attempt, Step};
+use mustardway_telemetry::audit::Trail;
+use mustardway_telemetry::promise::Counters;
+use mustardway_types::packet::Header;
+use mustardway_types::request::{Repeat, Urgency};
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{address, domain, flow, instance, request};
+use mustardway_view::model::View;
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::mpsc;
+
+use crate::control::{Order, Report};
+use crate::node::Node;
+
+/// Deadline that an explanation assumes.
+const DEADLINE: Span = Span::seconds(5);
+
+/// The desk of one instance.
+pub struct Counter {
+    /// Its tables.
+    pub node: Arc<Node>,
+    /// What its control loop reports.
+    pub report: Arc<RwLock<Report>>,
+    /// Orders to its control loop.
+    pub orders: mpsc::Sender<Order>,
+    /// Its failure domain.
+    pub domain: domain::Name,
+    /// Its incarnation.
+    pub incarnation: instance::Incarnation,
+    /// Its audit trail.
+    pub trail: Arc<Trail>,
+    /// Its promises.
+    pub promises: Arc<Counters>,
+    /// Whether it drains.
+    pub draining: AtomicBool,
+    /// When it started.
+    pub started: Instant,
+}
+
+impl Counter {
+    fn state(&self) -> shape::State {
+        if self.draining.load(Ordering::Relaxed) {
+            return shape::State::Draining;
+        }
+        if self.node.snapshot().plan.is_none() {
+            return shape::State::Starting;
+        }
+        if self.node.is_fenced() {
+            return shape::State::Fenced;
+        }
+        shape::State::Serving
+    }
+
+    fn gates(&self) -> Vec<Arc<Mutex<Gate>>> {
+        self.node.gates.read().values().cloned().collect()
+    }
+
+    fn order(&self, order: Order, draining: bool) -> Result<shape::Command, Error> {
+        if self.draining.swap(draining, Ordering::Relaxed) == draining {
+            let state = if draining { "drains already" } else { "does not drain" };
+            return Err(Error::Conflict(format_compact!("this instance {state}")));
+        }
+        if self.orders.try_send(order).is_err() {
+            return Err(Error::Conflict("this instance is stopping".into()));
+        }
+        Ok(shape::Command { state: self.state() })
+    }
+}
+
+impl Desk for Counter {
+    fn live(&self) -> shape::Live {
+        shape::Live { id: self.node.me.clone(), live: true }
+    }
+
+    fn ready(&self) -> shape::Ready {
+        let draining = self.draining.load(Ordering::Relaxed);
+        let ready = self.report.read().is_ready && !draining;
+        let reason = match self.state() {
+            shape::State::Starting => "no configuration is in force yet",
+            shape::State::Fenced => "the peers have not been heard yet",
+            shape::State::Draining => "it is draining",
+            shape::State::Serving => "it waits for targets that others hand over",
+        };
+        shape::Ready { ready, reason: (!ready).then(|| reason.into()) }
+    }
+
+    fn status(&self) -> shape::Status {
+        let now = self.node.clock.now();
+        let snapshot = self.node.snapshot();
+        let view = snapshot.plan.as_ref().map(|plan| &plan.view);
+        let (mut owned, mut flows, mut running, mut queued) = (0, 0, 0, 0);
+        for gate in self.gates() {
+            let gate = gate.lock();
+            let load = gate.load(now);
+            owned += u64::from(matches!(gate.tenure(), Tenure::Serving { .. }));
+            flows += u64::from(load.flows);
+            running += u64::from(load.running);
+            queued += u64::from(load.queued);
+        }
+        shape::Status {
+            id: self.node.me.clone(),
+            domain: self.domain.clone(),
+            incarnation: self.incarnation,
+            state: self.state(),
+            up: now.since(self.started),
+            revision: view.map(|view| view.revision).unwrap_or_default(),
+            digest: view.map(|view| view.digest).unwrap_or_default().to_compact_string(),
+            peers: snapshot.live.len().saturating_sub(1) as u64,
+            targets_owned: owned,
+            flows,
+            running,
+            queued,
+            platform_calls: self.report.read().reads,
+        }
+    }
+
+    fn view(&self) -> Option<Arc<View>> {
+        self.node.snapshot().plan.as_ref().map(|plan| Arc::clone(&plan.view))
+    }
+
+    fn targets(&self) -> shape::Targets {
+        let now = self.node.clock.now();
+        let snapshot = self.node.snapshot();
+        let mut targets = Vec::new();
+        let view = snapshot.plan.as_ref().map(|plan| &plan.view);
+        for (id, target) in view.iter().flat_map(|view| &view.targets) {
+            targets.push(shape::Target {
+                id: id.clone(),
+                service: target.service.clone(),
+                domain: target.domain.clone(),
+                endpoint: target.endpoint,
+                owner: snapshot.owner(id).map(|owner| owner.id.clone()),
+                load: self.node.gate(id).map(|gate| load(&gate.lock(), now)),
+            });
+        }
+        shape::Targets { targets }
+    }
+
+    fn flows(&self, shown_max: usize) -> shape::Flows {
+        let snapshot = self.node.snapshot();
+        let (mut total, mut shown) = (0, Vec::new());
+        for gate in self.gates() {
+            let gate = gate.lock();
+            total += gate.flows() as u64;
+            let room = shown_max.saturating_sub(shown.len());
+            for id in gate.flow_ids().into_iter().take(room) {
+                shown.extend(self.flow(&snapshot, &gate, id));
+            }
+        }
+        shape::Flows { total, shown }
+    }
+
+    fn peers(&self) -> shape::Peers {
+        let report = self.report.read();
+        let mut peers = Vec::with_capacity(report.peers.len());
+        for peer in &report.peers {
+            if peer.id == self.node.me {
+                continue;
+            }
+            peers.push(shape::Peer {
+                id: peer.id.clone(),
+                domain: peer.domain.clone(),
+                address: peer.address,
+                state: state_name(peer.state),
+                heard: None,
+                revision: peer.revision,
+            });
+        }
+        shape::Peers { peers }
+    }
+
+    fn audit(&self) -> shape::Audit {
+        shape::Audit::of(&self.trail)
+    }
+
+    fn promises(&self) -> shape::Promises {
+        shape::Promises { promises: self.promises.counts(), answers: self.node.answers.counts() }
+    }
+
+    fn explain(&self, flow: flow::Id, address: address::Address) -> shape::Explanation {
+        let snapshot = self.node.snapshot();
+        let mut explanation = shape::Explanation::new(flow, address);
+        let plan = snapshot.plan.as_ref();
+        explanation.service = plan.and_then(|plan| plan.view.addresses.get(&address).cloned());
+        let cached = self.node.cache(flow).lock().get(flow).cloned();
+        if let Some(target) = &cached {
+            explanation.steps.push(format_compact!("this instance has sent it to {target} before"));
+        }
+        for gate in self.gates() {
+            let gate = gate.lock();
+            let known = gate.explain(self.node.clock.now(), flow);
+            if known != mustardway_gate::query::Explanation::Unknown {
+                explanation.steps.push(format_compact!("the gate of {}: {known:?}", gate.target()));
+            }
+        }
+        let header = probe_header(flow, address);
+        let now = self.node.clock.now();
+        let (attempt, step) = Attempt::start(header, now + DEADLINE, cached, &snapshot, now);
+        for (target, mode) in attempt.visits() {
+            let owner = snapshot.owner(target).map(|owner| owner.id.to_compact_string());
+            let owner = owner.unwrap_or_else(|| "nobody".into());
+            explanation.steps.push(format_compact!("asks {owner} about {target}: {mode:?}"));
+        }
+        match step {
+            Step::Ask(ask) => {
+                explanation.target = Some(ask.target);
+                explanation.owner = Some(ask.owner);
+            }
+            Step::Answer(answer) => explanation.steps.push(answer.reason.to_compact_string()),
+            Step::Pause(_) => {}
+        }
+        explanation
+    }
+
+    fn drain(&self) -> Result<shape::Command, Error> {
+        self.order(Order::Leave, true)
+    }
+
+    fn undrain(&self) -> Result<shape::Command, Error> {
+        self.order(Order::Return, false)
+    }
+}
+
+impl Counter {
+    /// One flow of a gate, as operators see it.
+    fn flow(
+        &self,
+        snapshot: &mustardway_routing::snapshot::Snapshot,
+        gate: &Gate,
+        id: flow::Id,
+    ) -> Option<shape::Flow> {
+        let now = self.node.clock.now();
+        let service = &snapshot.target(gate.target())?.service;
+        let plan = snapshot.plan.as_ref()?;
+        let address = *plan.view.services.get(service)?.addresses.first()?;
+        let idle = match gate.explain(now, id) {
+            mustardway_gate::query::Explanation::Open { idle, .. } => idle,
+            _ => Span::ZERO,
+        };
+        Some(shape::Flow {
+            id: id.to_compact_string(),
+            address,
+            target: gate.target().clone(),
+            idle,
+        })
+    }
+}
+
+fn load(gate: &Gate, now: Instant) -> shape::Load {
+    let load = gate.load(now);
+    let state = match gate.tenure() {
+        Tenure::Pending { .. } => "pending",
+        Tenure::Closed { .. } => "handed-over",
+        Tenure::Serving { .. } if load.warmth < 1.0 => "ramping",
+        Tenure::Serving { .. } => "serving",
+    };
+    shape::Load {
+        state: state.into(),
+        running: u64::from(load.running),
+        slots: u64::from(load.allowed),
+        queued: u64::from(load.queued),
+        flows: u64::from(load.flows),
+    }
+}
+
+fn state_name(state: member::State) -> CompactString {
+    match state {
+        member::State::Alive => "alive",
+        member::State::Suspect => "suspect",
+        member::State::Leaving => "leaving",
+        member::State::Dead => "dead",
+        member::State::Left => "left",
+    }
+    .into()
+}
+
+/// The header of a first packet, to explain where it would go.
+fn probe_header(flow: flow::Id, address: address::Address) -> Header {
+    Header {
+        address,
+        flow,
+        request: request::Id(0),
+        part: 0,
+        parts: 1,
+        opening: true,
+        closing: false,
+        repeat: Repeat::Idempotent,
+        attempt: 1,
+        urgency: Urgency::Ordinary,
+    }
+}
--- a/crates/mustardway_runtime/src/lib.rs
+++ b/crates/mustardway_runtime/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`clock`]: the instance's clock.
 //! - [`control`]: membership, configuration and what follows from their changes.
 //! - [`custody`]: gates that are opened, handed over and closed.
+//! - [`desk`]: what operators are told and may order.
 //! - [`forwarded`]: requests known to have been sent to an owner.
 //! - [`front`]: packets of callers.
 //! - [`ingress`]: a packet from its arrival to its answer.
@@ -20,11 +21,13 @@
 //! - [`relay`]: asks on their way to other instances.
 //! - [`run`]: the start and the planned stop.
 //! - [`ticket_table`]: who waits for what a gate decides.
+//! - [`trail`]: what the audit trail is told.
 //! - [`upstream`]: calls to targets.
 
 pub mod clock;
 pub mod control;
 pub mod custody;
+pub mod desk;
 pub mod forwarded;
 pub mod front;
 pub mod ingress;
@@ -36,4 +39,5 @@
 pub mod relay;
 pub mod run;
 pub mod ticket_table;
+pub mod trail;
 pub mod upstream;
--- a/crates/mustardway_runtime/src/node.rs
+++ b/crates/mustardway_runtime/src/node.rs
@@ -14,6 +14,7 @@
 use mustardway_routing::budget::Budget;
 use mustardway_routing::cache::Cache;
 use mustardway_routing::snapshot::Snapshot;
+use mustardway_telemetry::tally::Tally;
 use mustardway_types::answer::Reason;
 use mustardway_types::time::{Instant, Span};
 use mustardway_types::{flow, instance, target};
@@ -60,8 +61,8 @@
     pub logger: slog::Logger,
     /// Packets at their ingress that have no answer yet.
     pub in_flight: AtomicU64,
-    /// Answers by reason, in the order of the table.
-    pub answers: [AtomicU64; mustardway_types::answer::TABLE.len()],
+    /// Answers to callers by reason.
+    pub answers: Tally,
     snapshot: RwLock<Arc<Snapshot>>,
     cache: Vec<Mutex<Cache>>,
     loads: Mutex<HashMap<target::Id, f64>>,
@@ -88,7 +89,7 @@
             upstream: upstream::Pool::default(),
             logger,
             in_flight: AtomicU64::new(0),
-            answers: std::array::from_fn(|_| AtomicU64::new(0)),
+            answers: Tally::default(),
             cache: std::iter::repeat_with(shard).take(CACHE_SHARDS).collect(),
             loads: Mutex::default(),
             fenced: AtomicBool::new(true),
@@ -156,7 +157,7 @@
 
     /// Counts an answer.
     pub fn count(&self, reason: Reason) {
-        self.answers[reason as usize].fetch_add(1, Ordering::Relaxed);
+        self.answers.add(reason);
     }
 
     /// Sends a message to another instance; it may be lost.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,5 @@
-//! The mustardway binary.
-
-mod thin;
+//! The mustardway binary: see the crate `mustardway_command`.
 
 fn main() -> std::process::ExitCode {
-    thin::main()
+    mustardway_command::main()
 }
