--- a/crates/mustardway_routing/tests/packet_steps.rs
+++ b/crates/mustardway_routing/tests/packet_steps.rs
@@ -27,8 +27,8 @@
     assert_matches!(step, Step::Ask(ask) => ask)
 }
 
-fn answered(step: Step) -> Answer {
-    assert_matches!(step, Step::Answer(answer) => answer)
+fn answered(step: &Step) -> Answer {
+    assert_matches!(step, Step::Answer(answer) => *answer)
 }
 
 #[test]
@@ -52,7 +52,7 @@
     let ask = asked(attempt.reply(Reply::Answer(full), &snapshot, &mut budget, NOW));
     assert_eq!(ask.target, first_two(&snapshot, 5).1);
     let fuller = Answer::come_back(Reason::Full, Span::millis(900));
-    let answer = answered(attempt.reply(Reply::Answer(fuller), &snapshot, &mut budget, NOW));
+    let answer = answered(&attempt.reply(Reply::Answer(fuller), &snapshot, &mut budget, NOW));
     assert_eq!(answer, full);
 }
 
@@ -81,7 +81,7 @@
 fn lost_once_is_unknown() {
     let snapshot = snapshot(view(14), live(2));
     let (mut attempt, _) = Attempt::start(header(5), DEADLINE, None, &snapshot, NOW);
-    let answer = answered(attempt.reply(Reply::Lost, &snapshot, &mut Budget::default(), NOW));
+    let answer = answered(&attempt.reply(Reply::Lost, &snapshot, &mut Budget::default(), NOW));
     assert_eq!(answer.kind(), Kind::Unknown);
 }
 
@@ -93,7 +93,7 @@
     let mut budget = Budget::default();
     assert_matches!(attempt.reply(Reply::Lost, &snapshot, &mut budget, NOW), Step::Pause(_));
     assert_matches!(attempt.resume(&snapshot), Step::Ask(_));
-    let answer = answered(attempt.reply(Reply::Lost, &snapshot, &mut budget, NOW));
+    let answer = answered(&attempt.reply(Reply::Lost, &snapshot, &mut budget, NOW));
     assert_eq!(answer.reason, Reason::OwnerLost);
 }
 
@@ -104,7 +104,7 @@
     while budget.spend() {}
     let header = mustardway_types::packet::Header { repeat: Repeat::Idempotent, ..header(5) };
     let (mut attempt, _) = Attempt::start(header, DEADLINE, None, &snapshot, NOW);
-    let answer = answered(attempt.reply(Reply::Lost, &snapshot, &mut budget, NOW));
+    let answer = answered(&attempt.reply(Reply::Lost, &snapshot, &mut budget, NOW));
     assert_eq!(answer.reason, Reason::OwnerLost);
 }
 
@@ -193,7 +193,7 @@
     changed.domains.get_mut(&"cordoba".parse().unwrap()).unwrap().state = DomainState::Out;
     let snapshot = snapshot(changed, live(2));
     let (_, step) = Attempt::start(header(5), DEADLINE, Some(target(0)), &snapshot, NOW);
-    assert_eq!(answered(step).reason, Reason::DomainOut);
+    assert_eq!(answered(&step).reason, Reason::DomainOut);
 }
 
 #[test]
@@ -242,7 +242,7 @@
     let mut snapshot = snapshot(view(14), live(2));
     snapshot.quarantined.insert(address());
     let (_, step) = Attempt::start(header(5), DEADLINE, None, &snapshot, NOW);
-    let answer = answered(step);
+    let answer = answered(&step);
     assert_eq!(answer.reason, Reason::Quarantined);
     assert!(answer.come_back.is_some());
 }
@@ -251,7 +251,7 @@
 fn no_view_refused() {
     let snapshot = Snapshot::empty("rosario-0".parse().unwrap());
     let (_, step) = Attempt::start(header(5), DEADLINE, None, &snapshot, NOW);
-    assert_eq!(answered(step).reason, Reason::NoView);
+    assert_eq!(answered(&step).reason, Reason::NoView);
 }
 
 #[test]
@@ -260,7 +260,7 @@
     let address = "10.9.9.9:1".parse().unwrap();
     let header = mustardway_types::packet::Header { address, ..header(5) };
     let (_, step) = Attempt::start(header, DEADLINE, None, &snapshot, NOW);
-    assert_eq!(answered(step).kind(), Kind::BadRequest);
+    assert_eq!(answered(&step).kind(), Kind::BadRequest);
 }
 
 #[test]
@@ -281,6 +281,6 @@
     let snapshot = snapshot(view(14), live(2));
     let (mut attempt, _) = Attempt::start(header(5), DEADLINE, None, &snapshot, NOW);
     let wait = Reply::Wait(Span::seconds(10));
-    let answer = answered(attempt.reply(wait, &snapshot, &mut Budget::default(), NOW));
+    let answer = answered(&attempt.reply(wait, &snapshot, &mut Budget::default(), NOW));
     assert_eq!(answer.kind(), Kind::Refused);
 }
