Drive gates with random events against the truth of every execution

Cause: at most once and 'not run' rest on many small rules across owners. Seen in the first runs, each mended here: 'flow ended' told of a repeated request after its domain was taken out; a flow opened at its second target though its first one had just lost its memory; refusals lost in a handover; a pending gate that handed over as if it were complete; a closed gate that received on top of its stale flows. Change: TryNext apart from Answer, with 'whole'; refusals are handed over and counted until every ingress has reported; set_contested, take_over, doubt. Ruled out: a fault that hides announced requests, since the memory rules alone already answer those cases 'outcome unknown' where attempts do not overlap.

--- a/crates/mustardway_gate/src/admit.rs
+++ b/crates/mustardway_gate/src/admit.rs
@@ -42,7 +42,13 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Mode {
     /// A new flow may be placed here.
-    Open(Choice),
+    Open {
+        /// Whether the ingress has another target for it.
+        choice: Choice,
+        /// False where the owner of an earlier target said in its [`Refusal`] or its
+        /// [`Admission::Reserved`] that the flow may have had requests before; else true.
+        whole: bool,
+    },
     /// The flow must be known here.
     Established,
     /// An unknown flow is marked as placed on another target, before it is opened there.
@@ -61,6 +67,15 @@
     Last,
 }
 
+/// Why a flow is not opened here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// The answer, where there is no next target.
+    pub answer: answer::Answer,
+    /// Whether no request of the flow can have run before.
+    pub whole: bool,
+}
+
 /// How a gate answers an ask.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Admission {
@@ -70,12 +85,22 @@
     Queued,
     /// It is answered; the ticket is over.
     Answer(answer::Answer),
+    /// Its flow is not opened here; the ticket is over. The ingress may open it at its next
+    /// target, and reports by [`Gate::place_elsewhere`] or [`Gate::place_nowhere`]. With no
+    /// next target this is the answer.
+    TryNext(Refusal),
     /// It ran before, with this reply; the ticket is over.
     Replay(Bytes),
     /// It gets the outcome of this ticket; its own ticket is over.
     Join(ticket::Id),
     /// Its flow is on this target; the ticket is over.
     Moved(target::Id),
+    /// Its flow is not known here and is now marked as placed on the target of
+    /// [`Mode::Reserve`]; the ticket is over.
+    Reserved {
+        /// Whether no request of the flow can have run before.
+        whole: bool,
+    },
     /// Its flow is not known here; the ticket is over.
     UnknownFlow,
     /// This instance may judge it, if any is known; the ticket is over.
@@ -87,7 +112,7 @@
 /// Where the flow of a packet stands.
 enum Standing {
     /// It is open here.
-    Known(time::Instant),
+    Known,
     /// It may be opened here.
     New,
 }
@@ -112,7 +137,10 @@
             Some(Memo::Done(reply)) => return Admission::Replay(reply.clone()),
             Some(Memo::Unknown) => return forgotten(),
             Some(Memo::Elsewhere { at, .. }) => return Admission::NotOwner(Some(at.clone())),
-            Some(Memo::NotRun) | None => {}
+            Some(Memo::NotRun { attempt }) if ask.header.attempt <= *attempt => {
+                return Admission::Answer(self.refusal(now, answer::Reason::TooLate));
+            }
+            Some(Memo::NotRun { .. }) | None => {}
         }
         match &self.tenure {
             Tenure::Pending { until } => return Admission::Wait(until.since(now)),
@@ -120,14 +148,10 @@
             Tenure::Serving { .. } => {}
         }
         let repeated = once && ask.header.attempt > 1;
-        let standing = match self.stand(now, ask, repeated) {
-            Ok(standing) => standing,
-            Err(admission) => return admission,
-        };
-        if repeated && !self.cannot_have_run(now, key, memo.is_some(), &standing) {
-            return forgotten();
+        match self.stand(now, ask, repeated) {
+            Ok(standing) => self.start_or_queue(now, ask, &standing, steps),
+            Err(admission) => admission,
         }
-        self.start_or_queue(now, ask, &standing, steps)
     }
 
     /// Lets a duplicate of a request that runs or waits join it.
@@ -136,6 +160,7 @@
         let latest = self.latest_start(now, ask.deadline);
         let job = self.jobs.get_mut(ticket)?;
         job.joined += 1;
+        job.attempt = job.attempt.max(ask.header.attempt);
         if ask.deadline <= job.deadline {
             return Some(Admission::Join(ticket));
         }
@@ -156,20 +181,25 @@
         ask: &Ask,
         repeated: bool,
     ) -> Result<Standing, Admission> {
-        let id = ask.header.flow;
+        let (id, key) = (ask.header.flow, Key::of(&ask.header));
         if let Some(flow) = self.flows.get(id) {
-            return Ok(Standing::Known(flow.opened()));
+            let opened = flow.opened();
+            let certain = self.memory.is_known_unrun(key) || self.memory.is_new(key, opened);
+            return if repeated && !certain { Err(forgotten()) } else { Ok(Standing::Known) };
         }
         if let Some(admission) = self.marked(now, ask) {
             return Err(admission);
         }
+        if repeated && ask.mode != Mode::Established && !self.is_new_here(now, key) {
+            return Err(forgotten());
+        }
         match &ask.mode {
-            Mode::Established => Err(self.unknown(Key::of(&ask.header), repeated)),
+            Mode::Established => Err(self.unknown(now, key, repeated)),
             Mode::Reserve { elsewhere } => {
                 self.markers.set(now, id, Marker::Placed(elsewhere.clone()));
-                Err(Admission::Moved(elsewhere.clone()))
+                Err(Admission::Reserved { whole: self.memory.is_whole(now, id) })
             }
-            Mode::Open(choice) => self.open(now, ask, *choice),
+            Mode::Open { choice, .. } => self.open(now, ask, *choice),
         }
     }
 
@@ -178,17 +208,18 @@
         let id = ask.header.flow;
         let admission = match self.markers.get(now, id)? {
             Marker::Placed(target) => Admission::Moved(target.clone()),
-            Marker::Refused { soft: true, .. } if ask.mode == Mode::Open(Choice::Last) => {
-                return None;
-            }
-            Marker::Refused { answer, .. } => Admission::Answer(*answer),
+            Marker::Refused { soft: true, .. } if is_last(&ask.mode) => return None,
+            Marker::Refused { refusal, .. } => Admission::TryNext(*refusal),
         };
-        self.markers.touch(now, id);
+        self.markers.tell(now, id);
         Some(admission)
     }
 
     /// What to say of a flow that is not known here.
-    fn unknown(&self, key: Key, repeated: bool) -> Admission {
+    fn unknown(&self, now: time::Instant, key: Key, repeated: bool) -> Admission {
+        if self.out && repeated && !self.is_new_here(now, key) {
+            return forgotten();
+        }
         if self.out {
             return Admission::Answer(answer::Answer::new(answer::Reason::DomainOut));
         }
@@ -216,7 +247,7 @@
         } else {
             return Ok(Standing::New);
         };
-        Err(Admission::Answer(self.refuse_opening(now, ask, reason, soft)))
+        Err(Admission::TryNext(self.refuse_opening(now, ask, reason, soft)))
     }
 
     fn is_above_mean(&self, now: time::Instant) -> bool {
@@ -231,25 +262,17 @@
         ask: &Ask,
         reason: answer::Reason,
         soft: bool,
-    ) -> answer::Answer {
-        let answer = self.refusal(now, reason);
-        self.markers.set(now, ask.header.flow, Marker::Refused { answer, soft });
-        answer
+    ) -> Refusal {
+        let flow = ask.header.flow;
+        let whole = is_whole(&ask.mode) && self.memory.is_whole(now, flow);
+        let refusal = Refusal { answer: self.refusal(now, reason), whole };
+        self.markers.set(now, flow, Marker::Refused { refusal, soft, open: 1 });
+        refusal
     }
 
-    /// Whether a repeated request without a known end has certainly not run.
-    fn cannot_have_run(
-        &self,
-        now: time::Instant,
-        key: Key,
-        known_not_run: bool,
-        standing: &Standing,
-    ) -> bool {
-        match standing {
-            Standing::Known(opened) => known_not_run || self.memory.is_new(key, *opened),
-            Standing::New if known_not_run => !self.memory.is_forgotten(key),
-            Standing::New => self.memory.is_new_flow(now, key),
-        }
+    /// Whether a repeated request on a flow that is not known here has certainly not run.
+    fn is_new_here(&self, now: time::Instant, key: Key) -> bool {
+        self.memory.is_known_unrun(key) || self.memory.is_new_flow(now, key)
     }
 
     /// Starts a request, or lets it wait if it can still be answered in time.
@@ -270,7 +293,7 @@
             self.enqueue(now, ask, steps).err()
         };
         if let Some(reason) = refused {
-            return Admission::Answer(self.refuse(now, ask, standing, reason));
+            return self.refuse(now, ask, standing, reason);
         }
         self.memory.take(Key::of(&ask.header));
         self.note_flow(now, ask, standing);
@@ -281,13 +304,14 @@
     }
 
     fn note_flow(&mut self, now: time::Instant, ask: &Ask, standing: &Standing) {
-        if let Standing::Known(_) = standing {
+        if let Standing::Known = standing {
             self.flows.touch(now, ask.header.flow, false);
             return;
         }
         self.counters.opened += 1;
         self.markers.clear(ask.header.flow);
-        self.flows.open(now, ask.header.flow);
+        let whole = is_whole(&ask.mode) && !self.memory.is_forgotten_flow(ask.header.flow);
+        self.flows.open(now, ask.header.flow, whole);
     }
 
     fn refuse(
@@ -296,14 +320,18 @@
         ask: &Ask,
         standing: &Standing,
         reason: answer::Reason,
-    ) -> answer::Answer {
+    ) -> Admission {
         if matches!(standing, Standing::New) {
-            return self.refuse_opening(now, ask, reason, false);
+            return Admission::TryNext(self.refuse_opening(now, ask, reason, false));
         }
         if ask.header.repeat == request::Repeat::Once {
-            self.memory.keep(now, Key::of(&ask.header), Memo::NotRun);
+            self.memory.keep(
+                now,
+                Key::of(&ask.header),
+                Memo::NotRun { attempt: ask.header.attempt },
+            );
         }
-        self.refusal(now, reason)
+        Admission::Answer(self.refusal(now, reason))
     }
 
     /// Lets a request wait; a reason where it can not.
@@ -360,9 +388,10 @@
             Admission::Run => self.counters.run += 1,
             Admission::Queued => self.counters.queued += 1,
             Admission::Answer(answer) => self.counters.answer(answer.reason),
+            Admission::TryNext(refusal) => self.counters.answer(refusal.answer.reason),
             Admission::Replay(_) => self.counters.replayed += 1,
             Admission::Join(_) => self.counters.joined += 1,
-            Admission::Moved(_) => self.counters.moved += 1,
+            Admission::Moved(_) | Admission::Reserved { .. } => self.counters.moved += 1,
             Admission::UnknownFlow => self.counters.unknown_flow += 1,
             Admission::NotOwner(_) => self.counters.not_owner += 1,
             Admission::Wait(_) => self.counters.wait += 1,
@@ -370,6 +399,16 @@
     }
 }
 
+/// Whether the ingress has no other target for a new flow.
+fn is_last(mode: &Mode) -> bool {
+    matches!(mode, Mode::Open { choice: Choice::Last, .. })
+}
+
+/// Whether no earlier target says that a new flow may have had requests before.
+fn is_whole(mode: &Mode) -> bool {
+    matches!(mode, Mode::Open { whole: true, .. })
+}
+
 fn forgotten() -> Admission {
     Admission::Answer(answer::Answer::new(answer::Reason::Forgotten))
 }
--- a/crates/mustardway_gate/src/counter.rs
+++ b/crates/mustardway_gate/src/counter.rs
@@ -33,8 +33,6 @@
     pub idle: u64,
     /// Ordinary requests that gave way to urgent ones.
     pub evicted: u64,
-    /// Times that the target turned cold.
-    pub turned_cold: u64,
     /// Answers by reason, in the order of [`answer::TABLE`].
     pub answers: [u64; answer::TABLE.len()],
 }
--- a/crates/mustardway_gate/src/finish.rs
+++ b/crates/mustardway_gate/src/finish.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use mustardway_types::{answer, instance, request, time};
 
+use crate::admit::Refusal;
 use crate::flow_table;
 use crate::gate::Gate;
 use crate::job::{Job, State};
@@ -19,6 +20,9 @@
     /// The ticket and those that joined it end with this answer; with
     /// [`answer::Reason::Answered`] it is the reply of the target.
     Answer(ticket::Id, answer::Answer),
+    /// The ticket and those that joined it end without having run, and their flow is not open
+    /// here; what [`crate::Admission::TryNext`] says holds for each of them.
+    TryNext(ticket::Id, Refusal),
     /// The ticket and those that joined it end; another instance may judge them. Not run.
     Redirect(ticket::Id, Option<instance::Id>),
     /// Cancel the call at the target; its outcome is to be told as usual.
@@ -76,8 +80,15 @@
         let Some(job) = self.jobs.remove(ticket) else { return };
         self.learn(now, &job, &outcome);
         let reason = reason(&outcome.ending, cut);
-        self.close(now, &job, reason, outcome.ending);
-        steps.push(self.last_step(now, ticket, &job, reason));
+        let ran_elsewhere = self.ran_elsewhere(&job);
+        let step = if ran_elsewhere && reason.kind().says_not_run() {
+            Step::Answer(ticket, self.final_answer(now, answer::Reason::Forgotten))
+        } else if reason.kind().says_not_run() {
+            self.unrun(now, ticket, &job, reason)
+        } else {
+            self.ran(now, ticket, &job, reason, outcome.ending)
+        };
+        steps.push(step);
         self.start_next(now, steps);
     }
 
@@ -119,6 +130,7 @@
             steps.push(Step::Abort(ticket));
         }
         self.flows.clear();
+        self.memory.doubt(now);
     }
 
     /// Brings the failure domain of the target back: it is cold.
@@ -164,38 +176,62 @@
         steps: &mut Vec<Step>,
     ) {
         let Some(job) = self.jobs.remove(ticket) else { return };
-        self.unrun(now, &job, reason);
-        steps.push(self.last_step(now, ticket, &job, reason));
+        steps.push(self.unrun(now, ticket, &job, reason));
     }
 
-    /// The last step of a job. A flow's opening request that has not run here is for the
-    /// next owner to judge, since that one knows the flow.
-    fn last_step(
+    /// Notes that a request has not run; returns its last step. The flow that it would have
+    /// opened is closed again; where its ingress may still place it, that is remembered.
+    fn unrun(
         &mut self,
         now: time::Instant,
         ticket: ticket::Id,
         job: &Job,
         reason: answer::Reason,
     ) -> Step {
-        if let Tenure::Closed { to } = &self.tenure
-            && job.opening
-            && may_go_elsewhere(reason)
-        {
-            return Step::Redirect(ticket, to.clone());
+        let answer = self.final_answer(now, reason);
+        let whole = self.flows.get(job.key.flow).is_some_and(flow_table::Flow::is_whole);
+        let closed = self.opens_flow(job) && self.flows.close(job.key.flow);
+        if closed && may_go_elsewhere(reason) {
+            let whole = whole && self.memory.is_whole(now, job.key.flow);
+            let refusal = Refusal { answer, whole };
+            let marker = Marker::Refused { refusal, soft: false, open: 1 + job.joined };
+            self.markers.set(now, job.key.flow, marker);
+            return Step::TryNext(ticket, refusal);
         }
-        self.counters.answer(reason);
-        Step::Answer(ticket, self.final_answer(now, reason))
+        if let (Tenure::Closed { to }, true) = (&self.tenure, self.is_redirected(job, reason)) {
+            let to = to.clone();
+            self.remember(now, job, Memo::NotRun { attempt: 0 });
+            return Step::Redirect(ticket, to);
+        }
+        self.remember(now, job, Memo::NotRun { attempt: job.attempt });
+        Step::Answer(ticket, answer)
     }
 
-    /// Notes that a request has not run. The flow that it would have opened is closed again;
-    /// where its ingress may still place it, that is remembered.
-    fn unrun(&mut self, now: time::Instant, job: &Job, reason: answer::Reason) {
-        if self.opens_flow(job) && self.flows.close(job.key.flow) && may_go_elsewhere(reason) {
-            let answer = self.refusal(now, reason);
-            self.markers.set(now, job.key.flow, Marker::Refused { answer, soft: false });
-            return;
+    /// Notes how a request that may have run ended; returns its last step.
+    fn ran(
+        &mut self,
+        now: time::Instant,
+        ticket: ticket::Id,
+        job: &Job,
+        reason: answer::Reason,
+        ending: Ending,
+    ) -> Step {
+        let memo = match ending {
+            Ending::Done(reply) => Memo::Done(reply),
+            _ => Memo::Unknown,
+        };
+        self.remember(now, job, memo);
+        if reason == answer::Reason::Answered && job.closing {
+            self.counters.closed += u64::from(self.flows.close(job.key.flow));
         }
-        self.remember(now, job, Memo::NotRun);
+        self.flows.touch(now, job.key.flow, true);
+        Step::Answer(ticket, self.final_answer(now, reason))
+    }
+
+    /// Whether the next owner is to judge a job that has not run here.
+    fn is_redirected(&self, job: &Job, reason: answer::Reason) -> bool {
+        let closed = matches!(self.tenure, Tenure::Closed { .. });
+        closed && job.opening && may_go_elsewhere(reason)
     }
 
     /// Whether nothing but this job speaks for its flow.
@@ -205,6 +241,11 @@
         serving && job.opening && !ran && !self.jobs.has_flow(job.key.flow)
     }
 
+    /// Whether another owner is known to have run the same request.
+    fn ran_elsewhere(&self, job: &Job) -> bool {
+        job.repeat == request::Repeat::Once && !self.memory.is_unrun(job.key)
+    }
+
     fn remember(&mut self, now: time::Instant, job: &Job, memo: Memo) {
         if matches!(self.tenure, Tenure::Closed { .. }) {
             self.late.add(job, &memo);
@@ -214,24 +255,6 @@
         }
     }
 
-    /// Notes how a request that ran ended.
-    fn close(&mut self, now: time::Instant, job: &Job, reason: answer::Reason, ending: Ending) {
-        if reason.kind().says_not_run() {
-            self.unrun(now, job, reason);
-            return;
-        }
-        let memo = match ending {
-            Ending::Done(reply) => Memo::Done(reply),
-            _ => Memo::Unknown,
-        };
-        self.remember(now, job, memo);
-        if reason == answer::Reason::Answered && job.closing {
-            self.counters.closed += u64::from(self.flows.close(job.key.flow));
-            return;
-        }
-        self.flows.touch(now, job.key.flow, true);
-    }
-
     /// Learns about the target from an outcome.
     fn learn(&mut self, now: time::Instant, job: &Job, outcome: &Outcome) {
         let limits = &self.limits;
@@ -245,6 +268,7 @@
     }
 
     fn final_answer(&mut self, now: time::Instant, reason: answer::Reason) -> answer::Answer {
+        self.counters.answer(reason);
         if reason.kind().has_come_back() {
             return self.refusal(now, reason);
         }
--- a/crates/mustardway_gate/src/flow_table.rs
+++ b/crates/mustardway_gate/src/flow_table.rs
@@ -53,6 +53,11 @@
         Coarse(self.used.0 & !RAN).instant()
     }
 
+    /// Whether it was opened here, with all its requests.
+    pub fn is_whole(&self) -> bool {
+        self.opened > Coarse(0)
+    }
+
     /// Whether one of its requests may have run.
     pub fn ran(&self) -> bool {
         self.used.0 & RAN != 0
@@ -78,10 +83,12 @@
         Table { flows, swept: time::Instant::default() }
     }
 
-    /// Adds a flow that opens now; one that is there stays as it is.
-    pub fn open(&mut self, now: time::Instant, id: flow::Id) {
+    /// Adds a flow that opens now, and with it all its requests if it is `whole`; one that
+    /// is there stays as it is.
+    pub fn open(&mut self, now: time::Instant, id: flow::Id, whole: bool) {
         let now = Coarse::new(now);
-        self.flows.entry(id).or_insert(Flow { opened: now, used: now });
+        let opened = if whole { now } else { Coarse(0) };
+        self.flows.entry(id).or_insert(Flow { opened, used: now });
     }
 
     /// Adds a flow that was opened before; of two opening times the earlier one stays.
--- a/crates/mustardway_gate/src/gate.rs
+++ b/crates/mustardway_gate/src/gate.rs
@@ -104,6 +104,12 @@
     pub fn set_limits(&mut self, now: time::Instant, limits: Limits, steps: &mut Vec<Step>) {
         self.limits = limits;
         self.ramp.adapt(now, &self.limits);
+        while self.queue.len() > self.limits.queue as usize {
+            let Some(place) = self.queue.evict().or_else(|| self.queue.evict_urgent()) else {
+                break;
+            };
+            self.end_unrun(now, place.ticket, answer::Reason::Full, steps);
+        }
         self.start_next(now, steps);
     }
 
@@ -120,10 +126,7 @@
     /// Takes in something seen of the target apart from its answers.
     pub fn observe(&mut self, now: time::Instant, observation: Observation) {
         match observation {
-            Observation::Reconnected => {
-                self.counters.turned_cold += 1;
-                self.ramp.chill(now, &self.limits);
-            }
+            Observation::Reconnected => self.ramp.chill(now, &self.limits),
             Observation::HealthFailed => self.unhealthy = true,
             Observation::HealthOk => self.unhealthy = false,
         }
@@ -134,6 +137,12 @@
         self.memory.doubt(now);
     }
 
+    /// Tells whether another instance may serve this target at the same time, such as in a
+    /// split failure domain: a repeated request is then not taken for one that has not run.
+    pub fn set_contested(&mut self, now: time::Instant, contested: bool) {
+        self.memory.set_contested(now, contested);
+    }
+
     /// Tells that an instance is lost: what it ran for this target has no known outcome.
     pub fn lose_instance(&mut self, lost: &instance::Id) {
         self.memory.give_up(lost);
@@ -147,13 +156,12 @@
         self.markers.set(now, flow, Marker::Placed(target));
     }
 
-    /// Tells that a request which was refused here was placed on no target.
-    pub fn place_nowhere(&mut self, now: time::Instant, key: Key) {
-        if !matches!(self.markers.get(now, key.flow), Some(Marker::Refused { .. })) {
-            return;
+    /// Tells that a request which was refused here was placed on no target, and that its
+    /// caller is told so for this attempt.
+    pub fn place_nowhere(&mut self, now: time::Instant, key: Key, attempt: u32) {
+        if self.markers.settle(key.flow) {
+            self.memory.keep(now, key, Memo::NotRun { attempt });
         }
-        self.markers.clear(key.flow);
-        self.memory.keep(now, key, Memo::NotRun);
     }
 
     /// A refusal with a time to come back that differs from caller to caller.
--- a/crates/mustardway_gate/src/job.rs
+++ b/crates/mustardway_gate/src/job.rs
@@ -32,6 +32,8 @@
     pub repeat: request::Repeat,
     /// How soon it is wanted.
     pub urgency: request::Urgency,
+    /// Latest attempt of it that came.
+    pub attempt: u32,
     /// It is the first packet of its flow.
     pub opening: bool,
     /// It is the last packet of its flow.
@@ -50,6 +52,7 @@
             deadline,
             repeat: header.repeat,
             urgency: header.urgency,
+            attempt: header.attempt,
             opening: header.opening,
             closing: header.closing,
             joined: 0,
--- a/crates/mustardway_gate/src/lib.rs
+++ b/crates/mustardway_gate/src/lib.rs
@@ -46,7 +46,7 @@
 pub mod ticket;
 pub mod transfer;
 
-pub use admit::{Admission, Ask, Choice, Mode};
+pub use admit::{Admission, Ask, Choice, Mode, Refusal};
 pub use finish::{Ending, Observation, Outcome, Step};
 pub use gate::Gate;
 pub use key::Key;
--- a/crates/mustardway_gate/src/marker.rs
+++ b/crates/mustardway_gate/src/marker.rs
@@ -5,8 +5,9 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use mustardway_types::{answer, flow, target, time};
+use mustardway_types::{flow, target, time};
 
+use crate::admit::Refusal;
 use crate::seeded;
 
 /// How long a refusal without a report of what became of the flow is kept, and how long
@@ -25,9 +26,11 @@
     /// Its opening packet was refused here; its ingress may be placing it.
     Refused {
         /// The refusal.
-        answer: answer::Answer,
+        refusal: Refusal,
         /// Refused only for the sake of balance.
         soft: bool,
+        /// Ingresses that were told so and have not reported.
+        open: u32,
     },
     /// It was placed on another target.
     Placed(target::Id),
@@ -60,17 +63,48 @@
         self.order.push_back((due, id));
     }
 
+    /// Adds what another owner knows of a flow: a placement wins over a refusal.
+    pub fn merge(&mut self, now: time::Instant, id: flow::Id, marker: Marker) {
+        let merged = match (self.get(now, id), marker) {
+            (Some(Marker::Placed(target)), _) => Marker::Placed(target.clone()),
+            (Some(Marker::Refused { open: mine, .. }), Marker::Refused { refusal, soft, open }) => {
+                Marker::Refused { refusal, soft, open: mine.saturating_add(open) }
+            }
+            (_, marker) => marker,
+        };
+        self.set(now, id, merged);
+    }
+
+    /// Notes that one more ingress was told of a refusal.
+    pub fn tell(&mut self, now: time::Instant, id: flow::Id) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.until = now + KEPT;
+        if let Marker::Refused { open, .. } = &mut held.marker {
+            *open += 1;
+        }
+    }
+
+    /// Notes that one ingress that was told of a refusal placed the flow nowhere; the
+    /// marker is removed with the last.
+    pub fn settle(&mut self, id: flow::Id) -> bool {
+        let Some(held) = self.held.get_mut(&id) else { return false };
+        let Marker::Refused { open, .. } = &mut held.marker else { return false };
+        *open = open.saturating_sub(1);
+        if *open == 0 {
+            self.held.remove(&id);
+        }
+        true
+    }
+
     /// Removes the marker of a flow.
     pub fn clear(&mut self, id: flow::Id) {
         self.held.remove(&id);
     }
 
-    /// Keeps the placement of a flow for longer.
-    pub fn touch(&mut self, now: time::Instant, id: flow::Id) {
-        let Some(held) = self.held.get_mut(&id) else { return };
-        if matches!(held.marker, Marker::Placed(_)) {
-            held.until = now + KEPT;
-        }
+    /// Removes all markers.
+    pub fn clear_all(&mut self) {
+        self.held.clear();
+        self.order.clear();
     }
 
     /// Removes one marker that is over or does not fit; returns its flow.
--- a/crates/mustardway_gate/src/memory.rs
+++ b/crates/mustardway_gate/src/memory.rs
@@ -26,15 +26,17 @@
 /// Greatest sum of remembered replies, in bytes.
 pub const REPLIES: usize = 1_024 * 1_024;
 
-/// How long after a change of the owner an opening request may be repeated whose
-/// first attempt the earlier owner saw.
+/// Longest time from the first to the last attempt of the requests that open a flow.
 pub const REPEAT: time::Span = time::Span::seconds(60);
 
 /// How a request ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Memo {
-    /// It has not run.
-    NotRun,
+    /// It has not run, and callers were told so up to this attempt.
+    NotRun {
+        /// That attempt.
+        attempt: u32,
+    },
     /// It may have run; its reply is not known.
     Unknown,
     /// It runs through another instance, at the latest until then.
@@ -52,7 +54,7 @@
     /// Strictness: of two memories of one request the greater is kept.
     fn rank(&self) -> u8 {
         match self {
-            Memo::NotRun => 0,
+            Memo::NotRun { .. } => 0,
             Memo::Elsewhere { .. } => 1,
             Memo::Unknown => 2,
             Memo::Done(_) => 3,
@@ -83,6 +85,7 @@
     bytes: usize,
     filter: Filter,
     complete_since: time::Instant,
+    contested: bool,
 }
 
 impl Memory {
@@ -96,18 +99,21 @@
             bytes: 0,
             filter: Filter::new(),
             complete_since: since,
+            contested: false,
         }
     }
 
     /// Keeps how a request ended, unless something stricter is known.
     pub fn keep(&mut self, now: time::Instant, key: Key, memo: Memo) {
-        let memo = match memo {
-            Memo::Done(reply) if reply.len() > REPLY => Memo::Unknown,
-            memo => memo,
+        let before = self.held.get(&key).map(|held| &held.memo);
+        let memo = match (memo, before) {
+            (memo, Some(before)) if before.rank() > memo.rank() => return,
+            (Memo::Done(reply), _) if reply.len() > REPLY => Memo::Unknown,
+            (Memo::NotRun { attempt }, Some(Memo::NotRun { attempt: before })) => {
+                Memo::NotRun { attempt: attempt.max(*before) }
+            }
+            (memo, _) => memo,
         };
-        if self.held.get(&key).is_some_and(|held| held.memo.rank() > memo.rank()) {
-            return;
-        }
         self.bytes += memo.bytes();
         if let Some(before) = self.held.insert(key, Held { memo, since: now }) {
             self.bytes -= before.memo.bytes();
@@ -140,7 +146,7 @@
             if held.since != since {
                 continue;
             }
-            let ran = held.memo != Memo::NotRun;
+            let ran = !matches!(held.memo, Memo::NotRun { .. });
             self.take(key);
             if ran {
                 self.forget(now, key.hash(self.seed));
@@ -162,6 +168,14 @@
         self.complete_since = self.complete_since.max(now);
     }
 
+    /// Sets whether another instance may serve the target at the same time.
+    pub fn set_contested(&mut self, now: time::Instant, contested: bool) {
+        if self.contested {
+            self.doubt(now);
+        }
+        self.contested = contested;
+    }
+
     /// Replaces the moment of completeness by that of an earlier owner.
     pub fn inherit(&mut self, since: time::Instant) {
         self.complete_since = since;
@@ -189,20 +203,44 @@
         }
     }
 
+    /// Whether nothing says that a request may have run.
+    pub fn is_unrun(&self, key: Key) -> bool {
+        let memo = self.held.get(&key).map(|held| &held.memo);
+        matches!(memo, None | Some(Memo::NotRun { .. }))
+    }
+
+    /// Whether a request is known not to have run.
+    pub fn is_known_unrun(&self, key: Key) -> bool {
+        let Some(held) = self.held.get(&key) else { return false };
+        matches!(held.memo, Memo::NotRun { .. })
+            && !self.contested
+            && held.since >= self.complete_since
+            && !self.is_forgotten(key)
+    }
+
     /// Whether an unknown request on a flow opened then can not have run before.
     pub fn is_new(&self, key: Key, opened: time::Instant) -> bool {
-        opened >= self.complete_since && !self.filter.contains(key.hash(self.seed))
+        !self.contested && opened.since(self.complete_since) >= REPEAT && !self.is_forgotten(key)
     }
 
     /// Whether an unknown request on an unknown flow can not have run before.
     pub fn is_new_flow(&self, now: time::Instant, key: Key) -> bool {
-        now.since(self.complete_since) >= REPEAT && !self.is_forgotten(key)
+        self.is_whole(now, key.flow) && !self.filter.contains(key.hash(self.seed))
+    }
+
+    /// Whether no request of a flow that is not known here can have run before.
+    pub fn is_whole(&self, now: time::Instant, id: flow::Id) -> bool {
+        !self.contested && now.since(self.complete_since) >= REPEAT && !self.is_forgotten_flow(id)
+    }
+
+    /// Whether a flow may have been placed elsewhere and forgotten.
+    pub fn is_forgotten_flow(&self, id: flow::Id) -> bool {
+        self.filter.contains(flow_hash(self.seed, id))
     }
 
     /// Whether a request, or the placement of its flow, may have been forgotten.
     pub fn is_forgotten(&self, key: Key) -> bool {
-        self.filter.contains(key.hash(self.seed))
-            || self.filter.contains(flow_hash(self.seed, key.flow))
+        self.filter.contains(key.hash(self.seed)) || self.is_forgotten_flow(key.flow)
     }
 
     /// Since when everything is known.
@@ -234,9 +272,11 @@
     pub fn sorted(&self, now: time::Instant) -> Vec<(Key, Memo)> {
         let mut all = Vec::with_capacity(self.held.len());
         for key in self.held.keys() {
-            if let Some(memo) = self.get(now, *key) {
-                all.push((*key, memo));
+            let Some(memo) = self.get(now, *key) else { continue };
+            if matches!(memo, Memo::NotRun { .. }) && !self.is_known_unrun(*key) {
+                continue;
             }
+            all.push((*key, memo));
         }
         all.sort_unstable_by_key(|(key, _)| *key);
         all
--- a/crates/mustardway_gate/src/message.rs
+++ b/crates/mustardway_gate/src/message.rs
@@ -60,6 +60,9 @@
     /// Whether one of its requests may have run.
     #[prost(bool, tag = "4")]
     pub ran: bool,
+    /// Whether its requests are known from its opening on.
+    #[prost(bool, tag = "5")]
+    pub whole: bool,
 }
 
 /// One flow that was placed on another target.
@@ -68,9 +71,32 @@
     /// Its id.
     #[prost(fixed64, tag = "1")]
     pub flow: u64,
-    /// That target; empty where the opening packet was refused and nothing more is known.
+    /// That target; empty where the opening packet was refused.
     #[prost(string, tag = "2")]
     pub target: String,
+    /// The refusal, where the opening packet was refused.
+    #[prost(message, optional, tag = "3")]
+    pub refusal: Option<Refusal>,
+}
+
+/// Refusal of an opening packet, until its ingress reports.
+#[derive(Clone, PartialEq, Message)]
+pub struct Refusal {
+    /// Whether it was for lack of room, and not since the target takes no new flows.
+    #[prost(bool, tag = "1")]
+    pub full: bool,
+    /// Time after which the caller is to come back, in microseconds.
+    #[prost(uint64, tag = "2")]
+    pub come_back: u64,
+    /// Whether no request of the flow can have run before.
+    #[prost(bool, tag = "3")]
+    pub whole: bool,
+    /// Whether it was only for the sake of balance.
+    #[prost(bool, tag = "4")]
+    pub soft: bool,
+    /// Ingresses that were told so and have not reported.
+    #[prost(uint32, tag = "5")]
+    pub open: u32,
 }
 
 /// One request that may not be repeated.
@@ -97,6 +123,9 @@
     /// Time left until its deadline, in microseconds.
     #[prost(uint64, tag = "7")]
     pub left: u64,
+    /// Latest attempt that was told of a refusal.
+    #[prost(uint32, tag = "8")]
+    pub attempt: u32,
 }
 
 /// Requests that run at one time at one instance.
--- a/crates/mustardway_gate/src/query.rs
+++ b/crates/mustardway_gate/src/query.rs
@@ -38,6 +38,8 @@
     pub service_time: time::Span,
     /// Share of the warm slots that may be used, 0 to 1.
     pub warmth: f64,
+    /// Times that the target was taken for cold again.
+    pub chills: u64,
 }
 
 /// Where a flow stands at this gate, and why.
@@ -103,6 +105,7 @@
             connections: self.limits.connections,
             service_time: self.service_time(),
             warmth: self.warmth(now),
+            chills: self.ramp.chills(),
         }
     }
 
@@ -121,8 +124,7 @@
     /// Where a flow stands.
     pub fn explain(&self, now: time::Instant, id: flow::Id) -> Explanation {
         if let Some(flow) = self.flows.get(id) {
-            let known = flow.opened() > time::Instant::default();
-            let age = known.then(|| now.since(flow.opened()));
+            let age = flow.is_whole().then(|| now.since(flow.opened()));
             return Explanation::Open { age, idle: now.since(flow.used()) };
         }
         match self.markers.get(now, id) {
--- a/crates/mustardway_gate/src/queue.rs
+++ b/crates/mustardway_gate/src/queue.rs
@@ -90,6 +90,11 @@
         self.ordinary.pop_last()
     }
 
+    /// Removes the urgent request with the least chance.
+    pub fn evict_urgent(&mut self) -> Option<Place> {
+        self.urgent.pop_last()
+    }
+
     /// Removes all requests, in order.
     pub fn clear(&mut self) -> Vec<Place> {
         let mut all = Vec::with_capacity(self.len());
--- a/crates/mustardway_gate/src/ramp.rs
+++ b/crates/mustardway_gate/src/ramp.rs
@@ -37,6 +37,7 @@
     service: Option<f64>,
     baseline: Option<f64>,
     slow_run: u32,
+    chills: u64,
 }
 
 /// Warm slots as a level.
@@ -61,6 +62,7 @@
             service: None,
             baseline: None,
             slow_run: 0,
+            chills: 0,
         }
     }
 
@@ -113,6 +115,7 @@
     pub fn chill(&mut self, now: time::Instant, limits: &Limits) {
         self.set_level(now, cold(limits));
         self.slow_run = 0;
+        self.chills += 1;
     }
 
     /// Brings the level within changed limits.
@@ -183,6 +186,11 @@
         self.level >= warm(limits)
     }
 
+    /// Times that the target was taken for cold again.
+    pub fn chills(&self) -> u64 {
+        self.chills
+    }
+
     /// The level, in slots.
     pub fn level(&self) -> f64 {
         self.level
--- a/crates/mustardway_gate/src/transfer.rs
+++ b/crates/mustardway_gate/src/transfer.rs
@@ -7,8 +7,9 @@
 //! then takes the target for cold, at half of its slots, since the earlier owner
 //! may still be at work.
 
-use mustardway_types::{answer, flow, instance, request, target, time};
+use mustardway_types::{answer, flow, instance, request, time};
 
+use crate::admit::Refusal;
 use crate::finish::Step;
 use crate::gate::Gate;
 use crate::job::{Job, State};
@@ -74,8 +75,22 @@
         self.memory.doubt(now);
     }
 
-    /// Closes the gate for good and gives its state to another instance. Waiting requests
-    /// are sent there; running ones end here.
+    /// Lets a closed gate start again where the instance that served since was lost.
+    pub fn take_over(&mut self, now: time::Instant) {
+        if !matches!(self.tenure, Tenure::Closed { .. }) {
+            return;
+        }
+        self.tenure = Tenure::pending(now);
+        self.memory.doubt(now);
+        self.flows.clear();
+        self.markers.clear_all();
+        self.late = Late::default();
+        self.intake = Intake::default();
+    }
+
+    /// Closes the gate and gives its state to another instance. Waiting requests are sent
+    /// there; running ones end here. A gate that does not serve yet gives what it has
+    /// collected, without a summary, so that the other one collects for itself.
     pub fn hand_over(
         &mut self,
         now: time::Instant,
@@ -86,6 +101,10 @@
             self.jobs.remove(place.ticket);
             steps.push(Step::Redirect(place.ticket, Some(to.clone())));
         }
+        for (_, job) in self.jobs.running_jobs() {
+            self.flows.touch(now, job.key.flow, true);
+        }
+        let served = matches!(self.tenure, Tenure::Serving { .. });
         self.tenure = Tenure::Closed { to: Some(to) };
         self.late = Late::default();
         Handover {
@@ -93,7 +112,7 @@
             flows: self.flow_records(now),
             placements: self.placement_records(now),
             requests: self.request_records(now),
-            summary: Some(self.summary(now)),
+            summary: served.then(|| self.summary(now)),
             ..self.empty_message()
         }
     }
@@ -110,20 +129,29 @@
 
     /// Takes in a part of the state of an earlier owner. With the last part the gate opens;
     /// where it served already, both states are united and the stricter one wins.
-    pub fn receive(&mut self, now: time::Instant, message: &Handover) -> Result<(), Error> {
+    pub fn receive(
+        &mut self,
+        now: time::Instant,
+        message: &Handover,
+        steps: &mut Vec<Step>,
+    ) -> Result<(), Error> {
         if message.target != self.target.as_str() {
             return Err(Error::Target);
         }
         let from: instance::Id = message.from.parse().map_err(|_| Error::Instance)?;
         let requests = decode_requests(now, &message.requests)?;
-        let whole = message.parts > 0 && self.intake.take(&from, message.part);
+        if message.parts > 0 {
+            self.take_over(now);
+        }
         if let Tenure::Pending { .. } = self.tenure {
             self.tenure = Tenure::Pending { until: now + tenure::REBUILD };
         }
+        let whole = message.parts > 0 && self.intake.take(&from, message.part);
         self.receive_flows(now, message);
         let late = message.parts == 0;
         for (key, memo) in requests {
             self.receive_request(now, &from, late, key, memo);
+            self.send_back(key, steps);
         }
         self.receive_late(now, &from, message);
         let last = whole && message.part + 1 == message.parts;
@@ -178,6 +206,7 @@
         }
         for record in &message.flows {
             let opened = ago(now, record.opened);
+            let opened = if record.whole { opened } else { time::Instant::default() };
             self.flows.restore(flow::Id(record.flow), opened, ago(now, record.used), record.ran);
         }
         for record in &message.placements {
@@ -185,9 +214,9 @@
             if self.flows.get(id).is_some() {
                 continue;
             }
-            match record.target.parse::<target::Id>() {
-                Ok(target) => self.markers.set(now, id, Marker::Placed(target)),
-                Err(_) => self.memory.note_flow(now, id),
+            match marker(record) {
+                Some(marker) => self.markers.merge(now, id, marker),
+                None => self.memory.note_flow(now, id),
             }
         }
     }
@@ -203,7 +232,7 @@
         if matches!(&memo, Memo::Elsewhere { at, .. } if *at == self.instance) {
             return;
         }
-        if self.jobs.ticket(key).is_some() {
+        if matches!(memo, Memo::NotRun { .. }) && self.jobs.ticket(key).is_some() {
             return;
         }
         let awaited =
@@ -214,6 +243,19 @@
         self.memory.keep(now, key, memo);
     }
 
+    /// Takes a request that waits out of the queue where another owner has run it; its
+    /// ingress asks again here and gets what is known.
+    fn send_back(&mut self, key: Key, steps: &mut Vec<Step>) {
+        let Some(ticket) = self.jobs.ticket(key) else { return };
+        let Some(State::Queued(place)) = self.jobs.get(ticket).map(|job| job.state) else { return };
+        if self.memory.is_unrun(key) {
+            return;
+        }
+        self.queue.remove(place);
+        self.jobs.remove(ticket);
+        steps.push(Step::Redirect(ticket, Some(self.instance.clone())));
+    }
+
     fn receive_late(&mut self, now: time::Instant, from: &instance::Id, message: &Handover) {
         for id in &message.closed {
             self.flows.close(flow::Id(*id));
@@ -268,6 +310,7 @@
                 opened: now.since(flow.opened()).0,
                 used: now.since(flow.used()).0,
                 ran: flow.ran(),
+                whole: flow.is_whole(),
             });
         }
         records
@@ -276,11 +319,7 @@
     fn placement_records(&self, now: time::Instant) -> Vec<message::Placement> {
         let mut records = Vec::with_capacity(self.markers.len());
         for (id, marker) in self.markers.sorted(now) {
-            let target = match marker {
-                Marker::Placed(target) => target.to_string(),
-                Marker::Refused { .. } => String::new(),
-            };
-            records.push(message::Placement { flow: id.0, target });
+            records.push(placement(id, marker));
         }
         records
     }
@@ -354,6 +393,36 @@
     now + time::Span(left).min(AGE_MAX)
 }
 
+/// The marker that a record stands for.
+fn marker(record: &message::Placement) -> Option<Marker> {
+    let Some(refusal) = &record.refusal else {
+        return record.target.parse().ok().map(Marker::Placed);
+    };
+    let reason = if refusal.full { answer::Reason::Full } else { answer::Reason::NoTarget };
+    let come_back = time::Span(refusal.come_back).min(AGE_MAX);
+    let answer = answer::Answer::come_back(reason, come_back);
+    let message::Refusal { whole, soft, open, .. } = *refusal;
+    Some(Marker::Refused { refusal: Refusal { answer, whole }, soft, open })
+}
+
+fn placement(id: flow::Id, marker: &Marker) -> message::Placement {
+    let (target, refusal) = match marker {
+        Marker::Placed(target) => (target.to_string(), None),
+        Marker::Refused { refusal, soft, open } => {
+            let answer = refusal.answer;
+            let record = message::Refusal {
+                full: answer.reason == answer::Reason::Full,
+                come_back: answer.come_back.unwrap_or_default().0,
+                whole: refusal.whole,
+                soft: *soft,
+                open: *open,
+            };
+            (String::new(), Some(record))
+        }
+    };
+    message::Placement { flow: id.0, target, refusal }
+}
+
 fn key(request: &message::Request) -> Key {
     Key { flow: flow::Id(request.flow), request: request::Id(request.request), part: request.part }
 }
@@ -366,7 +435,10 @@
         ..message::Request::default()
     };
     let ending = match memo {
-        Memo::NotRun => Ending::NotRun,
+        Memo::NotRun { attempt } => {
+            record.attempt = *attempt;
+            Ending::NotRun
+        }
         Memo::Unknown => Ending::Unknown,
         Memo::Elsewhere { at, until } => {
             record.at = at.to_string();
@@ -390,7 +462,7 @@
     for record in records {
         let memo = match record.ending() {
             Ending::Unspecified => return Err(Error::Record),
-            Ending::NotRun => Memo::NotRun,
+            Ending::NotRun => Memo::NotRun { attempt: record.attempt },
             Ending::Unknown => Memo::Unknown,
             Ending::Running => {
                 let at = record.at.parse().map_err(|_| Error::Instance)?;
--- /dev/null
+++ b/crates/mustardway_gate/tests/random_events.rs
@@ -0,0 +1,17 @@
+//! Random events over several owners, against the truth of every execution.
+
+mod support;
+
+use support::events::{RUNS, Source, drive};
+use support::world::Fault;
+
+#[test]
+fn promises_hold() {
+    let mut source = Source::new();
+    let mut starts = 0;
+    for run in 0..RUNS {
+        println!("run {run}");
+        starts += drive(Fault::None, &source.next_run());
+    }
+    assert!(starts > u64::from(RUNS) * 10, "{starts} starts are too few to tell");
+}
