--- a/crates/mustardway_gate/src/transfer.rs
+++ b/crates/mustardway_gate/src/transfer.rs
@@ -201,10 +201,10 @@
     }
 
     fn receive_flows(&mut self, now: time::Instant, message: &Handover) {
-        if self.out {
-            return;
-        }
         for record in &message.flows {
+            if self.out {
+                continue;
+            }
             let opened = ago(now, record.opened);
             let opened = if record.whole { opened } else { time::Instant::default() };
             self.flows.restore(flow::Id(record.flow), opened, ago(now, record.used), record.ran);
--- a/crates/mustardway_gate/tests/support/events.rs
+++ b/crates/mustardway_gate/tests/support/events.rs
@@ -7,7 +7,7 @@
 use super::world::{Event, Fault, OWNERS, World};
 
 /// Runs of one test.
-pub const RUNS: u32 = 1_000;
+pub const RUNS: u32 = 3_000;
 
 /// Events of one run.
 const EVENTS: usize = 250;
