--- a/crates/mustardway_gate/examples/overload.rs
+++ b/crates/mustardway_gate/examples/overload.rs
@@ -131,6 +131,7 @@
             run.advance(instant(call.at));
             run.arrive(index);
         }
+        run.advance(instant(END) + PATIENCE);
         run.score
     }
 }
--- a/crates/mustardway_gate/src/lib.rs
+++ b/crates/mustardway_gate/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`query`]: what others may read of a gate.
 //! - [`queue`]: requests that wait for a slot.
 //! - [`ramp`]: how much the target may be given now.
+//! - `record`: records of messages to and from what a gate keeps.
 //! - [`seeded`]: the seeded hash of the tables.
 //! - [`tenure`]: whether this gate is the one that decides.
 //! - [`ticket`]: ids of admissions.
@@ -41,6 +42,7 @@
 pub mod query;
 pub mod queue;
 pub mod ramp;
+mod record;
 pub mod seeded;
 pub mod tenure;
 pub mod ticket;
--- a/crates/mustardway_gate/src/transfer.rs
+++ b/crates/mustardway_gate/src/transfer.rs
@@ -9,23 +9,19 @@
 
 use mustardway_types::{answer, flow, instance, request, time};
 
-use crate::admit::Refusal;
 use crate::finish::Step;
 use crate::gate::Gate;
 use crate::job::{Job, State};
 use crate::key::Key;
-use crate::marker::Marker;
 use crate::memory::Memo;
-use crate::message::{self, Announcement, Ending, Error, Handover, Summary};
+use crate::message::{self, Announcement, Error, Handover, Summary};
 use crate::ramp::Ramp;
+use crate::record::{ago, ahead, decode_requests, key, marker, placement, record};
 use crate::tenure::{self, Tenure};
 
 /// How long after the barrier announcements are still taken in.
 pub const ANNOUNCE: time::Span = time::Span::seconds(5);
 
-/// Greatest time that a message's age or time left may say.
-const AGE_MAX: time::Span = time::Span::seconds(24 * 3_600);
-
 /// A request that an earlier owner runs.
 #[derive(Debug)]
 pub(crate) struct Elsewhere {
@@ -382,95 +378,3 @@
         true
     }
 }
-
-/// The point of time that was `age` microseconds ago.
-fn ago(now: time::Instant, age: u64) -> time::Instant {
-    now - time::Span(age)
-}
-
-/// The point of time `left` microseconds ahead, within bounds.
-fn ahead(now: time::Instant, left: u64) -> time::Instant {
-    now + time::Span(left).min(AGE_MAX)
-}
-
-/// The marker that a record stands for.
-fn marker(record: &message::Placement) -> Option<Marker> {
-    let Some(refusal) = &record.refusal else {
-        return record.target.parse().ok().map(Marker::Placed);
-    };
-    let reason = if refusal.full { answer::Reason::Full } else { answer::Reason::NoTarget };
-    let come_back = time::Span(refusal.come_back).min(AGE_MAX);
-    let answer = answer::Answer::come_back(reason, come_back);
-    let message::Refusal { whole, soft, open, .. } = *refusal;
-    Some(Marker::Refused { refusal: Refusal { answer, whole }, soft, open })
-}
-
-fn placement(id: flow::Id, marker: &Marker) -> message::Placement {
-    let (target, refusal) = match marker {
-        Marker::Placed(target) => (target.to_string(), None),
-        Marker::Refused { refusal, soft, open } => {
-            let answer = refusal.answer;
-            let record = message::Refusal {
-                full: answer.reason == answer::Reason::Full,
-                come_back: answer.come_back.unwrap_or_default().0,
-                whole: refusal.whole,
-                soft: *soft,
-                open: *open,
-            };
-            (String::new(), Some(record))
-        }
-    };
-    message::Placement { flow: id.0, target, refusal }
-}
-
-fn key(request: &message::Request) -> Key {
-    Key { flow: flow::Id(request.flow), request: request::Id(request.request), part: request.part }
-}
-
-fn record(key: Key, memo: &Memo, now: time::Instant) -> message::Request {
-    let mut record = message::Request {
-        flow: key.flow.0,
-        request: key.request.0,
-        part: key.part,
-        ..message::Request::default()
-    };
-    let ending = match memo {
-        Memo::NotRun { attempt } => {
-            record.attempt = *attempt;
-            Ending::NotRun
-        }
-        Memo::Unknown => Ending::Unknown,
-        Memo::Elsewhere { at, until } => {
-            record.at = at.to_string();
-            record.left = until.since(now).0;
-            Ending::Running
-        }
-        Memo::Done(reply) => {
-            record.reply = reply.clone();
-            Ending::Done
-        }
-    };
-    record.set_ending(ending);
-    record
-}
-
-fn decode_requests(
-    now: time::Instant,
-    records: &[message::Request],
-) -> Result<Vec<(Key, Memo)>, Error> {
-    let mut requests = Vec::with_capacity(records.len());
-    for record in records {
-        let memo = match record.ending() {
-            Ending::Unspecified => return Err(Error::Record),
-            Ending::NotRun => Memo::NotRun { attempt: record.attempt },
-            Ending::Unknown => Memo::Unknown,
-            Ending::Running => {
-                let at = record.at.parse().map_err(|_| Error::Instance)?;
-                Memo::Elsewhere { at, until: ahead(now, record.left) }
-            }
-            Ending::Done => Memo::Done(record.reply.clone()),
-        };
-        requests.push((key(record), memo));
-    }
-    Ok(requests)
-}
--- /dev/null
+++ b/crates/mustardway_gate/tests/flow_placement.rs
@@ -0,0 +1,93 @@
+//! Where flows go that are not opened here.
+
+mod support;
+
+use assert_matches::assert_matches;
+use mustardway_gate::{Admission, Choice, Key, Mode};
+use mustardway_types::answer::Reason;
+use support::{admit, ask, at, attempt, done, finish, gate, mode, reason, tick};
+
+fn last(ask: mustardway_gate::Ask) -> mustardway_gate::Ask {
+    mode(ask, Mode::Open { choice: Choice::Last, whole: true })
+}
+
+#[test]
+fn leaving_target() {
+    let mut gate = gate(2, 4);
+    admit(&mut gate, at(0), &ask(1, 1, 1));
+    finish(&mut gate, at(1), 1, done(1));
+    gate.set_leaving(true);
+    assert_eq!(reason(&admit(&mut gate, at(2), &ask(2, 1, 2))), Some(Reason::Leaving));
+    assert_matches!(admit(&mut gate, at(2), &ask(1, 2, 3)), Admission::Run);
+}
+
+#[test]
+fn refused_again() {
+    let mut gate = gate(2, 4);
+    gate.set_leaving(true);
+    let first = admit(&mut gate, at(0), &ask(1, 1, 1));
+    gate.set_leaving(false);
+    assert_eq!(admit(&mut gate, at(100), &ask(1, 1, 2)), first, "a duplicate follows the first");
+    let key = Key::of(&ask(1, 1, 1).header);
+    gate.place_nowhere(at(200), key, 1);
+    let second = attempt(ask(1, 1, 3), 2);
+    assert_eq!(admit(&mut gate, at(200), &second), first, "one ingress has not reported");
+    gate.place_nowhere(at(300), key, 1);
+    gate.place_nowhere(at(300), key, 1);
+    let next = attempt(ask(1, 1, 4), 2);
+    assert_matches!(admit(&mut gate, at(300), &next), Admission::Run);
+}
+
+#[test]
+fn moved_flow() {
+    let mut gate = gate(2, 4);
+    gate.set_leaving(true);
+    admit(&mut gate, at(0), &ask(1, 1, 1));
+    let second: mustardway_types::target::Id = "reservas-2".parse().unwrap();
+    gate.place_elsewhere(at(1), ask(1, 1, 1).header.flow, second.clone());
+    gate.set_leaving(false);
+    let moved = admit(&mut gate, at(2), &attempt(ask(1, 1, 2), 2));
+    assert_eq!(moved, Admission::Moved(second));
+    tick(&mut gate, at(100_000));
+    let again = support::due(attempt(ask(1, 1, 3), 2), 200_000);
+    assert_eq!(reason(&admit(&mut gate, at(100_000), &again)), Some(Reason::Forgotten));
+}
+
+#[test]
+fn reserved_flow() {
+    let mut gate = gate(2, 4);
+    let elsewhere: mustardway_types::target::Id = "reservas-3".parse().unwrap();
+    let reserve = |ask| mode(ask, Mode::Reserve { elsewhere: elsewhere.clone() });
+    let reserved = admit(&mut gate, at(0), &reserve(ask(1, 1, 1)));
+    assert_eq!(reserved, Admission::Reserved { whole: true });
+    assert_eq!(admit(&mut gate, at(1), &ask(1, 1, 2)), Admission::Moved(elsewhere.clone()));
+    admit(&mut gate, at(2), &ask(2, 1, 3));
+    assert_eq!(
+        admit(&mut gate, at(3), &reserve(attempt(ask(2, 1, 4), 2))),
+        Admission::Join(mustardway_gate::ticket::Id(3)),
+        "a flow that is here stays"
+    );
+}
+
+#[test]
+fn soft_refusal() {
+    let mut gate = gate(2, 4);
+    for flow in 1..=5 {
+        admit(&mut gate, at(flow), &ask(flow, 1, flow));
+        finish(&mut gate, at(flow), flow, done(1));
+    }
+    gate.set_mean_load(0.01);
+    assert_eq!(reason(&admit(&mut gate, at(10), &ask(6, 1, 6))), Some(Reason::Full));
+    assert_matches!(admit(&mut gate, at(11), &last(ask(6, 1, 7))), Admission::Run);
+    gate.set_mean_load(0.06);
+    assert_matches!(admit(&mut gate, at(12), &ask(7, 1, 8)), Admission::Run);
+}
+
+#[test]
+fn unwhole_flow() {
+    let mut gate = gate(2, 4);
+    let open = mode(ask(1, 1, 1), Mode::Open { choice: Choice::Last, whole: false });
+    assert_matches!(admit(&mut gate, at(0), &open), Admission::Run);
+    let other = admit(&mut gate, at(1), &attempt(ask(1, 2, 2), 2));
+    assert_eq!(reason(&other), Some(Reason::Forgotten));
+}
--- /dev/null
+++ b/crates/mustardway_gate/tests/owner_change.rs
@@ -0,0 +1,160 @@
+//! Planned and unplanned change of the owner.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use mustardway_gate::{
+    Admission, Announcement, Ending, Gate, Handover, Mode, Step, Tenure, message, tenure, ticket,
+};
+use mustardway_types::{answer::Reason, flow};
+use prost::Message;
+use support::{
+    admit, ask, at, attempt, done, ended, finish, gate, gate_at, limits, mode, reason, serving,
+    tick,
+};
+
+fn next_owner(now: u64) -> Gate {
+    gate_at("entry-2", limits(2, 1, 4), Tenure::pending(at(now)), at(now))
+}
+
+fn hand_over(from: &mut Gate, to: &mut Gate, now: u64) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let message = from.hand_over(at(now), "entry-2".parse().unwrap(), &mut steps);
+    for part in message.into_parts() {
+        let part = Handover::decode(part.encode_to_vec().as_slice()).unwrap();
+        to.receive(at(now), &part, &mut Vec::new()).unwrap();
+    }
+    steps
+}
+
+#[test]
+fn planned_change() {
+    let mut old = gate(2, 4);
+    for number in 1..=3 {
+        admit(&mut old, at(0), &ask(number, 1, number));
+    }
+    finish(&mut old, at(10), 1, done(10));
+    admit(&mut old, at(10), &ask(4, 1, 4));
+    let mut new = next_owner(20);
+    let steps = hand_over(&mut old, &mut new, 20);
+    let to = Some("entry-2".parse().unwrap());
+    assert_eq!(steps, [Step::Redirect(ticket::Id(4), to.clone())]);
+    assert_matches!(new.tenure(), Tenure::Serving { inherited: true, .. });
+    assert_eq!(new.load(at(20)).running_elsewhere, 2);
+    assert_eq!(new.load(at(20)).allowed, 2, "as warm as it was");
+    assert_matches!(admit(&mut new, at(20), &ask(4, 1, 14)), Admission::Queued);
+    assert_matches!(admit(&mut new, at(20), &attempt(ask(1, 1, 15), 2)), Admission::Replay(_));
+    assert_eq!(admit(&mut old, at(20), &ask(5, 1, 16)), Admission::NotOwner(to));
+    let at_old = admit(&mut new, at(20), &attempt(ask(2, 1, 17), 2));
+    assert_eq!(at_old, Admission::NotOwner(Some("entry-1".parse().unwrap())));
+    let joined = admit(&mut old, at(20), &attempt(ask(2, 1, 18), 2));
+    assert_eq!(joined, Admission::Join(ticket::Id(2)));
+}
+
+#[test]
+fn late_outcomes() {
+    let mut old = gate(2, 4);
+    admit(&mut old, at(0), &ask(1, 1, 1));
+    admit(&mut old, at(0), &ask(2, 1, 2));
+    let mut new = next_owner(20);
+    hand_over(&mut old, &mut new, 20);
+    admit(&mut new, at(20), &ask(3, 1, 3));
+    finish(&mut old, at(30), 1, done(30));
+    let late = old.take_late().unwrap();
+    let mut steps = Vec::new();
+    new.receive(at(30), &late, &mut steps).unwrap();
+    assert_eq!(new.load(at(30)).running_elsewhere, 1);
+    assert_matches!(admit(&mut new, at(30), &attempt(ask(1, 1, 4), 2)), Admission::Replay(_));
+    assert_eq!(tick(&mut new, at(30)), [Step::Start(ticket::Id(3))]);
+    assert_eq!(old.take_late(), None);
+}
+
+#[test]
+fn lost_on_the_way() {
+    let mut old = gate(2, 4);
+    admit(&mut old, at(0), &ask(1, 1, 1));
+    let mut new = next_owner(20);
+    hand_over(&mut old, &mut new, 20);
+    new.lose_instance(&"entry-1".parse().unwrap());
+    let again = admit(&mut new, at(30), &attempt(ask(1, 1, 2), 2));
+    assert_eq!(reason(&again), Some(Reason::Forgotten));
+}
+
+#[test]
+fn missing_part() {
+    let mut old = gate(2, 4);
+    for number in 0..30_000 {
+        admit(&mut old, at(0), &ask(number % 100, number, number));
+        let reply = Bytes::from(vec![7; 100]);
+        finish(&mut old, at(0), number, ended(Ending::Done(reply), 1));
+    }
+    let message = old.hand_over(at(20), "entry-2".parse().unwrap(), &mut Vec::new());
+    let parts = message.into_parts();
+    assert!(parts.len() > 2, "{} parts", parts.len());
+    let mut new = next_owner(20);
+    for part in &parts[1..] {
+        assert!(part.encoded_len() <= message::PART);
+        new.receive(at(20), part, &mut Vec::new()).unwrap();
+    }
+    assert_matches!(new.tenure(), Tenure::Pending { .. });
+}
+
+#[test]
+fn unplanned_change() {
+    let mut new = next_owner(0);
+    let wait = admit(&mut new, at(100), &ask(1, 1, 1));
+    assert_eq!(wait, Admission::Wait(tenure::REBUILD.less(at(100).since(at(0)))));
+    let mut request = message::Request { flow: 1, request: 7, ..Default::default() };
+    request.set_ending(message::Ending::Unknown);
+    let announcement =
+        Announcement { target: "reservas-1".into(), flows: vec![1], requests: vec![request] };
+    new.announce(at(200), &announcement, &mut Vec::new()).unwrap();
+    let known = |ask| mode(ask, Mode::Established);
+    assert_matches!(admit(&mut new, at(500), &known(ask(1, 1, 2))), Admission::Run);
+    assert_matches!(admit(&mut new, at(500), &known(ask(2, 1, 3))), Admission::UnknownFlow);
+    let forwarded = admit(&mut new, at(500), &known(ask(1, 7, 4)));
+    assert_eq!(reason(&forwarded), Some(Reason::Forgotten));
+    let repeated = admit(&mut new, at(500), &known(attempt(ask(1, 8, 5), 2)));
+    assert_eq!(reason(&repeated), Some(Reason::Forgotten));
+    let late = new.announce(at(60_000), &announcement, &mut Vec::new());
+    assert_eq!(late, Err(message::Error::Late));
+}
+
+#[test]
+fn reduced_limit() {
+    let mut new = gate_at("entry-2", limits(8, 8, 4), Tenure::pending(at(0)), at(0));
+    tick(&mut new, at(500));
+    assert_eq!(new.load(at(500)).allowed, 4);
+    assert_eq!(new.load(at(10_499)).allowed, 4);
+    assert_eq!(new.load(at(10_500)).allowed, 8);
+}
+
+#[test]
+fn both_served() {
+    let mut old = gate(2, 4);
+    let mut new = gate_at("entry-2", limits(2, 1, 4), serving(), at(0));
+    admit(&mut old, at(0), &ask(1, 1, 1));
+    finish(&mut old, at(10), 1, done(10));
+    admit(&mut new, at(0), &ask(2, 1, 2));
+    finish(&mut new, at(10), 2, ended(Ending::Lost, 10));
+    admit(&mut new, at(20), &ask(3, 1, 3));
+    admit(&mut new, at(20), &ask(1, 1, 4));
+    hand_over(&mut old, &mut new, 30);
+    assert_eq!(new.flow_ids(), [flow::Id(1), flow::Id(2), flow::Id(3)]);
+    assert_eq!(new.load(at(30)).queued, 0, "what the other ran does not wait here");
+    assert_matches!(admit(&mut new, at(30), &attempt(ask(1, 1, 5), 2)), Admission::Replay(_));
+    assert_eq!(new.load(at(30)).allowed, 1, "the lower level holds");
+}
+
+#[test]
+fn wrong_target() {
+    let mut new = next_owner(0);
+    let message = Handover { target: "other".into(), ..Default::default() };
+    let received = new.receive(at(0), &message, &mut Vec::new());
+    assert_eq!(received, Err(message::Error::Target));
+    let message = Handover { target: "reservas-1".into(), ..Default::default() };
+    let received = new.receive(at(0), &message, &mut Vec::new());
+    assert_eq!(received, Err(message::Error::Instance));
+}
--- a/crates/mustardway_gate/tests/support/mod.rs
+++ b/crates/mustardway_gate/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Shared by the tests: short ways to a gate, a packet and an outcome.
-#![allow(dead_code)]
+#![allow(dead_code, clippy::unwrap_used)]
 
 pub mod events;
 pub mod world;
--- a/crates/mustardway_gate/tests/support/world.rs
+++ b/crates/mustardway_gate/tests/support/world.rs
@@ -7,13 +7,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
-use mustardway_gate::{
-    Admission, Announcement, Ask, Choice, Ending, Gate, Handover, Key, Mode, Outcome, Refusal,
-    Step, Tenure, message, ticket,
-};
-use mustardway_types::{answer, flow, instance, packet, request, target, time};
+use mustardway_gate::{Ending, Gate, Key, Outcome, Step, Tenure, ticket};
+use mustardway_types::{flow, instance, request, target, time};
 
-use super::{header, limits};
+mod ingress;
+mod owners;
+
+use super::limits;
 
 /// Instances that may own the first target; the second target's gate comes after them.
 pub const OWNERS: usize = 3;
@@ -179,7 +179,7 @@
                 | Event::Slots { .. }
         ) {
             let text = format!("{event:?}, owner {}, other {:?}", self.owner, self.other);
-            self.note(flow::Id(u64::MAX), text);
+            self.note(flow::Id(u64::MAX), &text);
         }
         match event {
             Event::Send { flow, request, once, urgent, to } => {
@@ -224,7 +224,7 @@
         panic!("tickets without an answer: {:?}", self.held);
     }
 
-    fn note(&mut self, flow: flow::Id, text: String) {
+    fn note(&mut self, flow: flow::Id, text: &str) {
         self.history.push((flow, format!("{} {text}", self.now.0)));
     }
 
@@ -240,243 +240,6 @@
         lines
     }
 
-    fn send(&mut self, key: Key, once: bool, urgent: bool, to: usize) {
-        if !self.may_send(key) {
-            return;
-        }
-        let truth = self.truth.entry(key).or_default();
-        truth.attempts = 1;
-        let deadline = self.now + PATIENCE;
-        let sent = Sent {
-            key,
-            attempt: 1,
-            once,
-            urgent,
-            deadline,
-            stage: Stage::First,
-            gate: self.believed(to),
-            hops: 0,
-            first: None,
-            second: false,
-            whole: true,
-        };
-        self.known.push(sent.clone());
-        self.flying.push(sent);
-    }
-
-    /// Callers open a flow by one request and send others once that was answered.
-    fn may_send(&self, key: Key) -> bool {
-        let opened = self.answered_flows.contains(&key.flow);
-        let first = !self.truth.keys().any(|known| known.flow == key.flow);
-        !self.truth.contains_key(&key) && (opened || first)
-    }
-
-    fn repeat(&mut self, index: usize, to: usize) {
-        if self.known.is_empty() {
-            return;
-        }
-        let at = index % self.known.len();
-        let mut sent = self.known[at].clone();
-        if self.now.since(sent.deadline) > REPEATED_WITHIN {
-            return;
-        }
-        let truth = self.truth.get_mut(&sent.key).unwrap();
-        truth.attempts += 1;
-        sent.attempt = if self.fault == Fault::FirstAttempt { 1 } else { truth.attempts };
-        sent.deadline = self.now + PATIENCE;
-        sent.gate = self.believed(to);
-        self.flying.push(sent);
-    }
-
-    /// The instance that an ingress takes for the owner: in a split it may be either.
-    fn believed(&self, to: usize) -> usize {
-        match self.other {
-            Some(other) if to % 2 == 1 => other,
-            _ => self.owner,
-        }
-    }
-
-    fn proceed(&mut self, index: usize) {
-        if self.flying.is_empty() {
-            return;
-        }
-        let sent = self.flying.remove(index % self.flying.len());
-        let mode = match sent.stage {
-            _ if !self.is_opening(&sent) => Mode::Established,
-            Stage::First => Mode::Open { choice: Choice::First, whole: true },
-            Stage::Second | Stage::FirstAgain => {
-                Mode::Open { choice: Choice::Last, whole: sent.whole }
-            }
-            Stage::Moved => Mode::Established,
-        };
-        let at =
-            if matches!(sent.stage, Stage::Second | Stage::Moved) { OWNERS } else { sent.gate };
-        self.next += 1;
-        let ask = Ask {
-            header: self.header(&sent),
-            deadline: sent.deadline,
-            mode,
-            ticket: ticket::Id(self.next),
-        };
-        let Some(gate) = &mut self.gates[at] else { return self.refuse_itself(&sent) };
-        let mut steps = Vec::new();
-        let admission = gate.admit(self.now, &ask, &mut steps);
-        self.note(sent.key.flow, format!("asks {at}: {sent:?} -> {} {admission:?}", ask.ticket));
-        self.admitted(at, ask.ticket, sent, admission);
-        self.take(at, steps);
-    }
-
-    /// Whether the caller has no answer on the flow yet.
-    fn is_opening(&self, sent: &Sent) -> bool {
-        !self.answered_flows.contains(&sent.key.flow)
-    }
-
-    fn header(&self, sent: &Sent) -> packet::Header {
-        packet::Header {
-            attempt: sent.attempt,
-            opening: self.is_opening(sent),
-            repeat: if sent.once { request::Repeat::Once } else { request::Repeat::Idempotent },
-            urgency: if sent.urgent {
-                request::Urgency::Urgent
-            } else {
-                request::Urgency::Ordinary
-            },
-            ..header(sent.key.flow.0, sent.key.request.0)
-        }
-    }
-
-    fn admitted(&mut self, at: usize, ticket: ticket::Id, sent: Sent, admission: Admission) {
-        match admission {
-            Admission::Run => {
-                self.hold(at, ticket, sent, true);
-                self.started(ticket);
-            }
-            Admission::Queued => self.hold(at, ticket, sent, false),
-            Admission::Answer(answer) => self.answered(&sent, answer.reason),
-            Admission::TryNext(refusal) => self.try_next(at, sent, refusal),
-            Admission::Replay(_) => {
-                assert!(self.truth[&sent.key].ran, "a reply without a run: {sent:?}");
-                self.placed(at, &sent);
-            }
-            Admission::Join(leader) => {
-                let held = self.held.get_mut(&leader.0).expect("joined an unknown ticket");
-                assert_eq!(held.sent[0].key, sent.key);
-                held.sent.push(sent);
-            }
-            Admission::Moved(_) if at == OWNERS => self.follow(sent, Stage::FirstAgain),
-            Admission::Moved(_) => self.follow(sent, Stage::Moved),
-            Admission::UnknownFlow if at != OWNERS => self.follow(sent, Stage::Moved),
-            Admission::Reserved { .. } => panic!("nothing was to be reserved"),
-            Admission::UnknownFlow | Admission::Wait(_) => self.refuse_itself(&sent),
-            Admission::NotOwner(to) => self.redirect(sent, to),
-        }
-    }
-
-    fn follow(&mut self, mut sent: Sent, stage: Stage) {
-        sent.hops += 1;
-        if sent.hops > 4 {
-            return self.refuse_itself(&sent);
-        }
-        sent.stage = stage;
-        self.flying.push(sent);
-    }
-
-    fn redirect(&mut self, mut sent: Sent, to: Option<instance::Id>) {
-        sent.hops += 1;
-        let next = to.map(|to| index(&to));
-        match next {
-            Some(next) if sent.hops < 4 && self.gates[next].is_some() => {
-                sent.gate = next;
-                self.flying.push(sent);
-            }
-            _ => self.refuse_itself(&sent),
-        }
-    }
-
-    fn hold(&mut self, at: usize, ticket: ticket::Id, sent: Sent, running: bool) {
-        self.placed(at, &sent);
-        self.held.insert(ticket.0, Held { sent: vec![sent], gate: at, running });
-    }
-
-    /// The ingress reports where a flow was placed to those that refused it.
-    fn placed(&mut self, at: usize, sent: &Sent) {
-        self.report(at, sent);
-        self.flows.insert(sent.key.flow, usize::from(at == OWNERS));
-    }
-
-    fn report(&mut self, at: usize, sent: &Sent) {
-        let (now, key, attempt) = (self.now, sent.key, sent.attempt);
-        for (told, refused) in [(sent.first, sent.first.is_some()), (Some(OWNERS), sent.second)] {
-            let (Some(told), true) = (told, refused) else { continue };
-            let told = if told == OWNERS { OWNERS } else { self.owner };
-            let Some(gate) = &mut self.gates[told] else { continue };
-            if self.fault == Fault::FalseReport {
-                gate.place_nowhere(now, key, attempt);
-            } else if target(told) != target(at) {
-                gate.place_elsewhere(now, key.flow, target(at));
-            }
-        }
-    }
-
-    fn try_next(&mut self, at: usize, mut sent: Sent, refusal: Refusal) {
-        sent.whole &= refusal.whole;
-        let second = usize::from(at == OWNERS);
-        if self.flows.get(&sent.key.flow) == Some(&second) {
-            self.flows.remove(&sent.key.flow);
-        }
-        if at == OWNERS {
-            sent.second = true;
-        } else {
-            sent.first = Some(at);
-        }
-        match sent.stage {
-            Stage::First => sent.stage = Stage::Second,
-            Stage::Second => sent.stage = Stage::FirstAgain,
-            Stage::FirstAgain | Stage::Moved => return self.nowhere(&sent, refusal.answer.reason),
-        }
-        self.flying.push(sent);
-    }
-
-    fn nowhere(&mut self, sent: &Sent, reason: answer::Reason) {
-        for (told, refused) in [(sent.first, sent.first.is_some()), (Some(OWNERS), sent.second)] {
-            let (Some(told), true) = (told, refused) else { continue };
-            let told = if told == OWNERS { OWNERS } else { self.owner };
-            let Some(gate) = &mut self.gates[told] else { continue };
-            gate.place_nowhere(self.now, sent.key, sent.attempt);
-        }
-        if sent.once && sent.attempt > 1 {
-            return;
-        }
-        self.answered(sent, reason);
-    }
-
-    /// The ingress refuses on its own: a repeated request may have run.
-    fn refuse_itself(&mut self, sent: &Sent) {
-        if sent.once && sent.attempt > 1 {
-            return;
-        }
-        self.answered(sent, answer::Reason::NoOwner);
-    }
-
-    fn answered(&mut self, sent: &Sent, reason: answer::Reason) {
-        if reason == answer::Reason::Answered {
-            self.answered_flows.insert(sent.key.flow);
-        }
-        if !reason.kind().says_not_run() || !sent.once {
-            return;
-        }
-        let truth = &self.truth[&sent.key];
-        let ran = truth.ran || truth.running > 0;
-        let true_refusal = !ran || truth.attempt > sent.attempt;
-        assert!(
-            true_refusal,
-            "a false 'not run' ({reason:?}): {sent:?}\n{}",
-            self.story(sent.key.flow)
-        );
-        let truth = self.truth.get_mut(&sent.key).unwrap();
-        truth.told_not_run = truth.told_not_run.max(sent.attempt);
-    }
-
     fn started(&mut self, ticket: ticket::Id) {
         self.starts += 1;
         let held = self.held.get_mut(&ticket.0).expect("started an unknown ticket");
@@ -542,7 +305,8 @@
 
     fn note_ticket(&mut self, at: usize, id: ticket::Id, step: &Step) {
         let Some(held) = self.held.get(&id.0) else { return };
-        self.note(held.sent[0].key.flow, format!("{at} says {step:?}"));
+        let flow = held.sent[0].key.flow;
+        self.note(flow, &format!("{at} says {step:?}"));
     }
 
     /// Takes a ticket off the books; it must be there.
@@ -587,22 +351,6 @@
         self.send_late(at);
     }
 
-    /// Sends the outcomes of a closed gate to the owner.
-    fn send_late(&mut self, at: usize) {
-        let Some(late) = self.gates[at].as_mut().and_then(Gate::take_late) else { return };
-        if at == self.owner || at == OWNERS {
-            return;
-        }
-        self.receive(self.owner, &late);
-    }
-
-    fn receive(&mut self, at: usize, message: &Handover) {
-        let mut steps = Vec::new();
-        let gate = self.gates[at].as_mut().unwrap();
-        gate.receive(self.now, message, &mut steps).unwrap();
-        self.take(at, steps);
-    }
-
     /// Whether a running call has passed its deadline, so that the runtime ends it.
     fn is_overdue(&self, id: u64) -> bool {
         let held = &self.held[&id];
@@ -633,149 +381,6 @@
         }
     }
 
-    fn hand_over(&mut self, to: usize) {
-        if to == self.owner || self.other.is_some() {
-            return;
-        }
-        if self.gates[to].is_none() {
-            self.make(to, Tenure::pending(self.now));
-        }
-        self.pass_on(self.owner, to);
-        self.owner = to;
-    }
-
-    fn pass_on(&mut self, from: usize, to: usize) {
-        let mut steps = Vec::new();
-        let gate = self.gates[from].as_mut().unwrap();
-        let mut message = gate.hand_over(self.now, name(to), &mut steps);
-        if self.fault == Fault::ForgetRequests {
-            message.requests.retain(|request| request.ending() == message::Ending::Running);
-        }
-        if self.fault == Fault::ForgetRunning {
-            message.requests.retain(|request| request.ending() != message::Ending::Running);
-        }
-        for part in message.into_parts() {
-            self.receive(to, &part);
-        }
-        self.take(from, steps);
-    }
-
-    /// The owner is lost with all that it knew; another takes over.
-    fn crash(&mut self, to: usize) {
-        if to == self.owner || self.other.is_some() {
-            return;
-        }
-        let lost = std::mem::replace(&mut self.owner, to);
-        self.gates[lost] = None;
-        self.drop_overlaps();
-        self.exact_from = self.now + PATIENCE;
-        let announcement = self.announcement(lost);
-        let gone: Vec<u64> =
-            self.held.iter().filter(|(_, held)| held.gate == lost).map(|(id, _)| *id).collect();
-        for id in gone {
-            let held = self.held.remove(&id).unwrap();
-            let truth = self.truth.get_mut(&held.sent[0].key).unwrap();
-            truth.ran |= held.running;
-            truth.running -= u32::from(held.running);
-        }
-        if self.gates[to].is_none() {
-            self.make(to, Tenure::pending(self.now));
-        } else {
-            self.gates[to].as_mut().unwrap().take_over(self.now);
-        }
-        let mut steps = Vec::new();
-        let gate = self.gates[to].as_mut().unwrap();
-        gate.announce(self.now, &announcement, &mut steps).unwrap();
-        gate.lose_instance(&name(lost));
-        self.take(to, steps);
-    }
-
-    /// Callers cancel an attempt before they make the next one; only while no owner is lost
-    /// or doubled do the attempts of a request overlap here.
-    fn drop_overlaps(&mut self) {
-        let mut latest = BTreeMap::new();
-        for sent in &self.flying {
-            let attempt = latest.entry(sent.key).or_insert(sent.attempt);
-            *attempt = sent.attempt.max(*attempt);
-        }
-        for held in self.held.values() {
-            for sent in &held.sent {
-                let attempt = latest.entry(sent.key).or_insert(sent.attempt);
-                *attempt = sent.attempt.max(*attempt);
-            }
-        }
-        self.flying.retain(|sent| latest[&sent.key] == sent.attempt);
-    }
-
-    /// What the ingresses know of the first target: its flows, and every request on them
-    /// that was ever sent and may have run.
-    fn announcement(&self, lost: usize) -> Announcement {
-        let mut message = Announcement { target: target(lost).to_string(), ..Default::default() };
-        for (flow, second) in &self.flows {
-            if *second == 0 {
-                message.flows.push(flow.0);
-            }
-        }
-        for held in self.held.values() {
-            let key = held.sent[0].key;
-            if held.gate != lost || !held.sent[0].once {
-                continue;
-            }
-            message.requests.push(message::Request {
-                flow: key.flow.0,
-                request: key.request.0,
-                part: key.part,
-                ..Default::default()
-            });
-        }
-        message
-    }
-
-    /// Another instance takes the target over while the owner goes on.
-    fn split(&mut self, to: usize) {
-        if to == self.owner || self.other.is_some() || self.gates[to].is_some() {
-            return;
-        }
-        self.make(to, Tenure::pending(self.now));
-        let other = self.owner;
-        self.other = Some(other);
-        self.owner = to;
-        if self.fault == Fault::Uncontested {
-            return;
-        }
-        for at in [to, other] {
-            self.gates[at].as_mut().unwrap().set_contested(self.now, true);
-        }
-    }
-
-    /// The split ends: the earlier owner hands over to the later one.
-    fn heal(&mut self) {
-        let Some(other) = self.other.take() else { return };
-        self.exact_from = self.now + PATIENCE;
-        self.pass_on(other, self.owner);
-        if self.fault != Fault::Uncontested {
-            self.gates[self.owner].as_mut().unwrap().set_contested(self.now, false);
-        }
-    }
-
-    fn set_slots(&mut self, slots: u32) {
-        self.slots = slots;
-        let mut limits = limits(slots, 1, 3);
-        limits.connections = 3;
-        for at in 0..OWNERS {
-            let Some(gate) = &mut self.gates[at] else { continue };
-            let mut steps = Vec::new();
-            gate.set_limits(self.now, limits.clone(), &mut steps);
-            self.take(at, steps);
-        }
-    }
-
-    fn with_owner(&mut self, act: impl FnOnce(&mut Gate, time::Instant, &mut Vec<Step>)) {
-        let mut steps = Vec::new();
-        act(self.gates[self.owner].as_mut().unwrap(), self.now, &mut steps);
-        self.take(self.owner, steps);
-    }
-
     /// Checks at a start that the target has no more than its slots.
     fn check_slots(&self, at: usize) {
         if self.other.is_some() || self.now < self.exact_from {
