Test membership over lossy, cut and frozen links

Cause: the crate had only been compiled. Change: a small delivery harness, tests by feature and an example that measures bytes, detection, memory and processor time. Neighbours are now chosen once a tick and not after each message.

--- /dev/null
+++ b/crates/mustardway_membership/examples/control_bytes.rs
@@ -0,0 +1,192 @@
+//! What the live list costs a node, and how soon a crash is known to all.
+//!
+//! Drives nodes over links with 0.3 to 0.7 ms delay and no loss, in 6 failure
+//! domains (3 at 9 instances). Bytes are the encoded message plus an estimate
+//! of 4 bytes of frame length and 52 bytes of IP and TCP header for each
+//! message, though a transport that batches sends fewer headers. CPU time is
+//! the wall time of the whole loop, delivery of messages included, so it is an
+//! upper bound. Arguments: fleet sizes, by default 9 90 900 2000.
+
+#![allow(unsafe_code)]
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use common::{Fleet, member};
+use mustardway_membership::node::Node;
+use mustardway_membership::settings::Settings;
+use mustardway_types::time::Span;
+
+/// Counts the bytes that are allocated.
+struct Counting;
+
+static ALLOCATED: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call is passed on to the system allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATED.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        ALLOCATED.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Simulated time over which the quiet fleet is measured.
+const QUIET: Span = Span::seconds(10);
+/// Crashes that are timed, each with its own seed where the fleet is small.
+const CRASHES: u64 = 7;
+/// Largest fleet that is started anew for each crash.
+const ANEW_MAX: usize = 90;
+
+fn main() {
+    let mut sizes: Vec<usize> = std::env::args().skip(1).flat_map(|size| size.parse()).collect();
+    if sizes.is_empty() {
+        sizes = vec![9, 90, 900, 2_000];
+    }
+    println!(
+        "nodes | msg/s mean max | B/s mean max | crash ms min/median/max | KiB/node | CPU us/s"
+    );
+    for size in sizes {
+        measure(size);
+    }
+}
+
+fn domains(size: usize) -> usize {
+    if size <= 9 { 3 } else { 6 }
+}
+
+fn start(size: usize, seed: u64) -> Fleet {
+    let began = Instant::now();
+    let mut fleet = Fleet::started(size, domains(size), seed);
+    let agreed = fleet.run_until(Span::seconds(300), Fleet::agrees);
+    let most = fleet.hosts.iter().map(|host| host.bytes).max().unwrap_or(0);
+    let seconds = agreed.map_or(f64::NAN, Span::as_seconds);
+    println!(
+        "  cold start of {size}, seed {seed}: agreed after {seconds:.2} s, most sent {:.1} KB/s, {:.1} s of wall time",
+        most as f64 / seconds / 1e3,
+        began.elapsed().as_secs_f64(),
+    );
+    fleet.run(Span::seconds(5));
+    fleet
+}
+
+fn measure(size: usize) {
+    let mut fleet = start(size, 1);
+    for host in &mut fleet.hosts {
+        host.sent = 0;
+        host.bytes = 0;
+    }
+    let began = Instant::now();
+    fleet.run(QUIET);
+    let wall = began.elapsed().as_secs_f64();
+    let seconds = QUIET.as_seconds();
+    let sent: Vec<u64> = fleet.hosts.iter().map(|host| host.sent).collect();
+    let bytes: Vec<u64> = fleet.hosts.iter().map(|host| host.bytes).collect();
+    let cpu = wall / seconds / size as f64 * 1e6;
+    let memory = memory(&mut fleet, size);
+    let mut found = crashes(fleet, size);
+    found.sort_unstable();
+    cut_and_heal(size);
+    println!(
+        "{size} | {:.1} {:.1} | {:.0} {:.0} | {}/{}/{} | {:.0} | {cpu:.0}",
+        mean(&sent) / seconds,
+        most(&sent) / seconds,
+        mean(&bytes) / seconds,
+        most(&bytes) / seconds,
+        found[0],
+        found[found.len() / 2],
+        found[found.len() - 1],
+        memory as f64 / 1024.0,
+    );
+}
+
+/// Cuts one failure domain off for 20 s and heals it.
+fn cut_and_heal(size: usize) {
+    let mut fleet = Fleet::started(size, domains(size), 2);
+    fleet.run_until(Span::seconds(300), Fleet::agrees);
+    fleet.run(Span::seconds(5));
+    for (index, side) in fleet.sides.iter_mut().enumerate() {
+        *side = u8::from(index % domains(size) == 0);
+    }
+    let outside = phase(&mut fleet, |fleet| side_agrees(fleet, 0));
+    let inside = phase(&mut fleet, |fleet| side_agrees(fleet, 1));
+    fleet.run(Span::seconds(20));
+    fleet.sides.fill(0);
+    let healed = phase(&mut fleet, Fleet::agrees);
+    println!(
+        "  domain of {size} cut: outside {outside}; inside after that {inside}; healed {healed}"
+    );
+}
+
+/// Time until `done`, and the greatest rate of one node meanwhile.
+fn phase(fleet: &mut Fleet, done: impl Fn(&Fleet) -> bool) -> String {
+    let before: Vec<u64> = fleet.hosts.iter().map(|host| host.bytes).collect();
+    let Some(span) = fleet.run_until(Span::seconds(120), done) else {
+        return String::from("not within 120 s");
+    };
+    let mut most = 0;
+    for (host, before) in fleet.hosts.iter().zip(before) {
+        most = most.max(host.bytes - before);
+    }
+    let rate = most as f64 / span.as_seconds() / 1e3;
+    format!("{:.2} s, most sent {rate:.1} KB/s", span.as_seconds())
+}
+
+/// Whether all of one side hold exactly their own side for live.
+fn side_agrees(fleet: &Fleet, side: u8) -> bool {
+    let peers = fleet.sides.iter().filter(|other| **other == side).count();
+    for (index, host) in fleet.hosts.iter().enumerate() {
+        if fleet.sides[index] == side && host.node.live().count() != peers {
+            return false;
+        }
+    }
+    true
+}
+
+fn mean(values: &[u64]) -> f64 {
+    values.iter().sum::<u64>() as f64 / values.len() as f64
+}
+
+fn most(values: &[u64]) -> f64 {
+    values.iter().copied().max().unwrap_or(0) as f64
+}
+
+/// Bytes that are freed with one node, and what its own struct takes.
+fn memory(fleet: &mut Fleet, size: usize) -> usize {
+    let fresh = Node::new(Settings::new(member(0, domains(size), 1), 1), fleet.now);
+    let old = std::mem::replace(&mut fleet.hosts[0].node, fresh);
+    let before = ALLOCATED.load(Ordering::Relaxed);
+    drop(old);
+    let freed = before - ALLOCATED.load(Ordering::Relaxed);
+    fleet.stop(0);
+    fleet.run(Span::seconds(5));
+    freed + size_of::<Node>()
+}
+
+/// Milliseconds until all hold a crashed instance for dead.
+fn crashes(mut fleet: Fleet, size: usize) -> Vec<u64> {
+    let mut found = Vec::new();
+    for crash in 1..=CRASHES {
+        if size <= ANEW_MAX {
+            fleet = Fleet::settled(size, domains(size), 100 + crash);
+        }
+        let index = (crash as usize * 37) % size;
+        fleet.stop(index);
+        let span = fleet.run_until(Span::seconds(30), |fleet| fleet.all_see_dead(index));
+        found.push(span.map_or(u64::MAX, Span::as_millis));
+        assert!(size > ANEW_MAX || fleet.agrees());
+        fleet.run(Span::seconds(2));
+    }
+    found
+}
--- a/crates/mustardway_membership/src/node.rs
+++ b/crates/mustardway_membership/src/node.rs
@@ -124,7 +124,6 @@
                 self.revision = Revision { number, digest, age, at: now };
             }
         }
-        self.link(now, actions);
         self.push(now, actions);
         self.left = self.me().state == State::Left;
         if self.table.version() != version {
@@ -166,9 +165,11 @@
         self.table.get(&self.settings.me.id).expect("own record is never forgotten")
     }
 
-    /// Live peers that heartbeats are exchanged with.
+    /// Live peers that heartbeats are exchanged with, as of the latest tick.
     pub fn neighbours(&self) -> Vec<instance::Id> {
-        self.contacts.ids()
+        let mut ids = self.contacts.ids();
+        ids.retain(|id| self.state(id).is_some_and(State::is_live));
+        ids
     }
 
     /// Grows with every change of the live list or of a state.
--- a/crates/mustardway_membership/src/settings.rs
+++ b/crates/mustardway_membership/src/settings.rs
@@ -13,7 +13,7 @@
 /// Neighbours on each side of the ring across failure domains.
 pub const CROSS_LINKS: usize = 1;
 /// Bytes a second for changes and tables; heartbeats come on top.
-pub const GOSSIP_RATE: u64 = 12 * 1024;
+pub const GOSSIP_RATE: u64 = 16 * 1024;
 /// How long a dead instance is remembered.
 pub const DEAD_MEMORY: Span = Span::seconds(7200);
 /// How long an instance that left is remembered.
--- /dev/null
+++ b/crates/mustardway_membership/tests/freeze.rs
@@ -0,0 +1,79 @@
+//! An instance that wakes late acts as no owner until it has been answered.
+
+mod common;
+
+use common::Fleet;
+use mustardway_types::time::Span;
+
+#[test]
+fn woken_late() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::settled(9, 3, seed);
+        assert!(!fleet.hosts[4].node.fenced(fleet.now));
+        fleet.stop(4);
+        fleet.run(Span::seconds(5));
+        assert!(fleet.hosts[4].node.fenced(fleet.now), "seed {seed}: before it runs");
+        // Everything that had arrived is handled, and still no answer counts.
+        fleet.wake(4);
+        assert!(fleet.hosts[4].node.fenced(fleet.now), "seed {seed}: old messages");
+        let lifted =
+            fleet.run_until(Span::seconds(1), |fleet| !fleet.hosts[4].node.fenced(fleet.now));
+        assert!(lifted.is_some(), "seed {seed}: never lifted");
+        assert!(fleet.hosts[4].node.me().member.incarnation.0 > 1_000, "seed {seed}");
+        assert!(fleet.run_until(Span::seconds(1), Fleet::agrees).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn woken_cut_off() {
+    let mut fleet = Fleet::settled(9, 3, 1);
+    fleet.stop(4);
+    fleet.run(Span::seconds(5));
+    fleet.sides[4] = 1;
+    fleet.wake(4);
+    for _ in 0..14 {
+        fleet.run(Span::millis(100));
+        assert!(fleet.hosts[4].node.fenced(fleet.now));
+    }
+    fleet.run(Span::seconds(2));
+    assert!(!fleet.hosts[4].node.fenced(fleet.now));
+    assert_eq!(fleet.hosts[4].node.live().count(), 1);
+}
+
+#[test]
+fn woken_kills_nobody() {
+    let mut fleet = Fleet::settled(9, 3, 1);
+    fleet.stop(4);
+    fleet.run(Span::seconds(30));
+    fleet.wake(4);
+    fleet.run(Span::seconds(5));
+    assert_eq!(fleet.hosts[4].node.counts().declared, 0);
+    assert!(fleet.agrees());
+}
+
+#[test]
+fn short_pause() {
+    let mut fleet = Fleet::settled(9, 3, 1);
+    fleet.stop(4);
+    fleet.run(Span::millis(600));
+    fleet.wake(4);
+    fleet.run(Span::millis(100));
+    assert!(!fleet.hosts[4].node.fenced(fleet.now));
+    assert_eq!(fleet.hosts[4].node.counts().woken, 0);
+}
+
+#[test]
+fn whole_fleet_paused() {
+    let mut fleet = Fleet::settled(9, 3, 1);
+    for index in 0..9 {
+        fleet.stop(index);
+    }
+    fleet.run(Span::seconds(10));
+    for index in 0..9 {
+        fleet.wake(index);
+    }
+    assert!(fleet.running().all(|(_, host)| host.node.fenced(fleet.now)));
+    fleet.run(Span::seconds(2));
+    assert!(fleet.agrees());
+    assert!(fleet.running().all(|(_, host)| !host.node.fenced(fleet.now)));
+}
--- /dev/null
+++ b/crates/mustardway_membership/tests/partition.rs
@@ -0,0 +1,109 @@
+//! Cuts between failure domains, and what happens when they heal.
+
+mod common;
+
+use common::Fleet;
+use mustardway_types::time::Span;
+
+fn split(fleet: &mut Fleet, alone: impl Fn(usize) -> bool) {
+    for index in 0..fleet.sides.len() {
+        fleet.sides[index] = u8::from(alone(index));
+    }
+}
+
+fn sides_agree(fleet: &Fleet) -> bool {
+    for (viewer, host) in fleet.running() {
+        let side = fleet.sides[viewer];
+        let peers = fleet.sides.iter().filter(|other| **other == side).count();
+        if host.node.live().count() != peers {
+            return false;
+        }
+    }
+    true
+}
+
+/// Nobody is held for dead by its own side.
+fn sides_whole(fleet: &Fleet) -> bool {
+    for (viewer, _) in fleet.running() {
+        for (subject, _) in fleet.running() {
+            let same = fleet.sides[viewer] == fleet.sides[subject];
+            if same && !fleet.sees_live(viewer, subject) {
+                return false;
+            }
+        }
+    }
+    true
+}
+
+fn cut_and_heal(count: usize, domains: usize, seed: u64, heal_limit: Span) {
+    let mut fleet = Fleet::settled(count, domains, seed);
+    split(&mut fleet, |index| index % domains == 0);
+    let cut = fleet.run_until(Span::seconds(30), sides_agree);
+    assert!(cut.is_some(), "seed {seed}: sides do not agree");
+    for _ in 0..50 {
+        fleet.run(Span::millis(100));
+        assert!(sides_whole(&fleet), "seed {seed}");
+    }
+    let owners = split_views(&fleet);
+    assert_eq!(owners, 0, "seed {seed}");
+    split(&mut fleet, |_| false);
+    let healed = fleet.run_until(heal_limit, Fleet::agrees);
+    assert!(healed.is_some(), "seed {seed}: not healed");
+    println!("{count} instances, seed {seed}: cut {cut:?}, healed {healed:?}");
+    fleet.run(Span::seconds(5));
+    assert!(fleet.agrees(), "seed {seed}: not stable");
+}
+
+/// Hosts that are fenced after their side has settled.
+fn split_views(fleet: &Fleet) -> usize {
+    fleet.running().filter(|(_, host)| host.node.fenced(fleet.now)).count()
+}
+
+#[test]
+fn domain_cut_heals() {
+    for seed in 0..5 {
+        cut_and_heal(9, 3, seed, Span::seconds(6));
+    }
+}
+
+#[test]
+fn large_cut_heals() {
+    cut_and_heal(120, 6, 1, Span::seconds(15));
+}
+
+#[test]
+fn own_side_unharmed() {
+    let domains = 3;
+    for seed in 0..5 {
+        let mut fleet = Fleet::settled(9, domains, seed);
+        split(&mut fleet, |index| index % domains == 0);
+        fleet.run(Span::seconds(10));
+        split(&mut fleet, |_| false);
+        for _ in 0..100 {
+            fleet.run(Span::millis(50));
+            for (viewer, _) in fleet.running() {
+                for (subject, _) in fleet.running() {
+                    let same = viewer % domains == 0 && subject % domains == 0;
+                    let kept = !same || fleet.sees_live(viewer, subject);
+                    assert!(kept, "seed {seed}: {viewer} lost {subject}");
+                }
+            }
+        }
+        assert!(fleet.agrees(), "seed {seed}");
+    }
+}
+
+#[test]
+fn one_cut_off() {
+    let mut fleet = Fleet::settled(9, 3, 4);
+    fleet.sides[4] = 1;
+    fleet.run(Span::millis(1_000));
+    assert!(fleet.hosts[4].node.fenced(fleet.now));
+    fleet.run(Span::millis(1_500));
+    assert!(!fleet.hosts[4].node.fenced(fleet.now));
+    assert_eq!(fleet.hosts[4].node.live().count(), 1);
+    assert!(fleet.all_see_dead(4));
+    fleet.sides[4] = 0;
+    let healed = fleet.run_until(Span::seconds(3), Fleet::agrees);
+    assert!(healed.is_some());
+}
