Test spread over lossy links and a failing platform

Cause: the crate had only been compiled. A first form of the test 'heals' left open platform calls over a cut; the harness now ends them.

--- /dev/null
+++ b/crates/mustardway_spread/tests/common/mod.rs
@@ -0,0 +1,452 @@
+//! Delivers messages between replicas and stands for the platform.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use mustardway_spread::action::Action;
+use mustardway_spread::event::Event;
+use mustardway_spread::message::Message;
+use mustardway_spread::platform::{Answer, Content, Failure};
+use mustardway_spread::replica::Replica;
+use mustardway_spread::report;
+use mustardway_spread::set::{Files, Set};
+use mustardway_spread::settings::Settings;
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{hash, instance, revision};
+use prost::Message as _;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+/// Time between two ticks.
+pub const TICK: Span = Span::millis(50);
+/// Time between two heartbeats.
+pub const HEARTBEAT: Span = Span::millis(250);
+/// Time that the platform takes to answer.
+pub const ANSWER: Span = Span::millis(5);
+/// Longest that the platform holds a call.
+pub const WAIT: Span = Span::seconds(30);
+/// Bytes around a message: frame length, IP and TCP headers with timestamps.
+pub const OVERHEAD: u64 = 56;
+
+pub fn id(index: usize) -> instance::Id {
+    format!("i-{index:04}").parse().expect("well formed")
+}
+
+pub fn digest(files: &Files) -> revision::Digest {
+    let mut value = 0;
+    for (name, content) in files {
+        value = hash::mix(value, hash::seeded(1, name.as_bytes()));
+        value = hash::mix(value, hash::seeded(2, content));
+    }
+    revision::Digest(value)
+}
+
+/// Files that differ from number to number in a few places.
+pub fn files(number: u64) -> Files {
+    let mut files = Files::new();
+    for index in 0..20u64 {
+        let name = CompactString::from(format!("{index:02}-service.ini"));
+        let version = if number % 20 == index { number } else { 0 };
+        let text = format!("[service]\nversion = {version}\n{}", "; filler\n".repeat(40));
+        files.insert(name, Arc::from(text.as_bytes()));
+    }
+    if number.is_multiple_of(2) {
+        files
+            .insert(CompactString::from("99-even.ini"), Arc::from(number.to_be_bytes().as_slice()));
+    }
+    files
+}
+
+pub fn set(number: u64) -> Set {
+    let files = files(number);
+    Set { number: revision::Number(number), digest: digest(&files), files }
+}
+
+pub fn answer(number: u64) -> Answer {
+    Answer { number: revision::Number(number), content: Content::Whole(files(number)) }
+}
+
+pub fn replica(index: usize, seed: u64, now: Instant) -> Replica {
+    Replica::new(Settings::new(id(index), seed), Box::new(digest), now)
+}
+
+/// What the platform publishes, and whether it answers.
+pub struct Platform {
+    pub number: u64,
+    pub files: Files,
+    pub failure: Option<Failure>,
+    pub calls: u64,
+    waiting: Vec<(usize, u64, Instant)>,
+}
+
+/// One replica and what the harness knows of it.
+pub struct Host {
+    pub replica: Replica,
+    pub running: bool,
+    pub neighbours: Vec<usize>,
+    pub platform_reached: bool,
+    pub sent: u64,
+    pub bytes: u64,
+    pub reports: Vec<report::Kind>,
+    pub history: Vec<u64>,
+    next_tick: Instant,
+    next_heartbeat: Instant,
+}
+
+enum Flight {
+    Message { from: usize, message: Message },
+    Heard { from: usize, number: revision::Number, digest: revision::Digest, age: Span },
+    Platform(Result<Answer, Failure>),
+}
+
+/// Replicas, the links between them and the platform.
+pub struct Fleet {
+    pub now: Instant,
+    pub hosts: Vec<Host>,
+    pub platform: Platform,
+    pub loss: f64,
+    pub duplication: f64,
+    pub delay: (Span, Span),
+    pub sides: Vec<u8>,
+    pub bad: BTreeSet<u64>,
+    pub corrupt: BTreeSet<usize>,
+    pub rng: Pcg32,
+    flights: BTreeMap<(Instant, u64), (usize, Flight)>,
+    flight: u64,
+}
+
+impl Fleet {
+    /// `count` replicas in `domains`, linked as membership links them, with
+    /// two readers in each domain.
+    pub fn new(count: usize, domains: usize, seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let now = Instant(1_000_000);
+        let mut hosts = Vec::new();
+        for index in 0..count {
+            hosts.push(Host {
+                replica: replica(index, seed * 10_000 + index as u64, now),
+                running: true,
+                neighbours: Vec::new(),
+                platform_reached: true,
+                sent: 0,
+                bytes: 0,
+                reports: Vec::new(),
+                history: Vec::new(),
+                next_tick: now + Span(rng.random_range(0..TICK.0)),
+                next_heartbeat: now + Span(rng.random_range(0..HEARTBEAT.0)),
+            });
+        }
+        let mut fleet = Fleet {
+            now,
+            hosts,
+            platform: Platform {
+                number: 1,
+                files: files(1),
+                failure: None,
+                calls: 0,
+                waiting: Vec::new(),
+            },
+            loss: 0.0,
+            duplication: 0.0,
+            delay: (Span(300), Span(700)),
+            sides: vec![0; count],
+            bad: BTreeSet::new(),
+            corrupt: BTreeSet::new(),
+            rng,
+            flights: BTreeMap::new(),
+            flight: 0,
+        };
+        fleet.link(domains);
+        fleet
+    }
+
+    /// A fleet in which revision 1 is in force everywhere.
+    pub fn settled(count: usize, domains: usize, seed: u64) -> Self {
+        let mut fleet = Fleet::new(count, domains, seed);
+        let settled = fleet.run_until(Span::seconds(10), |fleet| fleet.all_at(1));
+        assert!(settled.is_some(), "revision 1 is not in force everywhere");
+        fleet.run(Span::seconds(2));
+        fleet
+    }
+
+    fn link(&mut self, domains: usize) {
+        let count = self.hosts.len();
+        let mut links = vec![BTreeSet::new(); count];
+        let mut ring: Vec<usize> = (0..count).collect();
+        for index in (1..count).rev() {
+            ring.swap(index, self.rng.random_range(0..=index));
+        }
+        for position in 0..count {
+            connect(&mut links, ring[position], ring[(position + 1) % count]);
+        }
+        for domain in 0..domains {
+            let inside: Vec<usize> =
+                ring.iter().copied().filter(|index| index % domains == domain).rev().collect();
+            for position in 0..inside.len() {
+                for step in 1..=2 {
+                    connect(&mut links, inside[position], inside[(position + step) % inside.len()]);
+                }
+            }
+            for &reader in inside.iter().take(2) {
+                self.event(reader, Event::Reader(true));
+            }
+        }
+        for (index, peers) in links.into_iter().enumerate() {
+            let ids = peers.iter().map(|peer| id(*peer)).collect();
+            self.hosts[index].neighbours = peers.into_iter().collect();
+            self.event(index, Event::Neighbours(ids));
+        }
+    }
+
+    pub fn publish(&mut self, number: u64) {
+        self.publish_files(number, files(number));
+    }
+
+    pub fn publish_files(&mut self, number: u64, files: Files) {
+        self.platform.number = number;
+        self.platform.files = files;
+        let waiting = std::mem::take(&mut self.platform.waiting);
+        for (host, after, due) in waiting {
+            if number <= after {
+                self.platform.waiting.push((host, after, due));
+                continue;
+            }
+            let answer = self.platform.answer(after);
+            self.launch(host, ANSWER, Flight::Platform(answer));
+        }
+    }
+
+    /// Cuts one replica off from the platform, calls that are open included.
+    pub fn cut_platform(&mut self, index: usize) {
+        self.hosts[index].platform_reached = false;
+        let before = self.platform.waiting.len();
+        self.platform.waiting.retain(|(host, ..)| *host != index);
+        if self.platform.waiting.len() < before {
+            self.launch(index, ANSWER, Flight::Platform(Err(Failure::Unreachable)));
+        }
+    }
+
+    /// Makes the platform fail, or answer again with `None`.
+    pub fn fail_platform(&mut self, failure: Option<Failure>) {
+        self.platform.failure = failure;
+        let waiting = std::mem::take(&mut self.platform.waiting);
+        for (host, after, _) in waiting {
+            let answer = self.platform.answer(after);
+            self.launch(host, ANSWER, Flight::Platform(answer));
+        }
+    }
+
+    pub fn restart(&mut self, index: usize, seed: u64) {
+        let reader = self.hosts[index].replica.is_reader();
+        let peers = self.hosts[index].neighbours.iter().map(|peer| id(*peer)).collect();
+        let host = &mut self.hosts[index];
+        host.replica = replica(index, seed, self.now);
+        host.running = true;
+        host.history.clear();
+        host.next_tick = self.now;
+        self.platform.waiting.retain(|(host, ..)| *host != index);
+        self.flights.retain(|_, (to, _)| *to != index);
+        self.event(index, Event::Reader(reader));
+        self.event(index, Event::Neighbours(peers));
+    }
+
+    pub fn event(&mut self, index: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.hosts[index].replica.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.carry(index, action);
+        }
+    }
+
+    fn carry(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Read { after, wait } => self.read(index, after.0, wait),
+            Action::Send { to, message } => self.send(index, &to, message),
+            Action::Propose(set) => {
+                let accepted = !self.bad.contains(&set.number.0);
+                self.event(index, Event::Verdict { number: set.number, accepted });
+                if accepted {
+                    self.hosts[index].history.push(set.number.0);
+                }
+            }
+            Action::Report(kind) => self.hosts[index].reports.push(kind),
+        }
+    }
+
+    fn read(&mut self, index: usize, after: u64, wait: bool) {
+        self.platform.calls += 1;
+        if !self.hosts[index].platform_reached {
+            self.launch(index, ANSWER, Flight::Platform(Err(Failure::Unreachable)));
+            return;
+        }
+        let held = wait && self.platform.failure.is_none() && self.platform.number <= after;
+        if held {
+            self.platform.waiting.push((index, after, self.now + WAIT));
+            return;
+        }
+        let answer = self.platform.answer(after);
+        self.launch(index, ANSWER, Flight::Platform(answer));
+    }
+
+    fn send(&mut self, from: usize, to: &instance::Id, mut message: Message) {
+        let to: usize = to.as_str()[2..].parse().expect("an index");
+        self.hosts[from].sent += 1;
+        self.hosts[from].bytes += message.encoded_len() as u64 + OVERHEAD;
+        if self.sides[from] != self.sides[to] {
+            return;
+        }
+        if self.corrupt.contains(&from) {
+            corrupt(&mut message);
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.duplication));
+        for _ in 0..copies {
+            if self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let delay = Span(self.rng.random_range(self.delay.0.0..=self.delay.1.0));
+            let message = message.clone();
+            self.launch(to, delay, Flight::Message { from, message });
+        }
+    }
+
+    fn launch(&mut self, to: usize, delay: Span, flight: Flight) {
+        self.flight += 1;
+        self.flights.insert((self.now + delay, self.flight), (to, flight));
+    }
+
+    pub fn run(&mut self, span: Span) {
+        self.run_until(span, |_| false);
+    }
+
+    /// Runs until `done`, at most for `span`; the time it took.
+    pub fn run_until(&mut self, span: Span, done: impl Fn(&Fleet) -> bool) -> Option<Span> {
+        let start = self.now;
+        let end = self.now + span;
+        while self.now < end {
+            let until = end.min(self.now + TICK);
+            self.run_step(until);
+            if done(self) {
+                return Some(self.now.since(start));
+            }
+        }
+        None
+    }
+
+    fn run_step(&mut self, until: Instant) {
+        let mut ticks = Vec::new();
+        for (index, host) in self.hosts.iter().enumerate() {
+            if host.running && host.next_tick < until {
+                ticks.push((host.next_tick.max(self.now), index));
+            }
+        }
+        ticks.sort();
+        for (at, index) in ticks {
+            self.deliver(at);
+            self.now = at;
+            self.hosts[index].next_tick = at + TICK;
+            self.event(index, Event::Tick);
+            self.heartbeat(index);
+        }
+        self.deliver(until);
+        self.now = until;
+        self.end_waits();
+    }
+
+    fn heartbeat(&mut self, index: usize) {
+        if self.now < self.hosts[index].next_heartbeat {
+            return;
+        }
+        self.hosts[index].next_heartbeat = self.now + HEARTBEAT;
+        let replica = &self.hosts[index].replica;
+        let (number, digest) = (replica.in_force().number, replica.in_force().digest);
+        let age = replica.age(self.now);
+        for peer in self.hosts[index].neighbours.clone() {
+            let lost = self.rng.random_bool(self.loss);
+            if lost || self.sides[index] != self.sides[peer] {
+                continue;
+            }
+            let delay = Span(self.rng.random_range(self.delay.0.0..=self.delay.1.0));
+            self.launch(peer, delay, Flight::Heard { from: index, number, digest, age });
+        }
+    }
+
+    fn end_waits(&mut self) {
+        let waiting = std::mem::take(&mut self.platform.waiting);
+        for (host, after, due) in waiting {
+            if self.now < due {
+                self.platform.waiting.push((host, after, due));
+                continue;
+            }
+            let answer = self.platform.answer(after);
+            self.launch(host, ANSWER, Flight::Platform(answer));
+        }
+    }
+
+    fn deliver(&mut self, until: Instant) {
+        while let Some(entry) = self.flights.first_entry() {
+            if entry.key().0 > until {
+                return;
+            }
+            let ((at, _), (to, flight)) = entry.remove_entry();
+            self.now = self.now.max(at);
+            if !self.hosts[to].running {
+                continue;
+            }
+            let event = match flight {
+                Flight::Message { from, message } => Event::Received { from: id(from), message },
+                Flight::Heard { from, number, digest, age } => {
+                    Event::Heard { from: id(from), number, digest, age }
+                }
+                Flight::Platform(answer) => Event::Platform(answer),
+            };
+            self.event(to, event);
+        }
+    }
+
+    pub fn at(&self, index: usize) -> u64 {
+        self.hosts[index].replica.in_force().number.0
+    }
+
+    /// Whether `number` is in force at every running host.
+    pub fn all_at(&self, number: u64) -> bool {
+        self.hosts
+            .iter()
+            .all(|host| !host.running || host.replica.in_force().number == revision::Number(number))
+    }
+
+    pub fn reported(&self, wanted: impl Fn(&report::Kind) -> bool) -> usize {
+        self.hosts.iter().flat_map(|host| &host.reports).filter(|kind| wanted(kind)).count()
+    }
+}
+
+impl Platform {
+    fn answer(&self, after: u64) -> Result<Answer, Failure> {
+        if let Some(failure) = self.failure {
+            return Err(failure);
+        }
+        let whole = self.number > after;
+        let content = if whole { Content::Whole(self.files.clone()) } else { Content::NotChanged };
+        Ok(Answer { number: revision::Number(self.number), content })
+    }
+}
+
+fn connect(links: &mut [BTreeSet<usize>], first: usize, second: usize) {
+    if first == second {
+        return;
+    }
+    links[first].insert(second);
+    links[second].insert(first);
+}
+
+fn corrupt(message: &mut Message) {
+    use mustardway_spread::message::Body;
+    let Some(Body::Part(part)) = &mut message.body else { return };
+    let mut bytes = part.bytes.to_vec();
+    if let Some(last) = bytes.last_mut() {
+        *last ^= 1;
+    }
+    part.bytes = bytes.into();
+}
