Spread fallback reads over a time that grows with the fleet

Cause: with the platform down, all instances that are no readers read it within 2 s; at 2,000 instances 2,038 calls came in one second, at 900 894, and every joining instance read once even where peers had just confirmed. Ruled out: a choice by hash among neighbours, which still grows with the fleet; doubling chances a slot, whose last slots carry half of the fleet. Change: Event::Live tells the number of live instances; reads of those that still hear peers are spread over live/100 s, and retries too. A joining instance whose revision a peer has just confirmed does not read. Transfers that do not answer are tried elsewhere after 250 ms, before 1 s. The test graph had its two rings in one order; they are independent now.

--- a/crates/mustardway_membership/examples/control_bytes.rs
+++ b/crates/mustardway_membership/examples/control_bytes.rs
@@ -5,7 +5,8 @@
 //! of 4 bytes of frame length and 52 bytes of IP and TCP header for each
 //! message, though a transport that batches sends fewer headers. CPU time is
 //! the wall time of the whole loop, delivery of messages included, so it is an
-//! upper bound. Arguments: fleet sizes, by default 9 90 900 2000.
+//! upper bound. Fleets start warm, with all told of all, but where a cold start
+//! is named. Arguments: fleet sizes, by default 9 90 900 2000.
 
 #![allow(unsafe_code)]
 
@@ -42,6 +43,8 @@
 #[global_allocator]
 static ALLOCATOR: Counting = Counting;
 
+/// Largest fleet that is started cold, for the wall time that it takes.
+const COLD_MAX: usize = 900;
 /// Simulated time over which the quiet fleet is measured.
 const QUIET: Span = Span::seconds(10);
 /// Crashes that are timed, each with its own seed where the fleet is small.
@@ -66,23 +69,22 @@
     if size <= 9 { 3 } else { 6 }
 }
 
-fn start(size: usize, seed: u64) -> Fleet {
+/// A fleet whose members all know each other.
+fn warm(size: usize, seed: u64) -> Fleet {
+    Fleet::warm(size, domains(size), seed)
+}
+
+/// Starts a whole fleet at once, knowing nothing but the platform's list.
+fn cold_start(size: usize) {
     let began = Instant::now();
-    let mut fleet = Fleet::started(size, domains(size), seed);
-    let agreed = fleet.run_until(Span::seconds(300), Fleet::agrees);
-    let most = fleet.hosts.iter().map(|host| host.bytes).max().unwrap_or(0);
-    let seconds = agreed.map_or(f64::NAN, Span::as_seconds);
-    println!(
-        "  cold start of {size}, seed {seed}: agreed after {seconds:.2} s, most sent {:.1} KB/s, {:.1} s of wall time",
-        most as f64 / seconds / 1e3,
-        began.elapsed().as_secs_f64(),
-    );
-    fleet.run(Span::seconds(5));
-    fleet
+    let mut fleet = Fleet::started(size, domains(size), 1);
+    let agreed = phase(&mut fleet, Fleet::agrees);
+    let wall = began.elapsed().as_secs_f64();
+    println!("  cold start of all {size} at once: {agreed}, {wall:.1} s of wall time");
 }
 
 fn measure(size: usize) {
-    let mut fleet = start(size, 1);
+    let mut fleet = warm(size, 1);
     for host in &mut fleet.hosts {
         host.sent = 0;
         host.bytes = 0;
@@ -98,6 +100,9 @@
     let mut found = crashes(fleet, size);
     found.sort_unstable();
     cut_and_heal(size);
+    if size <= COLD_MAX {
+        cold_start(size);
+    }
     println!(
         "{size} | {:.1} {:.1} | {:.0} {:.0} | {}/{}/{} | {:.0} | {cpu:.0}",
         mean(&sent) / seconds,
@@ -113,9 +118,7 @@
 
 /// Cuts one failure domain off for 20 s and heals it.
 fn cut_and_heal(size: usize) {
-    let mut fleet = Fleet::started(size, domains(size), 2);
-    fleet.run_until(Span::seconds(300), Fleet::agrees);
-    fleet.run(Span::seconds(5));
+    let mut fleet = warm(size, 2);
     for (index, side) in fleet.sides.iter_mut().enumerate() {
         *side = u8::from(index % domains(size) == 0);
     }
@@ -179,7 +182,7 @@
     let mut found = Vec::new();
     for crash in 1..=CRASHES {
         if size <= ANEW_MAX {
-            fleet = Fleet::settled(size, domains(size), 100 + crash);
+            fleet = warm(size, 100 + crash);
         }
         let index = (crash as usize * 37) % size;
         fleet.stop(index);
--- a/crates/mustardway_membership/src/gossip.rs
+++ b/crates/mustardway_membership/src/gossip.rs
@@ -14,7 +14,7 @@
 /// Time between two pushes to one contact.
 const PUSH_INTERVAL: Span = Span::millis(20);
 /// Seconds of the rate that may be saved up.
-const BURST_SECONDS: u64 = 2;
+const BURST_SECONDS: u64 = 1;
 /// Bytes counted for a message besides its entries.
 const MESSAGE_BYTES: u64 = 60;
 /// Bytes counted for an entry besides its names.
--- a/crates/mustardway_membership/tests/common/mod.rs
+++ b/crates/mustardway_membership/tests/common/mod.rs
@@ -3,11 +3,12 @@
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
 
 use mustardway_membership::action::Action;
 use mustardway_membership::event::Event;
 use mustardway_membership::member::{Member, State};
-use mustardway_membership::message::Message;
+use mustardway_membership::message::{Body, ENTRIES_MAX, Entry, Gossip, Message};
 use mustardway_membership::node::Node;
 use mustardway_membership::roster;
 use mustardway_membership::settings::Settings;
@@ -78,6 +79,23 @@
     (0..count).map(|index| entry(index, domains)).collect()
 }
 
+/// What another tells of a member in its first life.
+pub fn told(index: usize, domains: usize) -> Entry {
+    let member = member(index, domains, 1_000);
+    let ip = match member.address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    Entry {
+        id: member.id.to_string(),
+        domain: member.domain.to_string(),
+        ip,
+        port: u32::from(member.address.port()),
+        incarnation: 1_000,
+        state: 0,
+    }
+}
+
 impl Fleet {
     pub fn new(seed: u64) -> Self {
         Fleet {
@@ -115,6 +133,25 @@
         fleet
     }
 
+    /// A fleet in which all are told of all before the first tick.
+    pub fn warm(count: usize, domains: usize, seed: u64) -> Self {
+        let mut fleet = Fleet::started(count, domains, seed);
+        let mut messages = Vec::new();
+        for chunk in (0..count).collect::<Vec<_>>().chunks(ENTRIES_MAX) {
+            let entries = chunk.iter().map(|index| told(*index, domains)).collect();
+            messages.push(Message { body: Some(Body::Gossip(Gossip { entries })) });
+        }
+        for index in 0..count {
+            for message in &messages {
+                let from = id((index + 1) % count);
+                fleet.event(index, Event::Received { from, message: message.clone() });
+            }
+        }
+        fleet.run(Span::seconds(5));
+        assert!(fleet.agrees(), "no agreement after a warm start");
+        fleet
+    }
+
     pub fn add(&mut self, member: Member, seed: u64) -> usize {
         let index = self.hosts.len();
         self.index.insert(member.id.clone(), index);
--- a/crates/mustardway_spread/examples/spread_time.rs
+++ b/crates/mustardway_spread/examples/spread_time.rs
@@ -40,12 +40,12 @@
     let mut fleet = Fleet::new(size, domains, 1);
     let calls = fleet.platform.calls;
     let joined = fleet.run_until(LIMIT, |fleet| fleet.all_at(1));
+    fleet.run(Span::seconds(5));
     println!(
-        "{size} instances: cold start {:.2} s with {} platform calls",
+        "{size} instances: cold start {:.2} s, {} platform calls in 5 s",
         seconds(joined),
         fleet.platform.calls - calls,
     );
-    fleet.run(Span::seconds(5));
     quiet(&mut fleet);
     let number = plain(&mut fleet);
     lossy(&mut fleet, number);
--- a/crates/mustardway_spread/src/reading.rs
+++ b/crates/mustardway_spread/src/reading.rs
@@ -1,8 +1,10 @@
 //! When this instance reads the platform, and what it makes of the answer.
 //!
-//! A reader keeps one waiting call open. Any other instance reads once when it
-//! joins, and again only when no instance has told of a recent confirmation;
-//! failed reads back off, so that a platform that is down is not stormed.
+//! A reader keeps one waiting call open. Any other instance reads only when no
+//! instance has told of a recent confirmation, be it joining or not.
+//! Those reads are spread over a time that grows with the fleet, since the
+//! first that succeeds spares the others theirs, and failed ones back off, so
+//! that a platform that is down is not stormed.
 
 use mustardway_types::revision;
 use mustardway_types::time::{Instant, Span};
@@ -26,8 +28,8 @@
     open: Option<Read>,
     /// When the next read may start.
     next: Instant,
-    /// Age of the last confirmation beyond which others read too.
-    patience: Span,
+    /// Place of this instance in the time over which reads are spread, below 1.
+    place: f64,
     backoff: Span,
     /// The latest read was answered.
     answered: bool,
@@ -53,7 +55,7 @@
             reader: false,
             open: None,
             next: now + jitter,
-            patience: Span::ZERO,
+            place: rng.random(),
             backoff: settings.backoff.0,
             answered: false,
             settled: false,
@@ -74,8 +76,8 @@
     }
 
     /// Pause after a failed read; the next one is twice as long.
-    fn pause(&mut self, longest: Span, rng: &mut Pcg32) -> Span {
-        let pause = self.backoff.min(longest);
+    fn pause(&mut self, shortest: Span, longest: Span, rng: &mut Pcg32) -> Span {
+        let pause = self.backoff.clamp(shortest, longest);
         self.backoff = Span(longest.0.min(pause.0 * 2));
         Span(rng.random_range(pause.0 / 2..=pause.0))
     }
@@ -101,8 +103,9 @@
             }
             return;
         }
-        let wanted = self.reading.reader || !self.reading.settled;
-        if now < self.reading.next || (!wanted && self.age(now) < self.reading.patience) {
+        let joining = !self.ready && !self.reading.settled && !self.is_confirmed(now);
+        let unconfirmed = self.age(now) >= self.patience(now);
+        if now < self.reading.next || !(self.reading.reader || joining || unconfirmed) {
             return;
         }
         let wait = self.reading.reader && self.reading.answered;
@@ -128,11 +131,37 @@
         }
     }
 
+    /// Whether the platform has lately told some instance that nothing is newer
+    /// than the revision in force here.
+    pub(crate) fn is_confirmed(&self, now: Instant) -> bool {
+        self.in_force.number.0 > 0 && self.age(now) < self.settings.confirm
+    }
+
+    /// Time over which the reads of all that are no readers are spread.
+    fn window(&self, now: Instant) -> Span {
+        let jitter = self.settings.confirm_jitter;
+        let hears = self.heard.is_some_and(|heard| now.since(heard) < self.settings.cut_off);
+        if !hears {
+            return jitter;
+        }
+        let share = self.live as u64 * 1_000_000 / self.settings.fallback_rate.0.max(1);
+        jitter.max(Span(share))
+    }
+
+    /// Age of the last confirmation beyond which this instance reads too.
+    fn patience(&self, now: Instant) -> Span {
+        let place = self.window(now).0 as f64 * self.reading.place;
+        self.settings.confirm + Span(place as u64)
+    }
+
     fn take_failure(&mut self, failure: Failure, now: Instant, actions: &mut Vec<Action>) {
         self.counts.failures += 1;
-        let (_, others) = self.settings.backoff;
-        let longest = if self.reading.reader { self.settings.reader_backoff } else { others };
-        let pause = self.reading.pause(longest, &mut self.rng);
+        let (shortest, longest) = if self.reading.reader {
+            (self.settings.backoff.0, self.settings.reader_backoff)
+        } else {
+            (self.window(now), self.settings.backoff.1.max(self.window(now)))
+        };
+        let pause = self.reading.pause(shortest, longest, &mut self.rng);
         self.reading.next = now + pause;
         if self.reading.failed_told {
             return;
@@ -144,8 +173,7 @@
     fn take_answer(&mut self, answer: Answer, now: Instant, actions: &mut Vec<Action>) {
         self.reading.next = now + INTERVAL;
         self.reading.backoff = self.settings.backoff.0;
-        let jitter = self.rng.random_range(0..=self.settings.confirm_jitter.0);
-        self.reading.patience = self.settings.confirm + Span(jitter);
+        self.reading.place = self.rng.random();
         if self.reading.failed_told {
             self.reading.failed_told = false;
             actions.push(Action::Report(report::Kind::PlatformBack));
--- a/crates/mustardway_spread/src/replica.rs
+++ b/crates/mustardway_spread/src/replica.rs
@@ -41,8 +41,10 @@
     pub(crate) reading: Reading,
     pub(crate) confirmed: Option<Instant>,
     pub(crate) counts: Counts,
+    pub(crate) live: usize,
+    pub(crate) heard: Option<Instant>,
     started: Instant,
-    ready: bool,
+    pub(crate) ready: bool,
 }
 
 /// What a peer is known to have in force.
@@ -90,6 +92,8 @@
             reading,
             confirmed: None,
             counts: Counts::default(),
+            live: 1,
+            heard: None,
             started: now,
             ready: false,
             settings,
@@ -106,6 +110,7 @@
                 self.hear(&from, number, digest, age, now, actions);
             }
             Event::Neighbours(ids) => self.take_neighbours(ids),
+            Event::Live(count) => self.live = count,
             Event::Reader(reader) => self.reading.set_reader(reader, now),
             Event::Verdict { number, accepted } => {
                 self.take_verdict(number, accepted, now, actions);
@@ -175,7 +180,7 @@
     /// Whether the revision in force is the highest that is known of.
     fn has_joined(&self, now: Instant) -> bool {
         let waited = now.since(self.started) >= self.settings.join_wait;
-        let platform = self.reading.has_settled() || waited;
+        let platform = self.reading.has_settled() || self.is_confirmed(now) || waited;
         let peers = !self.sources.is_empty() || waited;
         self.in_force.number.0 > 0 && platform && peers && self.best_source().is_none()
     }
@@ -190,6 +195,7 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
+        self.heard = Some(now);
         self.note_source(from, number, digest);
         if number != self.in_force.number || number.0 == 0 {
             return;
--- a/crates/mustardway_spread/src/settings.rs
+++ b/crates/mustardway_spread/src/settings.rs
@@ -1,6 +1,7 @@
 //! Identity and timing of one instance.
 
 use mustardway_types::instance;
+use mustardway_types::rate;
 use mustardway_types::size;
 use mustardway_types::time::Span;
 
@@ -8,6 +9,10 @@
 pub const CONFIRM: Span = Span::seconds(3);
 /// Greatest random addition to it.
 pub const CONFIRM_JITTER: Span = Span::seconds(2);
+/// Reads a second by all that are no readers, while none is confirmed.
+pub const FALLBACK_RATE: rate::PerSecond = rate::PerSecond(100);
+/// Silence of all peers after which an instance reads without regard to others.
+pub const CUT_OFF: Span = Span::millis(1500);
 /// Longest time that the platform holds a waiting read open.
 pub const WAIT: Span = Span::seconds(30);
 /// How long after its wait an open read still counts as a confirmation.
@@ -17,7 +22,7 @@
 /// Longest pause of a reader after a failed read.
 pub const READER_BACKOFF: Span = Span::seconds(2);
 /// Time without a further part after which a transfer is given up.
-pub const PULL_TIMEOUT: Span = Span::seconds(1);
+pub const PULL_TIMEOUT: Span = Span::millis(250);
 /// How long a joining instance waits for the platform and for a peer.
 pub const JOIN_WAIT: Span = Span::seconds(3);
 /// Greatest random delay of a joining instance's first read.
@@ -36,6 +41,10 @@
     pub confirm: Span,
     /// Greatest random addition to it.
     pub confirm_jitter: Span,
+    /// Reads a second by all that are no readers, while none is confirmed.
+    pub fallback_rate: rate::PerSecond,
+    /// Silence of all peers after which an instance reads without regard to others.
+    pub cut_off: Span,
     /// Longest time that the platform holds a waiting read open.
     pub wait: Span,
     /// Shortest and longest pause after a failed read.
@@ -63,6 +72,8 @@
             me,
             confirm: CONFIRM,
             confirm_jitter: CONFIRM_JITTER,
+            fallback_rate: FALLBACK_RATE,
+            cut_off: CUT_OFF,
             wait: WAIT,
             backoff: BACKOFF,
             reader_backoff: READER_BACKOFF,
--- a/crates/mustardway_spread/tests/common/mod.rs
+++ b/crates/mustardway_spread/tests/common/mod.rs
@@ -176,15 +176,13 @@
         let count = self.hosts.len();
         let mut links = vec![BTreeSet::new(); count];
         let mut ring: Vec<usize> = (0..count).collect();
-        for index in (1..count).rev() {
-            ring.swap(index, self.rng.random_range(0..=index));
-        }
+        shuffle(&mut ring, &mut self.rng);
         for position in 0..count {
             connect(&mut links, ring[position], ring[(position + 1) % count]);
         }
         for domain in 0..domains {
-            let inside: Vec<usize> =
-                ring.iter().copied().filter(|index| index % domains == domain).rev().collect();
+            let mut inside: Vec<usize> = (domain..count).step_by(domains).collect();
+            shuffle(&mut inside, &mut self.rng);
             for position in 0..inside.len() {
                 for step in 1..=2 {
                     connect(&mut links, inside[position], inside[(position + step) % inside.len()]);
@@ -198,6 +196,7 @@
             let ids = peers.iter().map(|peer| id(*peer)).collect();
             self.hosts[index].neighbours = peers.into_iter().collect();
             self.event(index, Event::Neighbours(ids));
+            self.event(index, Event::Live(count));
         }
     }
 
@@ -251,6 +250,7 @@
         self.flights.retain(|_, (to, _)| *to != index);
         self.event(index, Event::Reader(reader));
         self.event(index, Event::Neighbours(peers));
+        self.event(index, Event::Live(self.hosts.len()));
     }
 
     pub fn event(&mut self, index: usize, event: Event) {
@@ -433,6 +433,12 @@
     }
 }
 
+fn shuffle(indices: &mut [usize], rng: &mut Pcg32) {
+    for index in (1..indices.len()).rev() {
+        indices.swap(index, rng.random_range(0..=index));
+    }
+}
+
 fn connect(links: &mut [BTreeSet<usize>], first: usize, second: usize) {
     if first == second {
         return;
