--- a/crates/mustardway_membership/src/claim.rs
+++ b/crates/mustardway_membership/src/claim.rs
@@ -11,7 +11,7 @@
 use crate::action::Action;
 use crate::gossip;
 use crate::heartbeat::Kind;
-use crate::member::{Record, State};
+use crate::member::{Member, Record, State};
 use crate::message::{Body, ENTRIES_MAX, Entry, Gossip};
 use crate::node::Node;
 
@@ -153,20 +153,17 @@
     }
 
     fn adopt(&mut self, claim: &Claim<'_>, now: Instant) {
-        let member = match self.table.get(claim.id) {
-            Some(known) if !claim.state.is_live() => {
-                let mut member = known.member.clone();
-                member.incarnation = Incarnation(claim.entry.incarnation);
-                Some(member)
+        let incarnation = Incarnation(claim.entry.incarnation);
+        let short = !claim.state.is_live() || claim.entry.is_short();
+        if short {
+            let born = self.table.get(claim.id).map(|known| known.birth);
+            let same_life = born == Some(claim.entry.birth());
+            // What is told of an unknown life comes with the tables, whole.
+            if born.is_none() || (claim.state.is_live() && !same_life) {
+                return;
             }
-            _ => claim.entry.member(),
-        };
-        let Some(member) = member else {
-            self.counts.malformed += 1;
-            return;
-        };
-        if !self.table.put(member, claim.state, now) {
-            self.counts.overflow += 1;
+            self.table.raise(claim.id, incarnation, claim.state, now);
+        } else if !self.insert(claim, now) {
             return;
         }
         if let Some(listed) = self.roster.get(claim.id) {
@@ -179,6 +176,17 @@
         self.contacts.tell(claim.id, Some(claim.from));
     }
 
+    /// Takes a claim that tells the whole member; false where it is not taken.
+    fn insert(&mut self, claim: &Claim<'_>, now: Instant) -> bool {
+        let Some(member) = claim.entry.member() else {
+            self.counts.malformed += 1;
+            return false;
+        };
+        let taken = self.table.put(member, claim.entry.birth(), claim.state, now);
+        self.counts.overflow += u64::from(!taken);
+        taken
+    }
+
     /// Takes a claim about this instance itself.
     fn take_own(&mut self, claim: &Claim<'_>, now: Instant, actions: &mut Vec<Action>) {
         let me = self.me().clone();
@@ -199,9 +207,13 @@
         }
         self.counts.refuted += 1;
         self.superseded = false;
-        let mut member = me.member;
-        member.incarnation = Incarnation(claim.entry.incarnation + 1);
-        self.table.put(member, me.state, now);
+        let incarnation = Incarnation(claim.entry.incarnation + 1);
+        if claim.entry.incarnation == own.0 {
+            self.table.raise(claim.id, incarnation, me.state, now);
+        } else {
+            let member = Member { incarnation, ..me.member };
+            self.table.put(member, incarnation, me.state, now);
+        }
         self.contacts.tell(claim.id, None);
         if !claim.state.is_live() {
             self.raise_fence(now);
--- a/crates/mustardway_membership/src/gossip.rs
+++ b/crates/mustardway_membership/src/gossip.rs
@@ -4,6 +4,7 @@
 
 use mustardway_types::instance;
 use mustardway_types::time::{Instant, Span};
+use prost::Message as _;
 
 use crate::action::Action;
 use crate::message::{Body, Entry, Gossip, Message};
@@ -17,8 +18,8 @@
 const BURST_SECONDS: u64 = 1;
 /// Bytes counted for a message besides its entries.
 const MESSAGE_BYTES: u64 = 60;
-/// Bytes counted for an entry besides its names.
-const ENTRY_BYTES: usize = 28;
+/// Bytes of the tag and length of an entry.
+const ENTRY_BYTES: usize = 2;
 
 /// Bytes that may still be sent for changes and tables.
 #[derive(Debug)]
@@ -61,7 +62,7 @@
     pub(crate) fn spend(&mut self, entries: &[Entry]) {
         let mut bytes = MESSAGE_BYTES;
         for entry in entries {
-            bytes += (ENTRY_BYTES + entry.id.len() + entry.domain.len()) as u64;
+            bytes += (ENTRY_BYTES + entry.encoded_len()) as u64;
         }
         self.bytes -= bytes as i64;
     }
@@ -83,7 +84,7 @@
                 if record.isolated {
                     continue;
                 }
-                entries.push(Entry::new(record));
+                entries.push(Entry::pushed(record));
             }
             let Some(record) = self.table.get(peer) else { continue };
             if entries.is_empty() {
--- a/crates/mustardway_membership/src/member.rs
+++ b/crates/mustardway_membership/src/member.rs
@@ -56,6 +56,8 @@
     pub(crate) position: u64,
     /// Held for dead only because nobody at all was heard.
     pub(crate) isolated: bool,
+    /// Incarnation that failure domain and address were told with.
+    pub(crate) birth: instance::Incarnation,
 }
 
 impl Record {
--- a/crates/mustardway_membership/src/message.rs
+++ b/crates/mustardway_membership/src/message.rs
@@ -144,10 +144,11 @@
     /// Name of the instance.
     #[prost(string, tag = "1")]
     pub id: String,
-    /// Failure domain; empty for one that is not live.
+    /// Failure domain; empty for one that is not live or has raised its
+    /// incarnation within one life.
     #[prost(string, tag = "2")]
     pub domain: String,
-    /// 4 or 16 bytes of IP number; empty for one that is not live.
+    /// 4 or 16 bytes of IP number; empty like the failure domain.
     #[prost(bytes = "vec", tag = "3")]
     pub ip: Vec<u8>,
     /// Port.
@@ -159,6 +160,9 @@
     /// State.
     #[prost(enumeration = "State", tag = "6")]
     pub state: i32,
+    /// By how much the incarnation was raised within this life.
+    #[prost(uint64, tag = "7")]
+    pub raised: u64,
 }
 
 /// States as sent.
@@ -176,24 +180,13 @@
 }
 
 impl Entry {
-    /// The entry that tells of `record`.
+    /// The entry that tells of `record` to those who need not know it.
     pub(crate) fn new(record: &member::Record) -> Self {
-        let state = match record.state {
-            member::State::Alive | member::State::Suspect => State::Alive,
-            member::State::Leaving => State::Leaving,
-            member::State::Dead => State::Dead,
-            member::State::Left => State::Left,
-        };
-        let member = &record.member;
-        let mut entry = Entry {
-            id: member.id.to_string(),
-            incarnation: member.incarnation.0,
-            state: state.into(),
-            ..Entry::default()
-        };
+        let mut entry = Entry::change(record);
         if !record.state.is_live() {
             return entry;
         }
+        let member = &record.member;
         entry.domain = member.domain.to_string();
         entry.port = u32::from(member.address.port());
         entry.ip = match member.address.ip() {
@@ -203,6 +196,41 @@
         entry
     }
 
+    /// The entry that tells of a change of `record`, as short as may be.
+    pub(crate) fn pushed(record: &member::Record) -> Self {
+        let newborn = record.member.incarnation == record.birth;
+        if newborn && record.state != member::State::Leaving {
+            return Entry::new(record);
+        }
+        Entry::change(record)
+    }
+
+    /// Whether it tells neither failure domain nor address.
+    pub(crate) fn is_short(&self) -> bool {
+        self.domain.is_empty() && self.ip.is_empty()
+    }
+
+    /// Incarnation that failure domain and address were told with.
+    pub(crate) fn birth(&self) -> instance::Incarnation {
+        instance::Incarnation(self.incarnation.saturating_sub(self.raised))
+    }
+
+    fn change(record: &member::Record) -> Self {
+        let state = match record.state {
+            member::State::Alive | member::State::Suspect => State::Alive,
+            member::State::Leaving => State::Leaving,
+            member::State::Dead => State::Dead,
+            member::State::Left => State::Left,
+        };
+        Entry {
+            id: record.member.id.to_string(),
+            incarnation: record.member.incarnation.0,
+            state: state.into(),
+            raised: record.member.incarnation.0.saturating_sub(record.birth.0),
+            ..Entry::default()
+        }
+    }
+
     /// The state, where it is a known one.
     pub(crate) fn known_state(&self) -> Option<member::State> {
         let state = match State::try_from(self.state).ok()? {
--- a/crates/mustardway_membership/src/node.rs
+++ b/crates/mustardway_membership/src/node.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use mustardway_types::domain;
-use mustardway_types::instance;
+use mustardway_types::instance::{self, Incarnation};
 use mustardway_types::revision;
 use mustardway_types::time::{Instant, Span};
 use rand::{RngExt, SeedableRng};
@@ -75,7 +75,8 @@
     pub fn new(settings: Settings, now: Instant) -> Self {
         let mut rng = Pcg32::seed_from_u64(settings.seed ^ settings.me.incarnation.0);
         let mut table = Table::new();
-        table.put(settings.me.clone(), State::Alive, now);
+        let birth = settings.me.incarnation;
+        table.put(settings.me.clone(), birth, State::Alive, now);
         let phase = Span(rng.random_range(0..settings.heartbeat.0.max(1)));
         Node {
             table,
@@ -279,10 +280,9 @@
         if me.state == state {
             return;
         }
-        let mut member = me.member.clone();
-        member.incarnation.0 += u64::from(raise);
-        let id = member.id.clone();
-        self.table.put(member, state, now);
+        let id = me.member.id.clone();
+        let incarnation = Incarnation(me.member.incarnation.0 + u64::from(raise));
+        self.table.raise(&id, incarnation, state, now);
         self.contacts.tell(&id, None);
         if state == State::Left {
             self.contacts.hurry(now);
--- a/crates/mustardway_membership/src/table.rs
+++ b/crates/mustardway_membership/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use mustardway_types::hash;
-use mustardway_types::instance;
+use mustardway_types::instance::{self, Incarnation};
 use mustardway_types::time::{Instant, Span};
 
 use crate::member::{Member, Record, State};
@@ -66,8 +66,15 @@
         (record.position % BUCKETS as u64) as usize
     }
 
-    /// Sets member and state of an instance; false where the table is full.
-    pub(crate) fn put(&mut self, member: Member, state: State, now: Instant) -> bool {
+    /// Sets member and state of an instance that was born as `birth`; false
+    /// where the table is full.
+    pub(crate) fn put(
+        &mut self,
+        member: Member,
+        birth: Incarnation,
+        state: State,
+        now: Instant,
+    ) -> bool {
         let known = self.records.get(&member.id);
         if known.is_none() && self.records.len() >= RECORDS_MAX {
             return false;
@@ -79,11 +86,26 @@
             state,
             changed: now,
             isolated: false,
+            birth,
         };
         self.replace(record);
         true
     }
 
+    /// Raises the incarnation of a known instance and sets its state.
+    pub(crate) fn raise(
+        &mut self,
+        id: &instance::Id,
+        incarnation: Incarnation,
+        state: State,
+        now: Instant,
+    ) {
+        let Some(record) = self.records.get(id) else { return };
+        let member = Member { incarnation, ..record.member.clone() };
+        let record = Record { member, state, changed: now, isolated: false, ..record.clone() };
+        self.replace(record);
+    }
+
     /// Sets the state of a known instance.
     pub(crate) fn set_state(&mut self, id: &instance::Id, state: State, now: Instant) {
         let Some(record) = self.records.get(id) else { return };
--- a/crates/mustardway_membership/tests/arbitrary.rs
+++ b/crates/mustardway_membership/tests/arbitrary.rs
@@ -42,8 +42,9 @@
         port in any::<u32>(),
         incarnation in numbers(),
         state in -1i32..6,
+        raised in numbers(),
     ) -> Entry {
-        Entry { id, domain, ip, port, incarnation, state }
+        Entry { id, domain, ip, port, incarnation, state, raised }
     }
 }
 
@@ -134,6 +135,7 @@
                 port: 1,
                 incarnation: 1,
                 state: 0,
+                raised: 0,
             });
         }
         let message = Message { body: Some(Body::Gossip(Gossip { entries })) };
@@ -157,6 +159,7 @@
             port: 1,
             incarnation: 1,
             state: 0,
+            raised: 0,
         };
         let heartbeat = Heartbeat {
             sequence: 1,
--- a/crates/mustardway_membership/tests/common/mod.rs
+++ b/crates/mustardway_membership/tests/common/mod.rs
@@ -93,6 +93,7 @@
         port: u32::from(member.address.port()),
         incarnation: 1_000,
         state: 0,
+        raised: 0,
     }
 }
 
@@ -290,16 +291,16 @@
 
     /// Whether every running host holds exactly the running ones for live.
     pub fn agrees(&self) -> bool {
-        let running: Vec<usize> = self.running().map(|(index, _)| index).collect();
-        for &viewer in &running {
-            if self.hosts[viewer].node.live().count() != running.len() {
+        let mut running: Vec<&instance::Id> = Vec::new();
+        for (_, host) in self.running() {
+            running.push(&host.node.me().member.id);
+        }
+        running.sort();
+        for (_, host) in self.running() {
+            let live = host.node.live().map(|record| &record.member.id);
+            if !live.eq(running.iter().copied()) {
                 return false;
             }
-            for &subject in &running {
-                if !self.sees_live(viewer, subject) {
-                    return false;
-                }
-            }
         }
         true
     }
