--- a/crates/mustardway_spread/tests/common/mod.rs
+++ b/crates/mustardway_spread/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+mod platform;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -16,6 +18,7 @@
 use mustardway_spread::settings::Settings;
 use mustardway_types::time::{Instant, Span};
 use mustardway_types::{hash, instance, revision};
+use platform::Platform;
 use prost::Message as _;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -26,8 +29,6 @@
 pub const HEARTBEAT: Span = Span::millis(250);
 /// Time that the platform takes to answer.
 pub const ANSWER: Span = Span::millis(5);
-/// Longest that the platform holds a call.
-pub const WAIT: Span = Span::seconds(30);
 /// Bytes around a message: frame length, IP and TCP headers with timestamps.
 pub const OVERHEAD: u64 = 56;
 
@@ -73,15 +74,6 @@
     Replica::new(Settings::new(id(index), seed), Box::new(digest), now)
 }
 
-/// What the platform publishes, and whether it answers.
-pub struct Platform {
-    pub number: u64,
-    pub files: Files,
-    pub failure: Option<Failure>,
-    pub calls: u64,
-    waiting: Vec<(usize, u64, Instant)>,
-}
-
 /// One replica and what the harness knows of it.
 pub struct Host {
     pub replica: Replica,
@@ -142,13 +134,7 @@
         let mut fleet = Fleet {
             now,
             hosts,
-            platform: Platform {
-                number: 1,
-                files: files(1),
-                failure: None,
-                calls: 0,
-                waiting: Vec::new(),
-            },
+            platform: Platform::new(1, files(1)),
             loss: 0.0,
             duplication: 0.0,
             delay: (Span(300), Span(700)),
@@ -207,23 +193,13 @@
     pub fn publish_files(&mut self, number: u64, files: Files) {
         self.platform.number = number;
         self.platform.files = files;
-        let waiting = std::mem::take(&mut self.platform.waiting);
-        for (host, after, due) in waiting {
-            if number <= after {
-                self.platform.waiting.push((host, after, due));
-                continue;
-            }
-            let answer = self.platform.answer(after);
-            self.launch(host, ANSWER, Flight::Platform(answer));
-        }
+        self.end_waits();
     }
 
     /// Cuts one replica off from the platform, calls that are open included.
     pub fn cut_platform(&mut self, index: usize) {
         self.hosts[index].platform_reached = false;
-        let before = self.platform.waiting.len();
-        self.platform.waiting.retain(|(host, ..)| *host != index);
-        if self.platform.waiting.len() < before {
+        if self.platform.drop_calls(index) {
             self.launch(index, ANSWER, Flight::Platform(Err(Failure::Unreachable)));
         }
     }
@@ -231,11 +207,7 @@
     /// Makes the platform fail, or answer again with `None`.
     pub fn fail_platform(&mut self, failure: Option<Failure>) {
         self.platform.failure = failure;
-        let waiting = std::mem::take(&mut self.platform.waiting);
-        for (host, after, _) in waiting {
-            let answer = self.platform.answer(after);
-            self.launch(host, ANSWER, Flight::Platform(answer));
-        }
+        self.end_waits();
     }
 
     pub fn restart(&mut self, index: usize, seed: u64) {
@@ -246,7 +218,7 @@
         host.running = true;
         host.history.clear();
         host.next_tick = self.now;
-        self.platform.waiting.retain(|(host, ..)| *host != index);
+        self.platform.drop_calls(index);
         self.flights.retain(|_, (to, _)| *to != index);
         self.event(index, Event::Reader(reader));
         self.event(index, Event::Neighbours(peers));
@@ -277,18 +249,14 @@
     }
 
     fn read(&mut self, index: usize, after: u64, wait: bool) {
-        self.platform.calls += 1;
         if !self.hosts[index].platform_reached {
+            self.platform.calls += 1;
             self.launch(index, ANSWER, Flight::Platform(Err(Failure::Unreachable)));
             return;
         }
-        let held = wait && self.platform.failure.is_none() && self.platform.number <= after;
-        if held {
-            self.platform.waiting.push((index, after, self.now + WAIT));
-            return;
+        if let Some((host, answer)) = self.platform.read(index, after, wait, self.now) {
+            self.launch(host, ANSWER, Flight::Platform(answer));
         }
-        let answer = self.platform.answer(after);
-        self.launch(index, ANSWER, Flight::Platform(answer));
     }
 
     fn send(&mut self, from: usize, to: &instance::Id, mut message: Message) {
@@ -374,13 +342,7 @@
     }
 
     fn end_waits(&mut self) {
-        let waiting = std::mem::take(&mut self.platform.waiting);
-        for (host, after, due) in waiting {
-            if self.now < due {
-                self.platform.waiting.push((host, after, due));
-                continue;
-            }
-            let answer = self.platform.answer(after);
+        for (host, answer) in self.platform.end_waits(self.now) {
             self.launch(host, ANSWER, Flight::Platform(answer));
         }
     }
@@ -422,17 +384,6 @@
     }
 }
 
-impl Platform {
-    fn answer(&self, after: u64) -> Result<Answer, Failure> {
-        if let Some(failure) = self.failure {
-            return Err(failure);
-        }
-        let whole = self.number > after;
-        let content = if whole { Content::Whole(self.files.clone()) } else { Content::NotChanged };
-        Ok(Answer { number: revision::Number(self.number), content })
-    }
-}
-
 fn shuffle(indices: &mut [usize], rng: &mut Pcg32) {
     for index in (1..indices.len()).rev() {
         indices.swap(index, rng.random_range(0..=index));
