--- a/crates/mustardway_membership/tests/detection.rs
+++ b/crates/mustardway_membership/tests/detection.rs
@@ -144,3 +144,25 @@
     assert!(fleet.run_until(LIMIT, Fleet::agrees).is_some());
     assert!(fleet.hosts[5].node.counts().refuted > 0);
 }
+
+#[test]
+fn back_after_stop() {
+    let mut fleet = Fleet::settled(9, 3, 2);
+    fleet.event(5, Event::Left);
+    fleet.stop(5);
+    fleet.run(Span::seconds(1));
+    fleet.restart(5, member(5, 3, 2_000), 77);
+    fleet.event(5, Event::Roster(common::full_roster(9, 3)));
+    assert!(fleet.run_until(LIMIT, Fleet::agrees).is_some());
+}
+
+#[test]
+fn pair_loses_one() {
+    let mut fleet = Fleet::settled(2, 2, 1);
+    fleet.stop(1);
+    let alone = |fleet: &Fleet| fleet.agrees() && !fleet.hosts[0].node.fenced(fleet.now);
+    assert!(fleet.run_until(LIMIT, alone).is_some());
+    fleet.restart(1, member(1, 2, 2_000), 77);
+    fleet.event(1, Event::Roster(common::full_roster(2, 2)));
+    assert!(fleet.run_until(LIMIT, Fleet::agrees).is_some());
+}
--- a/crates/mustardway_membership/tests/partition.rs
+++ b/crates/mustardway_membership/tests/partition.rs
@@ -35,9 +35,10 @@
     true
 }
 
-fn cut_and_heal(count: usize, domains: usize, seed: u64, heal_limit: Span) {
+/// Cuts the first `alone` domains off from the others.
+fn cut_and_heal(count: usize, domains: usize, alone: usize, seed: u64, heal_limit: Span) {
     let mut fleet = Fleet::settled(count, domains, seed);
-    split(&mut fleet, |index| index % domains == 0);
+    split(&mut fleet, |index| index % domains < alone);
     let cut = fleet.run_until(Span::seconds(30), sides_agree);
     assert!(cut.is_some(), "seed {seed}: sides do not agree");
     for _ in 0..50 {
@@ -49,7 +50,6 @@
     split(&mut fleet, |_| false);
     let healed = fleet.run_until(heal_limit, Fleet::agrees);
     assert!(healed.is_some(), "seed {seed}: not healed");
-    println!("{count} instances, seed {seed}: cut {cut:?}, healed {healed:?}");
     fleet.run(Span::seconds(5));
     assert!(fleet.agrees(), "seed {seed}: not stable");
 }
@@ -62,13 +62,20 @@
 #[test]
 fn domain_cut_heals() {
     for seed in 0..5 {
-        cut_and_heal(9, 3, seed, Span::seconds(6));
+        cut_and_heal(9, 3, 1, seed, Span::seconds(6));
+    }
+}
+
+#[test]
+fn region_cut_heals() {
+    for seed in 0..3 {
+        cut_and_heal(36, 6, 3, seed, Span::seconds(6));
     }
 }
 
 #[test]
 fn large_cut_heals() {
-    cut_and_heal(120, 6, 1, Span::seconds(15));
+    cut_and_heal(120, 6, 1, 1, Span::seconds(15));
 }
 
 /// A heal costs no instance its place among those it was never cut from.
