Ask at once for new neighbours in a domain with deaths

Cause: inside a failure domain that is cut off, the instances of the others were found dead one ring after another, at a lease each. Change: a new neighbour in a domain that has had a death within two leases is asked for at once and declared dead after a third of a lease unless it or anybody else answers. It shows as suspect only when asked for twice.

--- a/crates/mustardway_membership/examples/control_bytes.rs
+++ b/crates/mustardway_membership/examples/control_bytes.rs
@@ -97,23 +97,26 @@
     let bytes: Vec<u64> = fleet.hosts.iter().map(|host| host.bytes).collect();
     let cpu = wall / seconds / size as f64 * 1e6;
     let memory = memory(&mut fleet, size);
-    let mut found = crashes(fleet, size);
-    found.sort_unstable();
-    cut_and_heal(size);
-    if size <= COLD_MAX {
-        cold_start(size);
-    }
     println!(
-        "{size} | {:.1} {:.1} | {:.0} {:.0} | {}/{}/{} | {:.0} | {cpu:.0}",
+        "{size} instances, quiet: {:.1} messages/s a node (most {:.1}), {:.0} B/s (most {:.0}), {:.0} KiB, {cpu:.0} us/s",
         mean(&sent) / seconds,
         most(&sent) / seconds,
         mean(&bytes) / seconds,
         most(&bytes) / seconds,
+        memory as f64 / 1024.0,
+    );
+    let mut found = crashes(fleet, size);
+    found.sort_unstable();
+    println!(
+        "  crash known to all after {}/{}/{} ms (min/median/max of {CRASHES})",
         found[0],
         found[found.len() / 2],
         found[found.len() - 1],
-        memory as f64 / 1024.0,
     );
+    cut_and_heal(size);
+    if size <= COLD_MAX {
+        cold_start(size);
+    }
 }
 
 /// Cuts one failure domain off for 20 s and heals it.
--- a/crates/mustardway_membership/src/contact.rs
+++ b/crates/mustardway_membership/src/contact.rs
@@ -92,13 +92,14 @@
         self.map.keys().cloned().collect()
     }
 
-    /// Takes `ids` as the neighbours from now on.
-    pub(crate) fn set_neighbours(&mut self, ids: &[instance::Id], now: Instant) {
+    /// Takes `ids` as the neighbours from now on. New ones count as heard at
+    /// the time that goes with them.
+    pub(crate) fn set_neighbours(&mut self, ids: Vec<(instance::Id, Instant)>) {
         for contact in self.map.values_mut() {
             contact.neighbour = false;
         }
-        for id in ids {
-            let contact = self.map.entry(id.clone()).or_insert_with(|| Contact::new(now));
+        for (id, heard) in ids {
+            let contact = self.map.entry(id).or_insert_with(|| Contact::new(heard));
             contact.neighbour = true;
         }
     }
--- a/crates/mustardway_membership/src/node.rs
+++ b/crates/mustardway_membership/src/node.rs
@@ -1,6 +1,6 @@
 //! The decisions of one instance.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use mustardway_types::domain;
 use mustardway_types::instance::{self, Incarnation};
@@ -307,6 +307,31 @@
             }
         }
         let neighbours = ring::neighbours(&self.table, self.me(), self.links());
-        self.contacts.set_neighbours(&neighbours, now);
+        let mourning = self.mourning(now);
+        let grace = Span(self.settings.lease.0 * 2 / 3);
+        let mut heard = Vec::new();
+        for id in neighbours {
+            let domain = self.table.get(&id).map(|record| &record.member.domain);
+            let hurried = domain.is_some_and(|domain| mourning.contains(domain));
+            heard.push((id, if hurried { now - grace } else { now }));
+        }
+        self.contacts.set_neighbours(heard);
+    }
+
+    /// Failure domains with a death in the last two leases. Their instances are
+    /// asked for as soon as they become neighbours, so that a domain that is
+    /// cut off is not found one ring after another at a lease each.
+    fn mourning(&self, now: Instant) -> BTreeSet<domain::Name> {
+        let lease = self.settings.lease;
+        let mut domains = BTreeSet::new();
+        for record in self.table.iter() {
+            if record.state != State::Dead || now.since(record.changed) >= lease + lease {
+                continue;
+            }
+            if !domains.contains(&record.member.domain) {
+                domains.insert(record.member.domain.clone());
+            }
+        }
+        domains
     }
 }
--- a/crates/mustardway_membership/src/suspicion.rs
+++ b/crates/mustardway_membership/src/suspicion.rs
@@ -163,11 +163,13 @@
 
     /// Asks others whether they hear a silent contact, and the contact itself.
     fn ask(&mut self, id: &instance::Id, now: Instant, actions: &mut Vec<Action>) {
+        let mut again = false;
         if let Some(contact) = self.contacts.get_mut(id) {
+            again = contact.asked.is_some();
             let first = contact.asked.map_or(now, |(first, _)| first);
             contact.asked = Some((first, now));
         }
-        if self.state(id) == Some(State::Alive) {
+        if again && self.state(id) == Some(State::Alive) {
             self.table.set_state(id, State::Suspect, now);
         }
         let Some(record) = self.table.get(id) else { return };
