--- a/crates/mustardway_membership/src/node.rs
+++ b/crates/mustardway_membership/src/node.rs
@@ -1,9 +1,9 @@
 //! The decisions of one instance.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use mustardway_types::domain;
-use mustardway_types::instance;
+use mustardway_types::instance::{self, Incarnation};
 use mustardway_types::revision;
 use mustardway_types::time::{Instant, Span};
 use rand::{RngExt, SeedableRng};
@@ -75,7 +75,8 @@
     pub fn new(settings: Settings, now: Instant) -> Self {
         let mut rng = Pcg32::seed_from_u64(settings.seed ^ settings.me.incarnation.0);
         let mut table = Table::new();
-        table.put(settings.me.clone(), State::Alive, now);
+        let birth = settings.me.incarnation;
+        table.put(settings.me.clone(), birth, State::Alive, now);
         let phase = Span(rng.random_range(0..settings.heartbeat.0.max(1)));
         Node {
             table,
@@ -124,7 +125,6 @@
                 self.revision = Revision { number, digest, age, at: now };
             }
         }
-        self.link(now, actions);
         self.push(now, actions);
         self.left = self.me().state == State::Left;
         if self.table.version() != version {
@@ -166,9 +166,11 @@
         self.table.get(&self.settings.me.id).expect("own record is never forgotten")
     }
 
-    /// Live peers that heartbeats are exchanged with.
+    /// Live peers that heartbeats are exchanged with, as of the latest tick.
     pub fn neighbours(&self) -> Vec<instance::Id> {
-        self.contacts.ids()
+        let mut ids = self.contacts.ids();
+        ids.retain(|id| self.state(id).is_some_and(State::is_live));
+        ids
     }
 
     /// Grows with every change of the live list or of a state.
@@ -278,10 +280,9 @@
         if me.state == state {
             return;
         }
-        let mut member = me.member.clone();
-        member.incarnation.0 += u64::from(raise);
-        let id = member.id.clone();
-        self.table.put(member, state, now);
+        let id = me.member.id.clone();
+        let incarnation = Incarnation(me.member.incarnation.0 + u64::from(raise));
+        self.table.raise(&id, incarnation, state, now);
         self.contacts.tell(&id, None);
         if state == State::Left {
             self.contacts.hurry(now);
@@ -306,6 +307,31 @@
             }
         }
         let neighbours = ring::neighbours(&self.table, self.me(), self.links());
-        self.contacts.set_neighbours(&neighbours, now);
+        let mourning = self.mourning(now);
+        let grace = Span(self.settings.lease.0 * 2 / 3);
+        let mut heard = Vec::new();
+        for id in neighbours {
+            let domain = self.table.get(&id).map(|record| &record.member.domain);
+            let hurried = domain.is_some_and(|domain| mourning.contains(domain));
+            heard.push((id, if hurried { now - grace } else { now }));
+        }
+        self.contacts.set_neighbours(heard);
+    }
+
+    /// Failure domains with a death in the last two leases. Their instances are
+    /// asked for as soon as they become neighbours, so that a domain that is
+    /// cut off is not found one ring after another at a lease each.
+    fn mourning(&self, now: Instant) -> BTreeSet<domain::Name> {
+        let lease = self.settings.lease;
+        let mut domains = BTreeSet::new();
+        for record in self.table.iter() {
+            if record.state != State::Dead || now.since(record.changed) >= lease + lease {
+                continue;
+            }
+            if !domains.contains(&record.member.domain) {
+                domains.insert(record.member.domain.clone());
+            }
+        }
+        domains
     }
 }
