--- a/crates/mustardway_model/spec/ownership.pml
+++ b/crates/mustardway_model/spec/ownership.pml
@@ -255,7 +255,10 @@
 		/* The other instance announces what it knows, and follows. */
 		(taking[me] != NOBODY && owner[me] == taking[me] && !fenced[me]
 			&& hears(me, other) && !fenced[other] && !agreed[me]
-			&& !hears(other, taking[me])) ->
+#ifndef BROKEN_HASTY
+			&& !hears(other, taking[me])
+#endif
+		) ->
 			if
 			:: serves[other] -> follow(me, other); taking[me] = NOBODY
 			:: !serves[other] && (term[other] > term[me] || taking[other] != NOBODY) ->
@@ -353,7 +356,13 @@
 			term[other] = term[who] + 1;
 			serves[other] = true;
 			follow(who, other)
-		:: other != who && hears(who, other) && term[other] > term[who] ->
+		:: (other != who && hears(who, other)
+#ifdef BROKEN_NO_NUMBER
+				&& owner[other] != owner[who] && !serves[who]
+#else
+				&& term[other] > term[who]
+#endif
+			) ->
 			/* Heartbeats name the owner. */
 			follow(who, other)
 		:: else
--- a/crates/mustardway_model/tests/spin_check.rs
+++ b/crates/mustardway_model/tests/spin_check.rs
@@ -70,6 +70,24 @@
     holds("cut", Ownership, &["CRASHES=0", "FREEZES=0", "HANDOVERS=0", "CUTS=1"]);
 }
 
+#[test]
+fn two_cuts() {
+    let definitions = &["CRASHES=0", "FREEZES=0", "HANDOVERS=0", "CUTS=2", "RETRIES=0"];
+    holds("two-cuts", Ownership, definitions);
+}
+
+#[test]
+fn crash_and_cut() {
+    let definitions = &["CRASHES=1", "FREEZES=0", "HANDOVERS=0", "CUTS=1", "RETRIES=0"];
+    holds("crash-and-cut", Ownership, definitions);
+}
+
+#[test]
+fn pause_and_cut() {
+    let definitions = &["CRASHES=0", "FREEZES=1", "HANDOVERS=0", "CUTS=1", "RETRIES=0"];
+    holds("pause-and-cut", Ownership, definitions);
+}
+
 #[test]
 fn handover() {
     holds("handover", Ownership, &["CRASHES=0", "FREEZES=0", "HANDOVERS=1"]);
@@ -135,6 +153,18 @@
     fails("old-frame", Ownership, definitions, ONE_OWNER);
 }
 
+#[test]
+fn hasty_agreement() {
+    let definitions = &["CRASHES=0", "FREEZES=1", "HANDOVERS=0", "RETRIES=0", "BROKEN_HASTY"];
+    fails("hasty-agreement", Ownership, definitions, ONE_OWNER);
+}
+
+#[test]
+fn no_number() {
+    let definitions = &["CRASHES=0", "FREEZES=1", "HANDOVERS=0", "RETRIES=0", "BROKEN_NO_NUMBER"];
+    fails("no-number", Ownership, definitions, ONE_OWNER);
+}
+
 #[test]
 fn false_not_run() {
     let definitions = &["CRASHES=1", "FREEZES=0", "HANDOVERS=0", "RETRIES=0", "BROKEN_NOT_RUN"];
