--- a/crates/mustardway_stand_in/src/command/mod.rs
+++ b/crates/mustardway_stand_in/src/command/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! Modules:
 //! - [`platform`], [`target`], [`load`]: one stand-in each.
+//! - [`baseline`]: an instance to measure against.
 //! - [`deploy`]: a user's whole deployment.
 
+pub mod baseline;
 pub mod deploy;
 pub mod load;
 pub mod platform;
@@ -28,6 +30,7 @@
     Platform(platform::Arguments),
     Target(target::Arguments),
     Load(load::Arguments),
+    Baseline(baseline::Arguments),
     Deploy(deploy::Arguments),
 }
 
@@ -45,6 +48,7 @@
             Command::Platform(arguments) => platform::run(arguments).await,
             Command::Target(arguments) => target::run(arguments).await,
             Command::Load(arguments) => load::run(arguments).await,
+            Command::Baseline(arguments) => baseline::run(arguments).await,
             Command::Deploy(arguments) => deploy::run(arguments).await,
         }
     });
--- a/crates/mustardway_stand_in/src/lib.rs
+++ b/crates/mustardway_stand_in/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`fabric`]: sprays packets over the instances.
 //! - [`caller`]: opens flows, sends requests and checks their answers.
 //! - [`deployment`]: a user's whole deployment on loopback.
+//! - [`baseline`]: plain hashing, to measure against.
 //! - [`payload`]: the bytes that callers send and expect.
 //! - [`listener`]: a TCP listener that can be closed and opened again.
 //! - [`http`]: a small JSON client.
@@ -15,6 +16,7 @@
 //! - [`clock`]: wall-clock times of ledgers.
 //! - [`command`]: the command line.
 
+pub mod baseline;
 pub mod caller;
 pub mod clock;
 pub mod command;
