--- /dev/null
+++ b/crates/mustardway_view/src/build.rs
@@ -0,0 +1,273 @@
+//! Typed values from the text of merged items.
+//!
+//! A key that a target lacks is taken from `[defaults target]`, and one that
+//! this lacks too from the constants here.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::str::FromStr;
+
+use mustardway_types::{address, domain, parse, revision, service, target, time};
+
+use crate::merge::{Item, Merged, Value};
+use crate::model::{Domain, DomainState, Limits, Service, Target, TargetState, View};
+use crate::problem::{Kind, List, Problem, Site};
+use crate::section::{Subject, key};
+use crate::value;
+
+/// Weight of a target that states none.
+pub const WEIGHT_DEFAULT: u32 = 100;
+/// Greatest weight.
+pub const WEIGHT_MAX: u32 = 1_000;
+/// Requests that a warm target runs at one time, where none is stated.
+pub const SLOTS_DEFAULT: u32 = 2;
+/// Most requests that a target may run at one time.
+pub const SLOTS_MAX: u32 = 10_000;
+/// Requests that a cold target runs at one time, where none is stated.
+pub const COLD_SLOTS_DEFAULT: u32 = 1;
+/// Open flows of a target that states none.
+pub const CONNECTIONS_DEFAULT: u32 = 2_000;
+/// Most open flows of a target.
+pub const CONNECTIONS_MAX: u32 = 1_000_000;
+/// Shortest time from cold to warm, where none is stated.
+pub const WARM_UP_DEFAULT: time::Span = time::Span::seconds(30);
+/// Longest time from cold to warm that may be stated.
+pub const WARM_UP_MAX: time::Span = time::Span::seconds(3_600);
+/// Requests that wait for a slot, where none is stated.
+pub const QUEUE_DEFAULT: u32 = 4;
+/// Most requests that may wait for a slot.
+pub const QUEUE_MAX: u32 = 10_000;
+
+/// Words for the state of a failure domain.
+const DOMAIN_STATES: [(&str, DomainState); 2] =
+    [("in", DomainState::In), ("out", DomainState::Out)];
+/// Words for the state of a target.
+const TARGET_STATES: [(&str, TargetState); 2] =
+    [("serving", TargetState::Serving), ("leaving", TargetState::Leaving)];
+
+/// Builds the typed items; problems go to `problems` and their items are left out.
+pub(crate) fn view(
+    merged: &Merged,
+    revision: revision::Number,
+    digest: revision::Digest,
+    problems: &mut List,
+) -> View {
+    let mut view = View { revision, digest, ..View::default() };
+    view.domains = domains(merged, problems);
+    services(merged, &mut view, problems);
+    check_defaults(merged, problems);
+    view.targets = targets(merged, problems);
+    view
+}
+
+fn domains(merged: &Merged, problems: &mut List) -> BTreeMap<domain::Name, Domain> {
+    let mut domains = BTreeMap::new();
+    for (name, item) in merged.items(Subject::Domain) {
+        let mut fields = Fields { item, defaults: None, problems: &mut *problems };
+        let name = fields.name(name);
+        let region: Option<domain::Name> = fields.required(key::REGION, value::text);
+        let state = fields.or(key::STATE, DomainState::In, |text| {
+            value::choice(text, &DOMAIN_STATES, &["in", "out"])
+        });
+        let (Some(name), Some(region), Some(state)) = (name, region, state) else {
+            continue;
+        };
+        domains.insert(name, Domain { region: region.into(), state });
+    }
+    domains
+}
+
+fn services(merged: &Merged, view: &mut View, problems: &mut List) {
+    let mut first_sites: BTreeMap<address::Address, Site> = BTreeMap::new();
+    for (name, item) in merged.items(Subject::Service) {
+        let mut fields = Fields { item, defaults: None, problems: &mut *problems };
+        let name: Option<service::Name> = fields.name(name);
+        let addresses = fields.required(key::ADDRESSES, value::reachable_list);
+        let (Some(name), Some(addresses)) = (name, addresses) else {
+            continue;
+        };
+        let site = item.value(key::ADDRESSES).map_or(&item.site, |value| &value.site);
+        let addresses: Vec<_> = addresses.into_iter().map(address::Address).collect();
+        for address in &addresses {
+            match first_sites.entry(*address) {
+                Entry::Vacant(vacant) => {
+                    vacant.insert(site.clone());
+                    view.addresses.insert(*address, name.clone());
+                }
+                Entry::Occupied(first) => {
+                    let first = first.get().clone();
+                    fields.fail(key::ADDRESSES, Kind::AddressTwice { address: *address, first });
+                }
+            }
+        }
+        view.services.insert(name, Service { addresses });
+    }
+}
+
+fn targets(merged: &Merged, problems: &mut List) -> BTreeMap<target::Id, Target> {
+    let defaults = merged.defaults();
+    let mut targets = BTreeMap::new();
+    for (name, item) in merged.items(Subject::Target) {
+        let mut fields = Fields { item, defaults, problems: &mut *problems };
+        let name = fields.name(name);
+        let target = target(&mut fields);
+        let (Some(name), Some(target)) = (name, target) else {
+            continue;
+        };
+        targets.insert(name, target);
+    }
+    targets
+}
+
+fn target(fields: &mut Fields<'_>) -> Option<Target> {
+    let service = fields.required(key::SERVICE, value::text);
+    let domain = fields.required(key::DOMAIN, value::text);
+    let endpoint = fields.required(key::ENDPOINT, value::reachable);
+    let state = target_state(fields);
+    let weight = weight(fields);
+    let limits = limits(fields);
+    Some(Target {
+        service: service?,
+        domain: domain?,
+        endpoint: endpoint?,
+        state: state?,
+        weight: weight?,
+        limits: limits?,
+    })
+}
+
+/// Checks the defaults also where no target takes them.
+fn check_defaults(merged: &Merged, problems: &mut List) {
+    let Some(item) = merged.defaults() else {
+        return;
+    };
+    let mut fields = Fields { item, defaults: None, problems };
+    fields.optional(key::SERVICE, value::text::<service::Name>);
+    fields.optional(key::DOMAIN, value::text::<domain::Name>);
+    target_state(&mut fields);
+    weight(&mut fields);
+    limits(&mut fields);
+}
+
+fn target_state(fields: &mut Fields<'_>) -> Option<TargetState> {
+    fields.or(key::STATE, TargetState::Serving, |text| {
+        value::choice(text, &TARGET_STATES, &["serving", "leaving"])
+    })
+}
+
+fn weight(fields: &mut Fields<'_>) -> Option<u32> {
+    fields.or(key::WEIGHT, WEIGHT_DEFAULT, |text| value::number(text, 1, WEIGHT_MAX))
+}
+
+fn limits(fields: &mut Fields<'_>) -> Option<Limits> {
+    let slots = |text: &str| value::number(text, 1, SLOTS_MAX);
+    let connections = |text: &str| value::number(text, 1, CONNECTIONS_MAX);
+    let warm_up = |text: &str| value::within(text, time::Span::ZERO, WARM_UP_MAX);
+    let queue = |text: &str| value::number(text, 0, QUEUE_MAX);
+    let slots_warm = fields.or(key::SLOTS, SLOTS_DEFAULT, slots);
+    let slots_cold = fields.or(key::COLD_SLOTS, COLD_SLOTS_DEFAULT, slots);
+    let connections = fields.or(key::CONNECTIONS, CONNECTIONS_DEFAULT, connections);
+    let warm_up = fields.or(key::WARM_UP, WARM_UP_DEFAULT, warm_up);
+    let queue = fields.or(key::QUEUE, QUEUE_DEFAULT, queue);
+    let limits = Limits {
+        slots: slots_warm?,
+        cold_slots: slots_cold?,
+        connections: connections?,
+        warm_up: warm_up?,
+        queue: queue?,
+    };
+    check_cold_slots(fields, &limits)?;
+    Some(limits)
+}
+
+fn check_cold_slots(fields: &mut Fields<'_>, limits: &Limits) -> Option<()> {
+    if limits.cold_slots <= limits.slots {
+        return Some(());
+    }
+    let kind = Kind::ColdSlots { cold: limits.cold_slots, slots: limits.slots };
+    let set_here = [key::COLD_SLOTS, key::SLOTS].into_iter().find_map(|key| fields.item.value(key));
+    let Some(value) = set_here else {
+        // The defaults alone are wrong, which is reported with them.
+        return None;
+    };
+    let problem = Problem::new(kind).at(&value.site).in_section(&fields.item.section);
+    fields.problems.push(problem.with_key(key::COLD_SLOTS));
+    None
+}
+
+/// Reads the keys of one item.
+struct Fields<'a> {
+    item: &'a Item,
+    defaults: Option<&'a Item>,
+    problems: &'a mut List,
+}
+
+impl<'a> Fields<'a> {
+    /// The name of the item as its type.
+    fn name<T: FromStr<Err = parse::Error>>(&mut self, name: &str) -> Option<T> {
+        match name.parse() {
+            Ok(name) => Some(name),
+            Err(error) => {
+                let problem = Problem::new(Kind::Value(error)).at(&self.item.site);
+                self.problems.push(problem.in_section(&self.item.section));
+                None
+            }
+        }
+    }
+
+    /// A key that must be set.
+    fn required<T>(&mut self, key: &str, parse: fn(&str) -> Result<T, Kind>) -> Option<T> {
+        if let Some(value) = self.optional(key, parse)? {
+            return Some(value);
+        }
+        let defaults = self.defaults.and_then(|defaults| defaults.taken_back(key));
+        let kind = match self.item.taken_back(key).or(defaults) {
+            Some(by) => Kind::KeyTakenBack { by: by.clone() },
+            None => Kind::MissingKey,
+        };
+        let problem = Problem::new(kind).at(&self.item.site).in_section(&self.item.section);
+        self.problems.push(problem.with_key(key));
+        None
+    }
+
+    /// A key that may be set: nothing where it is wrong.
+    fn optional<T>(&mut self, key: &str, parse: fn(&str) -> Result<T, Kind>) -> Option<Option<T>> {
+        let Some((_, value)) = find(self.item, self.defaults, key) else {
+            return Some(None);
+        };
+        match parse(&value.text) {
+            Ok(value) => Some(Some(value)),
+            Err(kind) => {
+                self.fail(key, kind);
+                None
+            }
+        }
+    }
+
+    /// A key that may be set, or its default.
+    fn or<T>(&mut self, key: &str, default: T, parse: fn(&str) -> Result<T, Kind>) -> Option<T> {
+        Some(self.optional(key, parse)?.unwrap_or(default))
+    }
+
+    /// Reports a problem at the place that set `key`.
+    fn fail(&mut self, key: &str, kind: Kind) {
+        let problem = match find(self.item, self.defaults, key) {
+            Some((item, value)) => Problem::new(kind).at(&value.site).in_section(&item.section),
+            None => Problem::new(kind).at(&self.item.site).in_section(&self.item.section),
+        };
+        self.problems.push(problem.with_key(key));
+    }
+}
+
+/// The value of `key` with the item that sets it: `item` itself or its defaults.
+pub(crate) fn find<'a>(
+    item: &'a Item,
+    defaults: Option<&'a Item>,
+    key: &str,
+) -> Option<(&'a Item, &'a Value)> {
+    if let Some(value) = item.value(key) {
+        return Some((item, value));
+    }
+    let defaults = defaults?;
+    Some((defaults, defaults.value(key)?))
+}
