Let a deployment wait for fronts, and read timeouts by the wire crate

Cause: an instance without admin address could not be deployed for a trial, and the reading of grpc-timeout stood twice.

--- a/crates/mustardway_stand_in/src/baseline/front.rs
+++ b/crates/mustardway_stand_in/src/baseline/front.rs
@@ -11,9 +11,6 @@
 use super::view::Holder;
 use crate::deadline;
 
-/// Longest time that a call may take which brings no deadline.
-const DEADLINE_MAX: Duration = Duration::from_secs(60);
-
 /// Forwards packets.
 pub(super) struct Service {
     view: Arc<Holder>,
@@ -42,7 +39,7 @@
 
 impl Front for Service {
     async fn send(&self, request: Request<Packet>) -> Result<Response<Reply>, Status> {
-        let left = deadline::read(request.metadata()).unwrap_or(DEADLINE_MAX);
+        let left = deadline::read(request.metadata());
         Ok(Response::new(self.forward(request.into_inner(), left).await))
     }
 }
--- a/crates/mustardway_stand_in/src/command/deploy.rs
+++ b/crates/mustardway_stand_in/src/command/deploy.rs
@@ -10,7 +10,7 @@
 use super::Failure;
 use crate::caller::report::Report;
 use crate::deployment::audit::Audit;
-use crate::deployment::fleet::Fleet;
+use crate::deployment::fleet::{Fleet, Launch, Readiness};
 use crate::deployment::plan::Plan;
 use crate::deployment::process::Signal;
 use crate::deployment::summary::{Row, Stop, Summary};
@@ -49,6 +49,10 @@
     /// stop one instance by SIGTERM when so much of the run is over
     #[argh(option)]
     stop_one_at: Option<Percent>,
+    /// an instance is ready when its front accepts connections, whatever its
+    /// admin address says
+    #[argh(switch)]
+    ready_by_front: bool,
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -78,11 +82,14 @@
 
 /// Runs the deployment; content when its summary is good.
 pub(super) async fn run(arguments: &Arguments) -> Result<bool, Failure> {
-    let binary = binary(arguments.binary.as_deref())?;
+    let launch = Launch {
+        binary: binary(arguments.binary.as_deref())?,
+        readiness: if arguments.ready_by_front { Readiness::Front } else { Readiness::Admin },
+    };
     let root = std::env::temp_dir().join(format!("mustardway-{}", std::process::id()));
     let plan = Plan::new(arguments.user)?;
     let running = async {
-        let mut fleet = Fleet::start(plan, &binary, root).await?;
+        let mut fleet = Fleet::start(plan, launch, root).await?;
         if arguments.keep {
             fleet.keep_folder();
             eprintln!("files and logs: {}", fleet.folder().root().display());
--- a/crates/mustardway_stand_in/src/deployment/fleet.rs
+++ b/crates/mustardway_stand_in/src/deployment/fleet.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use displaydoc::Display;
 use futures::future::join_all;
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::files::Folder;
@@ -70,11 +71,30 @@
     move |error| Error::System { what, error }
 }
 
+/// What an instance is ready by.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Readiness {
+    /// Its admin address answers `GET /ready` with 200.
+    #[default]
+    Admin,
+    /// Its front accepts connections.
+    Front,
+}
+
 /// What a process is ready by.
 #[derive(Debug, Clone, Copy)]
-struct Probe {
-    address: SocketAddr,
-    path: &'static str,
+enum Probe {
+    Answers { address: SocketAddr, path: &'static str },
+    Accepts { address: SocketAddr },
+}
+
+impl Probe {
+    async fn is_ready(self) -> bool {
+        match self {
+            Probe::Answers { address, path } => http::is_ok(address, path).await,
+            Probe::Accepts { address } => TcpStream::connect(address).await.is_ok(),
+        }
+    }
 }
 
 /// One process of a deployment.
@@ -85,32 +105,35 @@
     probe: Probe,
 }
 
+/// How instances are started.
+#[derive(Debug, Clone)]
+pub struct Launch {
+    /// Program that they run.
+    pub binary: PathBuf,
+    /// What they are ready by.
+    pub readiness: Readiness,
+}
+
 /// A running deployment; all of it ends when dropped.
 #[derive(Debug)]
 pub struct Fleet {
     plan: Plan,
     folder: Folder,
-    binary: PathBuf,
+    launch: Launch,
     members: Vec<Member>,
     keeps_folder: bool,
 }
 
 impl Fleet {
-    /// Starts everything of `plan` and waits until it is ready. Instances run
-    /// `binary`; stand-ins run this very program.
+    /// Starts everything of `plan` and waits until it is ready. Instances start
+    /// as `launch` says; stand-ins run this very program.
     ///
     /// # Errors
     ///
     /// Fails when a process cannot be started or is not ready in time.
-    pub async fn start(plan: Plan, binary: &Path, root: PathBuf) -> Result<Fleet, Error> {
+    pub async fn start(plan: Plan, launch: Launch, root: PathBuf) -> Result<Fleet, Error> {
         let folder = Folder::create(root, &plan).map_err(system("the files cannot be written"))?;
-        let mut fleet = Fleet {
-            plan,
-            folder,
-            binary: binary.to_owned(),
-            members: Vec::new(),
-            keeps_folder: false,
-        };
+        let mut fleet = Fleet { plan, folder, launch, members: Vec::new(), keeps_folder: false };
         fleet.start_stand_ins()?;
         fleet.wait_ready().await?;
         for instance in fleet.plan.instances.clone() {
@@ -138,11 +161,11 @@
     fn start_stand_ins(&mut self) -> Result<(), Error> {
         let own = std::env::current_exe().map_err(system("the program has no path"))?;
         let arguments = self.platform_arguments();
-        let probe = Probe { address: self.plan.platform, path: "/calls" };
+        let probe = Probe::Answers { address: self.plan.platform, path: "/calls" };
         self.add("platform".into(), &own, &arguments, probe)?;
         for domain in self.plan.domains.clone() {
             let arguments = self.target_arguments(&domain.name, domain.control);
-            let probe = Probe { address: domain.control, path: "/ledger" };
+            let probe = Probe::Answers { address: domain.control, path: "/ledger" };
             self.add(targets_of(&domain.name), &own, &arguments, probe)?;
         }
         Ok(())
@@ -185,8 +208,11 @@
     pub fn start_instance(&mut self, instance: &Instance) -> Result<(), Error> {
         let settings = self.folder.settings(instance).display().to_string();
         let arguments = ["run".to_owned(), "--settings".to_owned(), settings];
-        let probe = Probe { address: instance.admin, path: "/ready" };
-        let binary = self.binary.clone();
+        let probe = match self.launch.readiness {
+            Readiness::Admin => Probe::Answers { address: instance.admin, path: "/ready" },
+            Readiness::Front => Probe::Accepts { address: instance.front },
+        };
+        let binary = self.launch.binary.clone();
         self.add(instance.id.clone(), &binary, &arguments, probe)
     }
 
@@ -213,7 +239,7 @@
     pub async fn wait_ready(&mut self) -> Result<(), Error> {
         let deadline = Instant::now() + READY_MAX;
         for member in &mut self.members {
-            while !http::is_ok(member.probe.address, member.probe.path).await {
+            while !member.probe.is_ready().await {
                 let name = member.name.clone();
                 if member.process.ended().is_some() {
                     return Err(Error::Ended { name, tail: member.process.tail() });
--- a/crates/mustardway_stand_in/src/target/front.rs
+++ b/crates/mustardway_stand_in/src/target/front.rs
@@ -17,9 +17,6 @@
 use crate::deadline;
 use crate::payload::{self, Key, Wish};
 
-/// Longest time that a call may take which brings no deadline.
-const DEADLINE_MAX: Duration = Duration::from_secs(60);
-
 /// Both services.
 #[derive(Debug, Clone)]
 pub(super) struct Service {
@@ -122,7 +119,7 @@
 
 impl Front for Service {
     async fn send(&self, request: Request<Packet>) -> Result<Response<Reply>, Status> {
-        let left = deadline::read(request.metadata()).unwrap_or(DEADLINE_MAX);
+        let left = deadline::read(request.metadata());
         let deadline = Instant::now() + left;
         let reply = self.answer(request.into_inner(), deadline).await?;
         Ok(Response::new(reply))
