Test the stand-ins

Cause: a stand-in that errs would make a promise look kept. Ruled out: asserts on elapsed time; waits end by what is seen.

--- a/crates/mustardway_stand_in/src/target/core.rs
+++ b/crates/mustardway_stand_in/src/target/core.rs
@@ -95,6 +95,10 @@
         self.inner.lock().behaviour = behaviour;
     }
 
+    pub(super) fn cold_since(&self) -> Instant {
+        self.inner.lock().cold_since
+    }
+
     /// Turns it cold without warning.
     pub(super) fn turn_cold(&self) {
         let mut inner = self.inner.lock();
--- a/crates/mustardway_stand_in/src/target/mod.rs
+++ b/crates/mustardway_stand_in/src/target/mod.rs
@@ -29,6 +29,7 @@
 use mustardway_types::address;
 use mustardway_wire::health::HealthServer;
 use mustardway_wire::packet::FrontServer;
+use tokio::time::Instant;
 use volo_grpc::server::ServiceBuilder;
 
 use crate::listener;
@@ -126,6 +127,11 @@
         self.core.behaviour()
     }
 
+    /// When it was last cold.
+    pub fn cold_since(&self) -> Instant {
+        self.core.cold_since()
+    }
+
     /// Turns it cold without warning.
     pub fn turn_cold(&self) {
         self.core.turn_cold();
--- /dev/null
+++ b/crates/mustardway_stand_in/tests/stand_in/answer_check.rs
@@ -0,0 +1,87 @@
+//! Callers recognise their own answers.
+
+use mustardway_stand_in::caller::report::Outcome;
+use mustardway_stand_in::caller::request::is_own;
+use mustardway_stand_in::payload::{self, Key};
+use mustardway_types::packet::Header;
+use mustardway_types::request::Repeat;
+use mustardway_wire::packet::{Answer, Front, FrontServer, Packet, Reply};
+use tokio::time::Instant;
+use volo_grpc::server::{Server, ServiceBuilder};
+use volo_grpc::{Request, Response, Status};
+
+use crate::support;
+
+fn reply(header: &Header, size: u32) -> Reply {
+    let key = Key { flow: header.flow.0, request: header.request.0, part: header.part };
+    Reply {
+        answer: Answer::DONE,
+        flow: key.flow,
+        request: key.request,
+        part: key.part,
+        parts: header.parts,
+        payload: payload::answer(key, size),
+        ..Reply::default()
+    }
+}
+
+#[test]
+fn own_answer() {
+    let kind = support::kind(Repeat::Once);
+    let header = support::header(1, 2);
+    assert!(is_own(&header, &kind, &reply(&header, kind.wish.answer_bytes)));
+}
+
+#[test]
+fn crossed_answer() {
+    let kind = support::kind(Repeat::Once);
+    let header = support::header(1, 2);
+    for other in [support::header(1, 3), support::header(2, 2)] {
+        assert!(!is_own(&header, &kind, &reply(&other, kind.wish.answer_bytes)));
+    }
+    let mut relabelled = reply(&support::header(1, 3), kind.wish.answer_bytes);
+    relabelled.request = 2;
+    assert!(!is_own(&header, &kind, &relabelled));
+}
+
+#[test]
+fn cut_answer() {
+    let kind = support::kind(Repeat::Once);
+    let header = support::header(1, 2);
+    assert!(!is_own(&header, &kind, &reply(&header, kind.wish.answer_bytes - 1)));
+}
+
+/// Answers every packet as if it were request 77.
+struct Crossing;
+
+impl Front for Crossing {
+    async fn send(&self, request: Request<Packet>) -> Result<Response<Reply>, Status> {
+        let wire = request.into_inner().header.unwrap_or_default();
+        let mut reply = reply(&support::header(wire.flow, 77), 1_000);
+        reply.request = wire.request;
+        Ok(Response::new(reply))
+    }
+}
+
+#[tokio::test]
+async fn crossed_on_wire() {
+    let (incoming, switch) = mustardway_stand_in::listener::listen(support::any()).await.unwrap();
+    let server = Server::new().add_service(ServiceBuilder::new(FrontServer::new(Crossing)).build());
+    tokio::spawn(async move { server.run(incoming).await });
+    let line = support::line(support::kind(Repeat::Once), &[switch.address()]);
+    assert_eq!(line.ask(Instant::now()).await, Outcome::Wrong);
+    assert_eq!(line.report().counts.wrong, 1);
+}
+
+#[tokio::test]
+async fn whole_download() {
+    let target = support::target(|_| {}).await;
+    let mut kind = support::kind(Repeat::Idempotent);
+    kind.parts = 9;
+    kind.requests_per_flow = Some(1);
+    let line = support::line(kind, &[target.address()]);
+    assert_eq!(line.ask(Instant::now()).await, Outcome::InTime);
+    let ledger = target.ledger();
+    assert_eq!((ledger.runs, ledger.openings, ledger.flows), (9, 1, 0));
+    assert_eq!(line.open_flows(), 0);
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/tests/stand_in/platform_switches.rs
@@ -0,0 +1,85 @@
+//! Ways for the platform to fail.
+
+use assert_matches::assert_matches;
+use mustardway_stand_in::http;
+use mustardway_stand_in::platform::Server;
+use mustardway_stand_in::platform::message::{Configuration, Instance, InstanceState, Instances};
+use mustardway_stand_in::platform::switch::{Nonsense, Switch};
+
+use crate::support;
+
+async fn three_revisions() -> Server {
+    let server = Server::start(support::any()).await.expect("a free port");
+    for text in ["1", "2", "3"] {
+        server.state().put("a.ini", text);
+    }
+    server
+}
+
+async fn get(server: &Server, after: u64) -> Result<Configuration, http::Error> {
+    http::get(server.address(), &format!("/configuration?after={after}&wait=1")).await
+}
+
+#[tokio::test]
+async fn down_and_up() {
+    let server = three_revisions().await;
+    server.set_switch(Switch { down: true, ..Switch::default() });
+    support::until(|| std::net::TcpStream::connect(server.address()).is_err()).await;
+    assert_matches!(get(&server, 0).await, Err(http::Error::Unreachable { .. }));
+    server.set_switch(Switch::default());
+    support::until(|| std::net::TcpStream::connect(server.address()).is_ok()).await;
+    assert_eq!(get(&server, 0).await.unwrap().revision, 3);
+}
+
+#[tokio::test]
+async fn stale_revision() {
+    let server = three_revisions().await;
+    server.set_switch(Switch { stale: Some(2), ..Switch::default() });
+    let got = get(&server, 0).await.unwrap();
+    assert_eq!((got.revision, got.files.unwrap()["a.ini"].as_str()), (2, "2"));
+    assert_eq!(get(&server, 2).await.unwrap().files, None);
+}
+
+#[tokio::test]
+async fn goes_back() {
+    let server = three_revisions().await;
+    server.set_switch(Switch { back: true, ..Switch::default() });
+    let got = get(&server, 3).await.unwrap();
+    assert_eq!((got.revision, got.files.unwrap()["a.ini"].as_str()), (2, "2"));
+}
+
+#[tokio::test]
+async fn talks_nonsense() {
+    let server = three_revisions().await;
+    for nonsense in [Nonsense::NoJson, Nonsense::Shape, Nonsense::Half, Nonsense::Empty] {
+        server.set_switch(Switch { nonsense: Some(nonsense), ..Switch::default() });
+        assert_matches!(get(&server, 0).await, Err(http::Error::Shape { .. }));
+    }
+}
+
+#[tokio::test]
+async fn list_lags() {
+    let server = three_revisions().await;
+    let instance = Instance {
+        id: "a-1".into(),
+        domain: "a".into(),
+        peer: support::any(),
+        state: InstanceState::Live,
+    };
+    server.set_switch(Switch { list_lags: true, ..Switch::default() });
+    server.state().set_instances(vec![instance.clone()]);
+    let lagging: Instances = http::get(server.address(), "/instances").await.unwrap();
+    assert_eq!(lagging.instances, []);
+    server.set_switch(Switch::default());
+    let listed: Instances = http::get(server.address(), "/instances").await.unwrap();
+    assert_eq!(listed.instances, [instance]);
+}
+
+#[tokio::test]
+async fn switch_by_http() {
+    let server = three_revisions().await;
+    let stale = Switch { stale: Some(1), ..Switch::default() };
+    http::post(server.address(), "/switch", &stale).await.unwrap();
+    assert_eq!(server.state().switch(), stale);
+    assert_eq!(get(&server, 0).await.unwrap().revision, 1);
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/tests/stand_in/target_behaviour.rs
@@ -0,0 +1,145 @@
+//! What a target does when it is switched or bears too much.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use mustardway_stand_in::target::Server;
+use mustardway_stand_in::target::behaviour::{Behaviour, Health, Over};
+use mustardway_types::answer::Reason;
+use mustardway_wire::health::health_check_response::ServingStatus;
+use mustardway_wire::health::{HealthCheckRequest, HealthClientBuilder};
+use mustardway_wire::packet::{Answer, Packet};
+use tokio::time::Instant;
+use volo::net::Address;
+use volo_grpc::{Code, Request};
+
+use crate::support;
+
+const WORK: Duration = Duration::from_millis(1);
+const ENDLESS: Duration = Duration::from_secs(600);
+
+fn packet(request: u64, work: Duration) -> Packet {
+    support::packet(&support::header(1, request), work)
+}
+
+/// Sends a packet that runs for ever, and waits until `target` holds it.
+async fn hold(target: &Server, request: u64) {
+    let client = support::client(target);
+    tokio::spawn(async move { support::send(&client, packet(request, ENDLESS)).await });
+    support::until(|| target.ledger().packets == request).await;
+}
+
+async fn health(target: &Server) -> Result<ServingStatus, Code> {
+    let client = HealthClientBuilder::new("test").address(Address::from(target.address())).build();
+    let asked = client.check(HealthCheckRequest::default()).await;
+    asked.map(|response| response.into_inner().status).map_err(|status| status.code())
+}
+
+#[tokio::test]
+async fn sheds_truly() {
+    let target = support::target(|settings| settings.behaviour.shedding = true).await;
+    let reply = support::send(&support::client(&target), packet(1, WORK)).await.unwrap();
+    assert_eq!(reply.answer, Answer::REFUSED);
+    assert_eq!(reply.reason, Reason::Shed.to_string());
+    let ledger = target.ledger();
+    assert_eq!((ledger.runs, ledger.refused), (0, 1));
+}
+
+#[tokio::test]
+async fn drains_new_flows() {
+    let target = support::target(|settings| settings.behaviour.draining = true).await;
+    let client = support::client(&target);
+    let opening = support::send(&client, packet(1, WORK)).await.unwrap();
+    let mut header = support::header(1, 2);
+    header.opening = false;
+    let established = support::send(&client, support::packet(&header, WORK)).await.unwrap();
+    assert_eq!((opening.answer, established.answer), (Answer::REFUSED, Answer::DONE));
+    assert_eq!(health(&target).await, Ok(ServingStatus::NOT_SERVING));
+}
+
+#[tokio::test]
+async fn health_lies() {
+    let target = support::target(|_| {}).await;
+    assert_eq!(health(&target).await, Ok(ServingStatus::SERVING));
+    let down = Behaviour { shedding: true, health: Health::NotServing, ..Behaviour::default() };
+    target.set_behaviour(down);
+    assert_eq!(health(&target).await, Ok(ServingStatus::NOT_SERVING));
+    target.set_behaviour(Behaviour { draining: true, health: Health::Serving, ..down });
+    assert_eq!(health(&target).await, Ok(ServingStatus::SERVING));
+    target.set_behaviour(Behaviour { health: Health::Error, ..down });
+    assert_eq!(health(&target).await, Err(Code::Internal));
+}
+
+#[tokio::test]
+async fn queues_beyond_slots() {
+    let target = support::target(|settings| settings.slots = 2).await;
+    for request in 1..=3 {
+        hold(&target, request).await;
+    }
+    let ledger = target.ledger();
+    assert_eq!((ledger.runs, ledger.in_flight_max, ledger.overloads), (2, 3, 1));
+}
+
+#[tokio::test]
+async fn expires_in_queue() {
+    let target = support::target(|settings| settings.slots = 1).await;
+    hold(&target, 1).await;
+    let mut request = Request::new(packet(2, WORK));
+    request.metadata_mut().insert("grpc-timeout", "30m".parse().unwrap());
+    let reply = support::client(&target).send(request).await.unwrap().into_inner();
+    assert_eq!(reply.answer, Answer::REFUSED);
+    let ledger = target.ledger();
+    assert_eq!((ledger.runs, ledger.expired), (1, 1));
+}
+
+#[tokio::test]
+async fn sheds_when_cold() {
+    let target = support::target(|settings| {
+        settings.warm_up = ENDLESS;
+        settings.behaviour.over = Over::Shed;
+    })
+    .await;
+    hold(&target, 1).await;
+    let reply = support::send(&support::client(&target), packet(2, WORK)).await.unwrap();
+    assert_eq!(reply.answer, Answer::REFUSED);
+    let ledger = target.ledger();
+    assert_eq!((ledger.cold_overloads, ledger.runs, ledger.falls), (1, 1, 0));
+}
+
+#[tokio::test]
+async fn falls_over() {
+    let target = support::target(|settings| settings.warm_up = ENDLESS).await;
+    let client = support::client(&target);
+    let running = {
+        let client = client.clone();
+        tokio::spawn(async move { support::send(&client, packet(1, ENDLESS)).await })
+    };
+    support::until(|| target.ledger().runs == 1).await;
+    let mut request = 2;
+    while target.ledger().falls == 0 {
+        hold(&target, request).await;
+        request += 1;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let status = running.await.unwrap().unwrap_err();
+    assert_eq!(status.code(), Code::Unavailable);
+    assert_matches!(target.ledger().cold_load_max, load if load >= 2.0);
+}
+
+#[tokio::test]
+async fn turns_cold() {
+    let target = support::target(|_| {}).await;
+    let before = Instant::now();
+    assert!(target.cold_since() <= before);
+    target.turn_cold();
+    assert!(target.cold_since() >= before);
+}
+
+#[tokio::test]
+async fn warm_load() {
+    let target = support::target(|_| {}).await;
+    hold(&target, 1).await;
+    hold(&target, 2).await;
+    let ledger = target.ledger();
+    assert_eq!((ledger.overloads, ledger.cold_overloads), (0, 0));
+}
