Find out what a unary call on loopback costs

Change: examples/unary_call.rs times plain TCP and unary calls with the sides on one thread, a thread each and a pool each, over one client or a new one a call.

--- /dev/null
+++ b/crates/mustardway_stand_in/examples/unary_call.rs
@@ -0,0 +1,217 @@
+//! What one unary call on loopback costs, and where the time goes.
+//!
+//! Each row times calls one after the other, or 64 at once, over one client;
+//! the rows differ in what serves the call and on which threads.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use mustardway_stand_in::deployment::table::Table;
+use mustardway_stand_in::{fabric, listener};
+use mustardway_wire::packet::{Front, FrontClient, FrontServer, Header, Packet, Reply};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+use volo_grpc::server::{Server, ServiceBuilder};
+use volo_grpc::{Request, Response, Status};
+
+/// Calls before any is timed.
+const WARM_UP_CALLS: usize = 500;
+
+/// Calls in each row.
+const CALLS: usize = 5_000;
+
+/// Calls at one time in the last rows.
+const AT_ONCE: usize = 64;
+
+/// Bytes of one plain exchange.
+const PLAIN_BYTES: usize = 100;
+
+/// Longest latency that is told apart, in nanoseconds.
+const LATENCY_MAX_NANOS: u64 = 10_000_000_000;
+
+/// Significant digits of latencies.
+const DIGITS: u8 = 3;
+
+/// Answers at once.
+struct Instantly;
+
+impl Front for Instantly {
+    async fn send(&self, _request: Request<Packet>) -> Result<Response<Reply>, Status> {
+        Ok(Response::new(Reply::default()))
+    }
+}
+
+type Latencies = Histogram<u64>;
+
+fn main() {
+    let mut table = Table::new(&["call", "p50 us", "p99 us", "calls/s"]);
+    let many = || Builder::new_multi_thread().enable_all().build().expect("a runtime");
+    let one = || Builder::new_current_thread().enable_all().build().expect("a runtime");
+
+    let row = one().block_on(async { plain(serve_plain(true).await).await });
+    add(&mut table, "plain TCP, one thread in all", &row);
+    let server = Remote::start();
+    let row = one().block_on(plain(server.plain));
+    add(&mut table, "plain TCP, a thread each side", &row);
+    let row = one().block_on(plain(server.plain_delayed));
+    add(&mut table, "plain TCP, a thread each side, server without TCP_NODELAY", &row);
+
+    let row = one().block_on(async { one_by_one(&fabric::client(serve().await)).await });
+    add(&mut table, "unary, one thread in all", &row);
+    let row = one().block_on(one_by_one(&fabric::client(server.front)));
+    add(&mut table, "unary, a thread each side", &row);
+    let row = many().block_on(async { one_by_one(&fabric::client(serve().await)).await });
+    add(&mut table, "unary, one pool of workers", &row);
+    let row = many().block_on(one_by_one(&fabric::client(server.front)));
+    add(&mut table, "unary, pool of workers to a thread", &row);
+    let pool = many();
+    let front = pool.block_on(serve());
+    let row = many().block_on(one_by_one(&fabric::client(front)));
+    add(&mut table, "unary, a pool each side", &row);
+    let row = many().block_on(connecting(front));
+    add(&mut table, "unary, a pool each side, new connection each", &row);
+    let row = many().block_on(async {
+        let client = fabric::client(front);
+        tokio::spawn(async move { one_by_one(&client).await }).await.expect("a result")
+    });
+    add(&mut table, "unary, a pool each side, from a worker", &row);
+    let row = many().block_on(at_once(&fabric::client(front)));
+    add(&mut table, "unary, a pool each side, 64 at once", &row);
+    let row = one().block_on(at_once(&fabric::client(server.front)));
+    add(&mut table, "unary, a thread each side, 64 at once", &row);
+    print!("{table}");
+}
+
+/// Servers on a thread of their own.
+struct Remote {
+    plain: SocketAddr,
+    plain_delayed: SocketAddr,
+    front: SocketAddr,
+    _runtime: Runtime,
+}
+
+impl Remote {
+    fn start() -> Remote {
+        let runtime =
+            Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime");
+        let (plain, plain_delayed, front) = runtime
+            .block_on(async { (serve_plain(true).await, serve_plain(false).await, serve().await) });
+        Remote { plain, plain_delayed, front, _runtime: runtime }
+    }
+}
+
+async fn serve() -> SocketAddr {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (incoming, switch) = listener::listen(any).await.expect("a free port");
+    let server =
+        Server::new().add_service(ServiceBuilder::new(FrontServer::new(Instantly)).build());
+    let address = switch.address();
+    tokio::spawn(async move {
+        let _switch = switch;
+        let _ = server.run_with_shutdown(incoming, std::future::pending()).await;
+    });
+    address
+}
+
+async fn serve_plain(nodelay: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(nodelay);
+            tokio::spawn(async move {
+                let mut bytes = [0; PLAIN_BYTES];
+                while stream.read_exact(&mut bytes).await.is_ok() {
+                    let _ = stream.write_all(&bytes).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+async fn plain(address: SocketAddr) -> Latencies {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.set_nodelay(true).expect("an option");
+    let mut latencies = empty();
+    for index in 0..WARM_UP_CALLS + CALLS {
+        let start = Instant::now();
+        let mut bytes = [0; PLAIN_BYTES];
+        stream.write_all(&bytes).await.expect("a write");
+        stream.read_exact(&mut bytes).await.expect("a read");
+        record(&mut latencies, index, start.elapsed());
+    }
+    latencies
+}
+
+async fn one_by_one(client: &FrontClient) -> Latencies {
+    let mut latencies = empty();
+    for index in 0..WARM_UP_CALLS + CALLS {
+        let took = timed(call(client)).await;
+        record(&mut latencies, index, took);
+    }
+    latencies
+}
+
+async fn connecting(address: SocketAddr) -> Latencies {
+    let mut latencies = empty();
+    for index in 0..WARM_UP_CALLS + CALLS / 10 {
+        let client = fabric::client(address);
+        let took = timed(call(&client)).await;
+        record(&mut latencies, index, took);
+    }
+    latencies
+}
+
+async fn at_once(client: &FrontClient) -> Latencies {
+    one_by_one(client).await;
+    let mut tasks = tokio::task::JoinSet::new();
+    for _ in 0..AT_ONCE {
+        let client = client.clone();
+        tasks.spawn(async move {
+            let mut took = Vec::with_capacity(CALLS / 8);
+            for _ in 0..CALLS / 8 {
+                took.push(timed(call(&client)).await);
+            }
+            took
+        });
+    }
+    let mut latencies = empty();
+    while let Some(took) = tasks.join_next().await {
+        for one in took.expect("a task") {
+            record(&mut latencies, WARM_UP_CALLS, one);
+        }
+    }
+    latencies
+}
+
+async fn call(client: &FrontClient) {
+    let packet = Packet { header: Some(Header::default()), ..Packet::default() };
+    client.send(packet).await.expect("a reply");
+}
+
+async fn timed(call: impl Future<Output = ()>) -> Duration {
+    let start = Instant::now();
+    call.await;
+    start.elapsed()
+}
+
+fn empty() -> Latencies {
+    Histogram::new_with_max(LATENCY_MAX_NANOS, DIGITS).expect("constant bounds")
+}
+
+fn record(latencies: &mut Latencies, index: usize, took: Duration) {
+    if index >= WARM_UP_CALLS {
+        latencies.saturating_record(took.as_nanos() as u64);
+    }
+}
+
+fn add(table: &mut Table, name: &str, latencies: &Latencies) {
+    let micros = |quantile| format!("{:.0}", latencies.value_at_quantile(quantile) as f64 / 1e3);
+    let at_once = if name.ends_with("at once") { AT_ONCE as f64 } else { 1.0 };
+    let rate = format!("{:.0}", at_once * 1e9 / latencies.mean());
+    table.add(vec![name.to_owned(), micros(0.5), micros(0.99), rate]);
+}
