Measure scenarios over seeds, and let targets know their flows

Change: 'measure' runs ten scenarios (calm, stop, kill, pause, domain out, target leaving, cold, down, platform down, two at once) over seeds and prints min, median and max. A target answers 'flow ended' to packets of a flow that was not opened at it, and loses its flows when it falls over.

--- a/crates/mustardway_stand_in/src/caller/load.rs
+++ b/crates/mustardway_stand_in/src/caller/load.rs
@@ -67,6 +67,11 @@
         self.pool.open()
     }
 
+    /// Flows opened so far.
+    pub fn opened_flows(&self) -> u64 {
+        self.pool.opened()
+    }
+
     /// Sends requests at the kind's rate for `time`, and waits for the last.
     pub async fn run(self: &Arc<Line>, time: Duration) {
         self.run_at(self.kind.rate, time).await;
--- /dev/null
+++ b/crates/mustardway_stand_in/src/command/launch.rs
@@ -0,0 +1,49 @@
+//! What commands that start deployments share.
+
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+
+use super::Failure;
+use crate::deployment::fleet::{Launch, Readiness};
+
+/// A share, such as `50%`.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Percent(pub(super) u32);
+
+impl Percent {
+    /// The share, 1 for 100 %.
+    pub(super) fn share(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
+impl FromStr for Percent {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.strip_suffix('%').unwrap_or(text);
+        digits.parse().map(Percent).map_err(|_| format!("{text}: no share such as 50%"))
+    }
+}
+
+/// Starts instances of the binary given, or of the one beside this program.
+pub(super) fn new(binary: Option<&Path>, ready_by_front: bool) -> Result<Launch, Failure> {
+    let binary = match binary {
+        Some(path) => path.to_owned(),
+        None => std::env::current_exe()?.with_file_name("mustardway"),
+    };
+    if !binary.is_file() {
+        let path = binary.display();
+        return Err(format!(
+            "no binary at {path}; build it with: cargo build --release --workspace"
+        )
+        .into());
+    }
+    let readiness = if ready_by_front { Readiness::Front } else { Readiness::Admin };
+    Ok(Launch { binary, readiness })
+}
+
+/// Folder of a deployment that this process starts.
+pub(super) fn root() -> PathBuf {
+    std::env::temp_dir().join(format!("mustardway-{}", std::process::id()))
+}
--- /dev/null
+++ b/crates/mustardway_stand_in/src/command/measure.rs
@@ -0,0 +1,98 @@
+//! `measure`: scenarios over several seeds.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+
+use super::Failure;
+use super::launch::{self, Percent};
+use crate::deployment::plan::Plan;
+use crate::deployment::traffic::Volume;
+use crate::deployment::user::User;
+use crate::experiment::figure::{Collection, Measure};
+use crate::experiment::run::Run;
+use crate::experiment::scenario::{Scenario, TABLE};
+
+/// measure scenarios over several seeds and print min, median and max; exits 1
+/// when a request ran twice, an answer was untrue or a packet went astray
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "measure")]
+pub struct Arguments {
+    /// frio-austral or partitura-viva
+    #[argh(option)]
+    user: User,
+    /// a scenario; may be given again; all by default
+    #[argh(option)]
+    scenario: Vec<Scenario>,
+    /// the mustardway binary; by default the one beside this program
+    #[argh(option)]
+    binary: Option<PathBuf>,
+    /// number of seeds
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// length of each run in seconds
+    #[argh(option, default = "18")]
+    seconds: u64,
+    /// work given to the services, in percent of what their targets bear
+    #[argh(option, default = "Percent(40)")]
+    rate: Percent,
+    /// long flows for each target
+    #[argh(option, default = "50")]
+    flows: usize,
+    /// an instance is ready when its front accepts connections, whatever its
+    /// admin address says
+    #[argh(switch)]
+    ready_by_front: bool,
+}
+
+/// Runs every scenario with every seed.
+pub(super) async fn run(arguments: &Arguments) -> Result<bool, Failure> {
+    let mut collection = Collection::default();
+    tokio::select! {
+        ran = run_all(arguments, &mut collection) => ran?,
+        stopped = super::stopped() => stopped?,
+    }
+    print!("{collection}");
+    Ok(is_good(&collection))
+}
+
+async fn run_all(arguments: &Arguments, collection: &mut Collection) -> Result<(), Failure> {
+    let launch = launch::new(arguments.binary.as_deref(), arguments.ready_by_front)?;
+    let part = Duration::from_secs(arguments.seconds) / 3;
+    for scenario in scenarios(arguments) {
+        for seed in 1..=arguments.seeds {
+            let volume =
+                Volume { load: arguments.rate.share(), flows_per_target: arguments.flows, seed };
+            let plan = Plan::new(arguments.user)?;
+            let run = Run { scenario, part, volume };
+            match run.measure(plan, launch.clone(), launch::root()).await {
+                Ok(figures) => collection.add(scenario, &figures),
+                Err(error) => eprintln!("{scenario}, seed {seed}: not measured: {error}"),
+            }
+        }
+    }
+    Ok(())
+}
+
+fn scenarios(arguments: &Arguments) -> Vec<Scenario> {
+    match arguments.scenario.is_empty() {
+        true => TABLE.map(|(scenario, _)| scenario).into(),
+        false => arguments.scenario.clone(),
+    }
+}
+
+/// Whether every run kept what is never to be broken; none is not good.
+fn is_good(collection: &Collection) -> bool {
+    let mut measured = false;
+    for (scenario, _) in TABLE {
+        for measure in [Measure::Doubles, Measure::FalseNotRun, Measure::WrongService] {
+            let Some(spread) = collection.spread(scenario, measure) else { continue };
+            measured = true;
+            if spread.max > 0.0 {
+                return false;
+            }
+        }
+    }
+    measured
+}
--- a/crates/mustardway_stand_in/src/command/mod.rs
+++ b/crates/mustardway_stand_in/src/command/mod.rs
@@ -4,10 +4,13 @@
 //! - [`platform`], [`target`], [`load`]: one stand-in each.
 //! - [`baseline`]: an instance to measure against.
 //! - [`deploy`]: a user's whole deployment.
+//! - [`measure`]: scenarios over several seeds.
 
 pub mod baseline;
 pub mod deploy;
+mod launch;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod target;
 
@@ -32,6 +35,7 @@
     Load(load::Arguments),
     Baseline(baseline::Arguments),
     Deploy(deploy::Arguments),
+    Measure(measure::Arguments),
 }
 
 /// Why a command failed, in one line.
@@ -50,6 +54,7 @@
             Command::Load(arguments) => load::run(arguments).await,
             Command::Baseline(arguments) => baseline::run(arguments).await,
             Command::Deploy(arguments) => deploy::run(arguments).await,
+            Command::Measure(arguments) => measure::run(arguments).await,
         }
     });
     runtime.shutdown_background();
--- a/crates/mustardway_stand_in/src/command/platform.rs
+++ b/crates/mustardway_stand_in/src/command/platform.rs
@@ -16,6 +16,9 @@
     /// where it listens, ip:port
     #[argh(option)]
     listen: SocketAddr,
+    /// where failure tests switch it, ip:port
+    #[argh(option)]
+    control: Option<SocketAddr>,
     /// folder of .ini files
     #[argh(option)]
     folder: PathBuf,
@@ -28,6 +31,10 @@
 pub(super) async fn run(arguments: &Arguments) -> Result<bool, Failure> {
     folder::read(&arguments.folder)?;
     let server = Server::start(arguments.listen).await?;
+    let _control = match arguments.control {
+        Some(address) => Some(server.open_control(address).await?),
+        None => None,
+    };
     let state = Arc::clone(server.state());
     tokio::spawn(folder::follow(state, arguments.folder.clone(), arguments.instances.clone()));
     super::stopped().await?;
--- a/crates/mustardway_stand_in/src/deployment/fleet.rs
+++ b/crates/mustardway_stand_in/src/deployment/fleet.rs
@@ -175,6 +175,7 @@
         vec![
             "platform".to_owned(),
             format!("--listen={}", self.plan.platform),
+            format!("--control={}", self.plan.platform_control),
             format!("--folder={}", self.folder.configuration().display()),
             format!("--instances={}", self.folder.instances().display()),
         ]
@@ -353,7 +354,7 @@
     ///
     /// Fails when it does not answer.
     pub async fn set_platform(&self, switch: &Switch) -> Result<(), Error> {
-        http::post(self.plan.platform, "/switch", switch).await?;
+        http::post(self.plan.platform_control, "/switch", switch).await?;
         Ok(())
     }
 
--- a/crates/mustardway_stand_in/src/deployment/plan.rs
+++ b/crates/mustardway_stand_in/src/deployment/plan.rs
@@ -18,7 +18,7 @@
 /// Port for peers of an instance.
 const PEER_PORT: u16 = 7601;
 
-/// Port for operators of an instance, and for controls of targets.
+/// Port for operators of an instance, and for controls of stand-ins.
 const ADMIN_PORT: u16 = 7602;
 
 /// Networks of loopback that are tried, as second octet.
@@ -101,6 +101,8 @@
     pub user: User,
     /// Where the platform listens.
     pub platform: SocketAddr,
+    /// Where the platform is made to fail.
+    pub platform_control: SocketAddr,
     /// Failure domains.
     pub domains: Vec<Domain>,
     /// Services.
@@ -133,6 +135,7 @@
         let mut plan = Plan {
             user,
             platform: at(network, PLATFORM, 1, PORT),
+            platform_control: at(network, PLATFORM, 1, ADMIN_PORT),
             domains: Vec::new(),
             services: Vec::new(),
             instances: Vec::new(),
--- a/crates/mustardway_stand_in/src/deployment/summary.rs
+++ b/crates/mustardway_stand_in/src/deployment/summary.rs
@@ -133,6 +133,7 @@
         "falls",
         "doubles",
         "wrong service",
+        "unknown flows",
     ]);
     for row in rows {
         let numbers = [
@@ -145,6 +146,7 @@
             row.falls,
             row.doubles,
             row.wrong_service,
+            row.unknown_flows,
         ];
         let mut cells = vec![row.name.to_string()];
         cells.extend(numbers.iter().map(u64::to_string));
--- a/crates/mustardway_stand_in/src/lib.rs
+++ b/crates/mustardway_stand_in/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`fabric`]: sprays packets over the instances.
 //! - [`caller`]: opens flows, sends requests and checks their answers.
 //! - [`deployment`]: a user's whole deployment on loopback.
+//! - [`experiment`]: measures over deployments, with changes and faults.
 //! - [`baseline`]: plain hashing, to measure against.
 //! - [`payload`]: the bytes that callers send and expect.
 //! - [`listener`]: a TCP listener that can be closed and opened again.
@@ -22,6 +23,7 @@
 pub mod command;
 pub mod deadline;
 pub mod deployment;
+pub mod experiment;
 pub mod fabric;
 pub mod http;
 pub mod listener;
--- a/crates/mustardway_stand_in/src/platform/mod.rs
+++ b/crates/mustardway_stand_in/src/platform/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! `GET /configuration?after=N&wait=MILLIS` answers at once when the revision
 //! is above `after`, else it waits; `GET /instances` lists the instances.
-//! `GET /calls` counts what was read. `POST /switch` makes it fail in the ways
-//! of [`switch::Switch`], for failure tests only.
+//! `GET /calls` counts what was read. At its control address `POST /switch`
+//! makes it fail in the ways of [`switch::Switch`], for failure tests only.
 //!
 //! Modules:
 //! - [`folder`]: publishes a folder and follows its changes.
@@ -42,13 +42,27 @@
         let (incoming, switch) = listener::listen(address).await?;
         let state = Arc::new(State::default());
         let server = Server { state: Arc::clone(&state), listener: Arc::new(switch) };
-        let router = serve::router(state, Arc::clone(&server.listener));
+        let router = serve::router(state);
         tokio::spawn(async move {
             let _ = volo_http::server::Server::new(router).run(incoming).await;
         });
         Ok(server)
     }
 
+    /// Opens a control address; it closes when the switch is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the bind.
+    pub async fn open_control(&self, address: SocketAddr) -> io::Result<listener::Switch> {
+        let (incoming, switch) = listener::listen(address).await?;
+        let router = serve::control(Arc::clone(&self.state), Arc::clone(&self.listener));
+        tokio::spawn(async move {
+            let _ = volo_http::server::Server::new(router).run(incoming).await;
+        });
+        Ok(switch)
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.listener.address()
--- a/crates/mustardway_stand_in/src/target/core.rs
+++ b/crates/mustardway_stand_in/src/target/core.rs
@@ -45,6 +45,8 @@
 pub(super) enum Denial {
     /// It refuses, and has not run it.
     Refused,
+    /// It does not know the flow, and has not run it.
+    UnknownFlow,
     /// It is away.
     Away,
 }
@@ -122,6 +124,10 @@
         if inner.behaviour.down || inner.is_fallen(now) {
             return Err(Denial::Away);
         }
+        if !inner.ledger.knows(header) {
+            inner.ledger.summary.unknown_flows += 1;
+            return Err(Denial::UnknownFlow);
+        }
         let closed_to_it = inner.behaviour.draining && header.opening;
         if inner.behaviour.shedding || closed_to_it {
             inner.ledger.summary.refused += 1;
@@ -214,6 +220,7 @@
     fn fall(&mut self, now: Instant) {
         let back = now + FALL_TIME;
         self.ledger.summary.falls += 1;
+        self.ledger.lose_flows();
         self.fallen_until = Some(back);
         self.cold_since = back;
         self.over_since = None;
--- a/crates/mustardway_stand_in/src/target/front.rs
+++ b/crates/mustardway_stand_in/src/target/front.rs
@@ -48,7 +48,8 @@
             .ok_or_else(|| Status::invalid_argument("the payload makes no wish"))?;
         match self.core.admit(&header) {
             Ok(()) => {}
-            Err(Denial::Refused) => return Ok(refusal(wire)),
+            Err(Denial::Refused) => return Ok(not_run(wire, Reason::Shed)),
+            Err(Denial::UnknownFlow) => return Ok(not_run(wire, Reason::FlowUnknown)),
             Err(Denial::Away) => return Err(Status::unavailable("the target is away")),
         }
         let mut load = Load { core: &self.core, outcome: Outcome::Cancelled };
@@ -58,7 +59,7 @@
             _ = falls.changed() => Err(Status::unavailable("the target fell over")),
         };
         if load.outcome == Outcome::Expired {
-            return Ok(refusal(wire));
+            return Ok(not_run(wire, Reason::Shed));
         }
         load.outcome = Outcome::Done;
         result?;
@@ -113,8 +114,8 @@
 }
 
 /// The answer "not run" to the request of `header`.
-fn refusal(header: Option<&packet::Header>) -> Reply {
-    convert::wire_answer(header, &Answer::new(Reason::Shed))
+fn not_run(header: Option<&packet::Header>, reason: Reason) -> Reply {
+    convert::wire_answer(header, &Answer::new(reason))
 }
 
 impl Front for Service {
--- a/crates/mustardway_stand_in/src/target/ledger.rs
+++ b/crates/mustardway_stand_in/src/target/ledger.rs
@@ -41,6 +41,8 @@
     pub repeats: u64,
     /// Packets for an address of another service.
     pub wrong_service: u64,
+    /// Packets of a flow that was never opened here, or was lost in a fall.
+    pub unknown_flows: u64,
     /// Greatest number of requests held at one time.
     pub in_flight_max: u32,
     /// Requests that came when it held all that it bears.
@@ -91,6 +93,7 @@
     pub(super) runs: Vec<Run>,
     times: HashMap<Key, u32>,
     flows: HashSet<u64>,
+    known: HashSet<u64>,
 }
 
 impl Ledger {
@@ -108,6 +111,17 @@
         }
     }
 
+    /// Whether the flow of a packet is opened by it, or was opened here before.
+    pub(super) fn knows(&self, header: &Header) -> bool {
+        header.opening || self.known.contains(&header.flow.0)
+    }
+
+    /// Loses every flow.
+    pub(super) fn lose_flows(&mut self) {
+        self.flows.clear();
+        self.known.clear();
+    }
+
     /// Enters the begin of a run; returns its index.
     pub(super) fn begin(&mut self, header: &Header) -> usize {
         let once = header.repeat == Repeat::Once;
@@ -129,6 +143,7 @@
             }
         }
         self.flows.insert(run.flow);
+        self.known.insert(run.flow);
         self.summary.runs += 1;
         self.runs.push(run);
         self.runs.len() - 1
--- a/crates/mustardway_stand_in/src/target/mod.rs
+++ b/crates/mustardway_stand_in/src/target/mod.rs
@@ -4,7 +4,8 @@
 //! the standard health service. It runs as many requests at once as it has
 //! slots and queues the rest. Cold, it bears less: the bound grows evenly from
 //! its cold slots to its slots over the warm-up; what it does with more is set
-//! by [`behaviour::Over`].
+//! by [`behaviour::Over`]. It answers packets only of flows that were opened at
+//! it, as a connection lives at one end; falling over loses all of them.
 //!
 //! Modules:
 //! - [`behaviour`]: what operators and failure tests switch.
--- /dev/null
+++ b/crates/mustardway_stand_in/tests/stand_in/figure_spread.rs
@@ -0,0 +1,28 @@
+//! Figures over seeds.
+
+use mustardway_stand_in::experiment::figure::{Collection, Figures, Measure, Spread};
+use mustardway_stand_in::experiment::scenario::{Scenario, TABLE};
+
+#[test]
+fn min_median_max() {
+    let spread = Spread::of(&[5.0, 1.0, 4.0, 2.0, 3.0]).unwrap();
+    assert_eq!(spread, Spread { min: 1.0, median: 3.0, max: 5.0, count: 5 });
+    assert_eq!(Spread::of(&[]), None);
+}
+
+#[test]
+fn apart_by_scenario() {
+    let mut collection = Collection::default();
+    collection.add(Scenario::Calm, &Figures::from([(Measure::Falls, 1.0)]));
+    collection.add(Scenario::DomainOut, &Figures::from([(Measure::Falls, 2.0)]));
+    assert_eq!(collection.spread(Scenario::Calm, Measure::Falls).unwrap().max, 1.0);
+    assert_eq!(collection.spread(Scenario::Calm, Measure::Doubles), None);
+}
+
+#[test]
+fn scenario_names() {
+    for (scenario, name) in TABLE {
+        assert_eq!(name.parse(), Ok(scenario));
+        assert_eq!(scenario.to_string(), name);
+    }
+}
--- a/crates/mustardway_stand_in/tests/stand_in/main.rs
+++ b/crates/mustardway_stand_in/tests/stand_in/main.rs
@@ -4,6 +4,7 @@
 mod audit_join;
 mod deployment_files;
 mod fabric_links;
+mod figure_spread;
 mod platform_switches;
 mod platform_watch;
 mod support;
