Count flows given up with their failure domain apart from broken ones

Cause: the promise excuses flows of a failure domain that operators took out; counted as broken they hid those that the system broke. Change: the reason of the ending decides; tables and measures show both.

--- a/crates/mustardway_stand_in/src/caller/report.rs
+++ b/crates/mustardway_stand_in/src/caller/report.rs
@@ -43,8 +43,11 @@
     pub resent: u64,
     /// Refusals that the caller came back from.
     pub came_back: u64,
-    /// Established flows that ended under it.
+    /// Established flows that ended under it, though their failure domain
+    /// was in.
     pub broken_flows: u64,
+    /// Established flows that ended because it was taken out.
+    pub given_up_flows: u64,
 }
 
 /// Counts of one kind of request.
@@ -71,6 +74,8 @@
     pub lost: u64,
     /// Established flows that ended before their time.
     pub broken_flows: u64,
+    /// Established flows that ended with their failure domain.
+    pub given_up_flows: u64,
     /// Packets sent again.
     pub resent: u64,
     /// Refusals that callers came back from.
@@ -119,6 +124,7 @@
         counts.resent += course.resent;
         counts.came_back += course.came_back;
         counts.broken_flows += course.broken_flows;
+        counts.given_up_flows += course.given_up_flows;
         let reason = match outcome {
             Outcome::InTime | Outcome::Late => {
                 let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
--- a/crates/mustardway_stand_in/src/caller/request.rs
+++ b/crates/mustardway_stand_in/src/caller/request.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use mustardway_types::answer;
+use mustardway_types::answer::{self, Reason};
 use mustardway_types::flow;
 use mustardway_types::packet::Header;
 use mustardway_types::request::{self, Repeat};
@@ -172,7 +172,11 @@
 
     fn judge_flow_ended(&mut self, reason: CompactString) -> Step {
         if self.flow.established {
-            self.course.broken_flows += 1;
+            let given_up = reason == Reason::DomainOut.to_string();
+            match given_up {
+                true => self.course.given_up_flows += 1,
+                false => self.course.broken_flows += 1,
+            }
         }
         match self.persistence.reopens {
             true => Step::Reopen(Outcome::FlowEnded(reason)),
--- a/crates/mustardway_stand_in/src/command/mod.rs
+++ b/crates/mustardway_stand_in/src/command/mod.rs
@@ -81,9 +81,11 @@
     use tokio::signal::unix::{SignalKind, signal};
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        _ = hangup.recv() => {}
     }
     Ok(())
 }
--- a/crates/mustardway_stand_in/src/deployment/summary.rs
+++ b/crates/mustardway_stand_in/src/deployment/summary.rs
@@ -93,6 +93,7 @@
         "wrong",
         "lost",
         "broken flows",
+        "given up",
         "resent",
         "p50 ms",
         "p99 ms",
@@ -110,6 +111,7 @@
             counts.wrong + counts.bad,
             counts.lost,
             counts.broken_flows,
+            counts.given_up_flows,
             counts.resent,
         ];
         let mut cells = vec![row.name.to_string()];
