--- a/crates/mustardway_stand_in/src/deployment/summary.rs
+++ b/crates/mustardway_stand_in/src/deployment/summary.rs
@@ -93,6 +93,7 @@
         "wrong",
         "lost",
         "broken flows",
+        "given up",
         "resent",
         "p50 ms",
         "p99 ms",
@@ -110,6 +111,7 @@
             counts.wrong + counts.bad,
             counts.lost,
             counts.broken_flows,
+            counts.given_up_flows,
             counts.resent,
         ];
         let mut cells = vec![row.name.to_string()];
@@ -133,6 +135,7 @@
         "falls",
         "doubles",
         "wrong service",
+        "unknown flows",
     ]);
     for row in rows {
         let numbers = [
@@ -145,6 +148,7 @@
             row.falls,
             row.doubles,
             row.wrong_service,
+            row.unknown_flows,
         ];
         let mut cells = vec![row.name.to_string()];
         cells.extend(numbers.iter().map(u64::to_string));
