Follow the gate's refusals: a next candidate is asked only where the gate says so

Cause: the gate now tells by 'whole' whether a flow may have had requests before; doubt about parts that are not heard goes the same way, and a failure domain with an instance found dead lately is contested.

--- a/crates/mustardway_routing/src/attempt.rs
+++ b/crates/mustardway_routing/src/attempt.rs
@@ -75,8 +75,8 @@
     pub target: target::Id,
     /// What is asked.
     pub mode: Mode,
-    /// The request could have run where it is not heard of.
-    pub doubted: bool,
+    /// With a mode that opens: whether no request of the flow can have run before.
+    pub whole: bool,
 }
 
 /// What an ingress does next.
@@ -95,6 +95,18 @@
 pub enum Reply {
     /// The owner answered without an answer of the target.
     Answer(Answer),
+    /// The flow is not opened there; the next candidate may be asked.
+    TryNext {
+        /// The answer where there is no next candidate.
+        answer: Answer,
+        /// Whether no request of the flow can have run before.
+        whole: bool,
+    },
+    /// The flow is marked as placed where [`Mode::Reserve`] said.
+    Reserved {
+        /// Whether no request of the flow can have run before.
+        whole: bool,
+    },
     /// The flow lives on another target.
     Moved(target::Id),
     /// The flow is not known there.
@@ -127,7 +139,7 @@
     paused: Span,
     unreached: bool,
     retried: bool,
-    doubted: bool,
+    whole: bool,
     refusal: Option<Answer>,
     refused_by: Vec<target::Id>,
 }
@@ -154,7 +166,7 @@
             paused: Span::ZERO,
             unreached: false,
             retried: false,
-            doubted: false,
+            whole: true,
             refusal: None,
             refused_by: Vec::new(),
         };
@@ -177,7 +189,12 @@
             return refuse(Reason::Moving);
         }
         match reply {
-            Reply::Answer(answer) => self.answered(answer, snapshot),
+            Reply::Answer(answer) => Step::Answer(answer),
+            Reply::TryNext { answer, whole } => self.refused(answer, whole, snapshot),
+            Reply::Reserved { whole } => {
+                self.whole &= whole;
+                self.advance(snapshot)
+            }
             Reply::Moved(target) => self.moved(target, snapshot),
             Reply::UnknownFlow { whole } => {
                 if whole {
@@ -230,7 +247,8 @@
         if let Some(target) = cached {
             return self.plan_established(target, snapshot);
         }
-        self.doubted = snapshot.is_doubted(&self.header.address);
+        let is_doubted = snapshot.is_doubted(&self.header.address);
+        self.whole = self.header.attempt == 1 || !is_doubted;
         let is_retry = self.header.repeat == Repeat::Once && self.header.attempt > 1;
         if !self.header.opening || is_retry {
             self.plan_search(snapshot)?;
@@ -324,7 +342,8 @@
             self.asks += 1;
             self.asked = Some(owner.clone());
             let (target, mode) = (target.clone(), mode.clone());
-            return Step::Ask(Ask { owner, target, mode, doubted: self.doubted || self.unreached });
+            let whole = self.whole && (self.header.attempt == 1 || !self.unreached);
+            return Step::Ask(Ask { owner, target, mode, whole });
         }
         self.exhausted()
     }
@@ -351,14 +370,11 @@
         Step::Answer(Answer::new(Reason::FlowUnknown))
     }
 
-    fn answered(&mut self, answer: Answer, snapshot: &Snapshot) -> Step {
-        let is_open = self.visits.get(self.cursor).is_some_and(|(_, mode)| mode.opens());
-        if !is_open || !lets_try_elsewhere(answer.reason) {
-            return Step::Answer(answer);
-        }
+    fn refused(&mut self, answer: Answer, whole: bool, snapshot: &Snapshot) -> Step {
         let soonest =
             |known: Answer| if known.come_back <= answer.come_back { known } else { answer };
         self.refusal = Some(self.refusal.map_or(answer, soonest));
+        self.whole &= whole;
         if let Some((target, _)) = self.visits.get(self.cursor) {
             self.refused_by.push(target.clone());
         }
@@ -420,14 +436,6 @@
     Step::Answer(Answer::come_back(reason, COME_BACK))
 }
 
-/// Whether a refusal by one candidate lets another be asked.
-fn lets_try_elsewhere(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::Full | Reason::Shed | Reason::Leaving | Reason::TooLate | Reason::NoTarget
-    )
-}
-
 /// Pools of all services that the address has or had.
 fn searched_pools<'a>(header: &Header, snapshot: &'a Snapshot) -> Vec<&'a Pool> {
     let mut pools = Vec::new();
--- a/crates/mustardway_routing/tests/packet_steps.rs
+++ b/crates/mustardway_routing/tests/packet_steps.rs
@@ -49,10 +49,20 @@
     let (mut attempt, _) = Attempt::start(header(5), DEADLINE, None, &snapshot, NOW);
     let full = Answer::come_back(Reason::Full, Span::millis(300));
     let mut budget = Budget::default();
-    let ask = asked(attempt.reply(Reply::Answer(full), &snapshot, &mut budget, NOW));
+    let ask = asked(attempt.reply(
+        Reply::TryNext { answer: full, whole: true },
+        &snapshot,
+        &mut budget,
+        NOW,
+    ));
     assert_eq!(ask.target, first_two(&snapshot, 5).1);
     let fuller = Answer::come_back(Reason::Full, Span::millis(900));
-    let answer = answered(&attempt.reply(Reply::Answer(fuller), &snapshot, &mut budget, NOW));
+    let answer = answered(&attempt.reply(
+        Reply::TryNext { answer: fuller, whole: true },
+        &snapshot,
+        &mut budget,
+        NOW,
+    ));
     assert_eq!(answer, full);
 }
 
@@ -158,13 +168,13 @@
 }
 
 #[test]
-fn unreached_search_raises_doubt() {
+fn unreached_search_not_whole() {
     let snapshot = snapshot(view(14), live(2));
     let header = mustardway_types::packet::Header { attempt: 2, ..header(5) };
     let (mut attempt, _) = Attempt::start(header, DEADLINE, None, &snapshot, NOW);
     let mut budget = Budget::default();
     let ask = asked(attempt.reply(Reply::NotSent, &snapshot, &mut budget, NOW));
-    assert!(ask.doubted);
+    assert!(!ask.whole);
 }
 
 #[test]
--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -160,6 +160,7 @@
     version: u64,
     states: BTreeMap<instance::Id, member::State>,
     doubted: BTreeMap<domain::Name, Instant>,
+    contested: BTreeSet<domain::Name>,
     revisions: BTreeMap<instance::Id, revision::Number>,
     everywhere: revision::Number,
     report: Arc<parking_lot::RwLock<Report>>,
@@ -197,6 +198,7 @@
             version: 0,
             states: BTreeMap::new(),
             doubted: BTreeMap::new(),
+            contested: BTreeSet::new(),
             revisions: BTreeMap::new(),
             everywhere: revision::Number(0),
             report,
@@ -250,7 +252,8 @@
         if self.membership.version() != self.version || self.is_custody_due {
             return true;
         }
-        let ages = self.previous.is_some() || !self.doubted.is_empty();
+        let ages =
+            self.previous.is_some() || !self.doubted.is_empty() || !self.contested.is_empty();
         ages && now.since(self.settled_at) >= SETTLE_INTERVAL
     }
 
@@ -439,9 +442,25 @@
                 gate.lock().doubt(now);
             }
         }
+        self.note_contested(now);
         lost
     }
 
+    /// Notes the failure domains in which an instance was found dead lately: it
+    /// may be cut off and still serve.
+    fn note_contested(&mut self, now: Instant) {
+        let dead = |record: &&member::Record| {
+            record.state == member::State::Dead && now.since(record.changed) <= DOUBT
+        };
+        let domain = |record: &member::Record| record.member.domain.clone();
+        self.contested = self.membership.members().filter(dead).map(domain).collect();
+        let snapshot = self.node.snapshot();
+        for (id, gate) in self.node.gates.read().iter() {
+            let Some(target) = snapshot.target(id) else { continue };
+            gate.lock().set_contested(now, self.contested.contains(&target.domain));
+        }
+    }
+
     /// Notes the failure domains that nothing is heard of.
     fn note_doubt(&mut self, now: Instant) {
         let mut known: BTreeMap<&domain::Name, bool> = BTreeMap::new();
--- a/crates/mustardway_runtime/src/custody.rs
+++ b/crates/mustardway_runtime/src/custody.rs
@@ -165,9 +165,12 @@
         let mut gate = new_gate(node, id, target, Tenure::Pending { until: now + HANDOVER_WAIT });
         if let Some(left) = left.filter(|left| !left.accepted) {
             // Nobody took it: its own state is the latest.
+            let mut steps = Vec::new();
             for part in left.state.into_parts() {
-                let _ = gate.receive(now, &part);
+                // What this gate handed out itself is well formed.
+                let _ = gate.receive(now, &part, &mut steps);
             }
+            node.dispatch(steps, None);
         }
         node.gates.write().insert(id.clone(), Arc::new(Mutex::new(gate)));
     }
@@ -263,14 +266,17 @@
         Some(gate) => gate,
         None => replace(node, &id, target),
     };
+    let mut steps = Vec::new();
     let opened = {
         let mut gate = gate.lock();
-        if gate.receive(now, part).is_err() {
+        if let Err(error) = gate.receive(now, part, &mut steps) {
+            slog::warn!(node.logger, "refuses a handover"; "target" => %id, "error" => %error);
             return;
         }
         gate.set_leaving(target.state == TargetState::Leaving);
         matches!(gate.tenure(), Tenure::Serving { .. })
     };
+    node.dispatch(steps, None);
     if opened && part.parts > 0 && part.part + 1 == part.parts {
         slog::info!(node.logger, "has taken a target over"; "target" => %id, "from" => %from);
         let accepted = Accepted { target: id.to_string() };
--- a/crates/mustardway_runtime/src/ingress.rs
+++ b/crates/mustardway_runtime/src/ingress.rs
@@ -130,6 +130,11 @@
         Outcome::UnknownFlow(whole) => Err(Reply::UnknownFlow { whole }),
         Outcome::NotOwner(owner) => Err(Reply::NotOwner(owner.parse().ok())),
         Outcome::Wait(micros) => Err(Reply::Wait(Span(micros))),
+        Outcome::TryNext(refusal) => {
+            let answer = refusal.answer.read();
+            Err(Reply::TryNext { answer, whole: refusal.whole })
+        }
+        Outcome::Reserved(whole) => Err(Reply::Reserved { whole }),
     }
 }
 
@@ -162,6 +167,7 @@
             elsewhere: elsewhere.clone(),
             request: header.request.0,
             part: header.part,
+            attempt: header.attempt,
         };
         let snapshot = node.snapshot();
         let Some(owner) = snapshot.owner(target) else { continue };
@@ -197,7 +203,7 @@
         payload: payload.clone(),
         remaining_micros: remaining.0,
         target: ask.target.to_string(),
-        doubted: ask.doubted,
+        whole: ask.whole,
         ..message::Ask::default()
     };
     (message.mode, message.elsewhere) = match &ask.mode {
--- a/crates/mustardway_runtime/src/message.rs
+++ b/crates/mustardway_runtime/src/message.rs
@@ -81,9 +81,9 @@
     /// With [`mode::RESERVE`]: where the flow goes.
     #[prost(string, tag = "7")]
     pub elsewhere: String,
-    /// The request could have run where it is not heard of.
+    /// With a mode that opens: no request of the flow can have run before.
     #[prost(bool, tag = "8")]
-    pub doubted: bool,
+    pub whole: bool,
     /// Where the ingress listens for its peers.
     #[prost(string, tag = "9")]
     pub reply_to: String,
@@ -183,7 +183,7 @@
     #[prost(fixed64, tag = "1")]
     pub id: u64,
     /// What became of it.
-    #[prost(oneof = "Outcome", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Outcome", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub outcome: Option<Outcome>,
 }
 
@@ -208,6 +208,24 @@
     /// The owner is ready after so many microseconds.
     #[prost(uint64, tag = "7")]
     Wait(u64),
+    /// The flow is not opened there.
+    #[prost(message, tag = "8")]
+    TryNext(TryNext),
+    /// The flow is marked as placed elsewhere; whether no request of it can
+    /// have run before.
+    #[prost(bool, tag = "9")]
+    Reserved(bool),
+}
+
+/// A refusal that lets the ingress ask its next candidate.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct TryNext {
+    /// The answer where there is no next candidate.
+    #[prost(message, required, tag = "1")]
+    pub answer: Final,
+    /// Whether no request of the flow can have run before.
+    #[prost(bool, tag = "2")]
+    pub whole: bool,
 }
 
 /// An answer of a target.
@@ -319,4 +337,7 @@
     /// Its part.
     #[prost(uint32, tag = "5")]
     pub part: u32,
+    /// Attempt that was refused.
+    #[prost(uint32, tag = "6")]
+    pub attempt: u32,
 }
--- a/crates/mustardway_runtime/src/node.rs
+++ b/crates/mustardway_runtime/src/node.rs
@@ -187,6 +187,9 @@
             match step {
                 Step::Start(ticket) => owner::start(self, ticket),
                 Step::Abort(ticket) => self.tickets.abort(ticket),
+                Step::TryNext(ticket, refusal) => {
+                    self.tickets.end(ticket, &End::TryNext(refusal));
+                }
                 Step::Redirect(ticket, to) => self.tickets.end(ticket, &End::Redirect(to)),
                 Step::Answer(ticket, answer) => {
                     let end = match (answer.reason, reply) {
@@ -212,6 +215,10 @@
             Outcome::Done(crate::message::Done { target: target.to_string(), payload, load: 0.0 })
         }
         End::Answer(answer) => Outcome::Final(crate::message::Final::new(answer)),
+        End::TryNext(refusal) => Outcome::TryNext(crate::message::TryNext {
+            answer: crate::message::Final::new(refusal.answer),
+            whole: refusal.whole,
+        }),
         End::Redirect(to) => {
             Outcome::NotOwner(to.map_or_else(String::new, |owner| owner.to_string()))
         }
--- a/crates/mustardway_runtime/src/owner.rs
+++ b/crates/mustardway_runtime/src/owner.rs
@@ -49,8 +49,8 @@
         Err(outcome) => return outcome,
     };
     let mode = match ask.mode {
-        mode::OPEN => Mode::Open(Choice::First),
-        mode::OPEN_LAST => Mode::Open(Choice::Last),
+        mode::OPEN => Mode::Open { choice: Choice::First, whole: ask.whole },
+        mode::OPEN_LAST => Mode::Open { choice: Choice::Last, whole: ask.whole },
         mode::RESERVE => match ask.elsewhere.parse() {
             Ok(elsewhere) => Mode::Reserve { elsewhere },
             Err(_) => return Outcome::Final(Final::new(Answer::new(Reason::Malformed))),
@@ -60,7 +60,7 @@
     let deadline = node.clock.now() + Span(ask.remaining_micros);
     let asked = Ask { header: header.clone(), deadline, mode, ticket: node.tickets.next() };
     let job = Job { gate, target: target.clone(), header, payload: ask.payload, is_local };
-    let outcome = admit(node, job, &asked, ask.doubted).await;
+    let outcome = admit(node, job, &asked).await;
     match outcome {
         Outcome::UnknownFlow(_) if ask.mode == mode::FIND => found(node, &asked.header),
         outcome => outcome,
@@ -124,7 +124,7 @@
 }
 
 /// Has the gate judge an ask and waits for its end.
-async fn admit(node: &Arc<Node>, job: Job, asked: &Ask, doubted: bool) -> Outcome {
+async fn admit(node: &Arc<Node>, job: Job, asked: &Ask) -> Outcome {
     let (gate, target) = (Arc::clone(&job.gate), job.target.clone());
     let ticket = asked.ticket;
     let receiver = node.tickets.register(ticket, job);
@@ -133,11 +133,7 @@
     let (admission, joined) = {
         let mut gate = gate.lock();
         let now = node.clock.now();
-        let admission = if doubted && may_have_run_elsewhere(&gate, asked, now) {
-            Admission::Answer(Answer::new(Reason::Forgotten))
-        } else {
-            gate.admit(now, asked, &mut steps)
-        };
+        let admission = gate.admit(now, asked, &mut steps);
         let joined = match &admission {
             Admission::Join(ticket) => node.tickets.join(*ticket),
             _ => None,
@@ -158,6 +154,8 @@
     match admission {
         Admission::Join(_) => join(node, &target, joined, asked.deadline).await,
         Admission::Answer(answer) => Outcome::Final(Final::new(answer)),
+        Admission::TryNext(refusal) => node::outcome(&target, End::TryNext(refusal)),
+        Admission::Reserved { whole } => Outcome::Reserved(whole),
         Admission::Replay(payload) => node::outcome(&target, End::Done(payload)),
         Admission::Moved(elsewhere) => Outcome::Moved(elsewhere.to_string()),
         Admission::NotOwner(owner) => node::outcome(&target, End::Redirect(owner)),
@@ -166,16 +164,6 @@
     }
 }
 
-/// Whether a retry that would open its flow here could have opened it, and run,
-/// where this instance hears nothing from.
-fn may_have_run_elsewhere(gate: &Gate, asked: &Ask, now: Instant) -> bool {
-    let header = &asked.header;
-    let is_retry = header.repeat == Repeat::Once && header.attempt > 1;
-    let opens = matches!(asked.mode, Mode::Open(_));
-    let is_open = matches!(gate.explain(now, header.flow), Explanation::Open { .. });
-    is_retry && opens && !is_open
-}
-
 /// Waits for the end of another copy of the same request.
 async fn join(
     node: &Node,
@@ -254,7 +242,8 @@
         Ok(elsewhere) => gate.lock().place_elsewhere(now, flow, elsewhere),
         Err(_) => {
             let request = mustardway_types::request::Id(told.request);
-            gate.lock().place_nowhere(now, Key { flow, request, part: told.part });
+            let key = Key { flow, request, part: told.part };
+            gate.lock().place_nowhere(now, key, told.attempt);
         }
     }
 }
--- a/crates/mustardway_runtime/src/ticket_table.rs
+++ b/crates/mustardway_runtime/src/ticket_table.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::Bytes;
+use mustardway_gate::admit::Refusal;
 use mustardway_gate::{Gate, ticket};
 use mustardway_types::answer::Answer;
 use mustardway_types::packet::Header;
@@ -20,6 +21,8 @@
     Done(Bytes),
     /// It was answered without the target.
     Answer(Answer),
+    /// Its flow is not opened here; not run.
+    TryNext(Refusal),
     /// Another instance may judge it; not run.
     Redirect(Option<instance::Id>),
 }
