--- a/crates/mustardway_peer/src/queue.rs
+++ b/crates/mustardway_peer/src/queue.rs
@@ -9,6 +9,9 @@
 use crate::send::{Error, Priority};
 use crate::tracked::Stub;
 
+/// Bytes that a waiting frame counts for besides its own.
+const ENTRY_BYTES: usize = 128;
+
 /// A frame that waits.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -16,6 +19,13 @@
     pub(crate) stub: Stub,
 }
 
+impl Entry {
+    /// Bytes that it counts for while it waits.
+    fn size(&self) -> usize {
+        ENTRY_BYTES + self.frame.wire_size()
+    }
+}
+
 /// One class of frames.
 #[derive(Debug, Default)]
 struct Class {
@@ -26,7 +36,7 @@
 impl Class {
     /// Adds an entry if it fits; a frame always fits an empty class.
     fn push(&mut self, entry: Entry, bytes_max: usize) -> Result<(), Error> {
-        let size = entry.frame.wire_size();
+        let size = entry.size();
         if !self.entries.is_empty() && self.bytes + size > bytes_max {
             return Err(Error::Full);
         }
@@ -37,7 +47,7 @@
 
     fn pop(&mut self) -> Option<Entry> {
         let entry = self.entries.pop_front()?;
-        self.bytes -= entry.frame.wire_size();
+        self.bytes -= entry.size();
         Some(entry)
     }
 }
