Stop: wait for the front's connections before the peers are told

Cause: the stop looked for packets in flight once, while the front could still read one from a caller's connection; it then met a closed mesh. Change: the front ends first, then the tickets, then the links; membership changes, fences and their ends are logged.

--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -168,6 +168,7 @@
     heard_inbox: mpsc::Receiver<Heard>,
     settled_at: Instant,
     is_custody_due: bool,
+    was_fenced: bool,
     lost: BTreeSet<instance::Id>,
 }
 
@@ -206,6 +207,7 @@
             heard_inbox,
             settled_at: now,
             is_custody_due: true,
+            was_fenced: true,
             lost: BTreeSet::new(),
         }
     }
@@ -238,7 +240,7 @@
         self.tell_membership(event::Event::Tick);
         self.tell_spread(spread_event::Event::Tick);
         let now = self.node.clock.now();
-        self.node.ticked(now, self.membership.fenced(now));
+        self.tick_fence(now);
         self.custody.tick(&self.node);
         self.tick_gates(now);
         if self.is_due(now) {
@@ -247,6 +249,23 @@
         self.write_report(now);
     }
 
+    /// Notes whether this instance may act as an owner. Once it may again, others
+    /// may have served its targets meanwhile.
+    fn tick_fence(&mut self, now: Instant) {
+        let fenced = self.membership.fenced(now);
+        if self.was_fenced && !fenced {
+            slog::info!(self.node.logger, "has heard its peers");
+            for gate in self.node.gates.read().values() {
+                gate.lock().doubt(now);
+            }
+        }
+        if fenced && !self.was_fenced {
+            slog::warn!(self.node.logger, "is fenced: it has not heard its peers or was paused");
+        }
+        self.was_fenced = fenced;
+        self.node.ticked(now, fenced);
+    }
+
     /// Whether time alone calls for a new snapshot.
     fn is_due(&self, now: Instant) -> bool {
         if self.membership.version() != self.version || self.is_custody_due {
@@ -433,6 +452,10 @@
                 lost.insert(id.clone());
             }
             healed |= earlier == Some(member::State::Dead) && record.state.is_live();
+            if earlier != Some(record.state) {
+                slog::info!(self.node.logger, "membership"; "instance" => %id,
+                    "state" => ?record.state, "incarnation" => %record.member.incarnation);
+            }
             states.insert(id, record.state);
         }
         self.states = states;
--- a/crates/mustardway_runtime/src/run.rs
+++ b/crates/mustardway_runtime/src/run.rs
@@ -143,6 +143,8 @@
         slog::info!(logger, "stops: takes no more packets"; "handed-over" => handed_over);
         // The front may have failed before.
         let _ = self.front_stop.send(());
+        // Ends when every connection of a caller has ended its packets.
+        let _ = tokio::time::timeout_at(handover_deadline, self.front).await;
         let node = Arc::clone(&self.node);
         let ended = wait(handover_deadline, || {
             node.tickets.is_empty()
@@ -154,7 +156,6 @@
         let _ = tokio::time::timeout_at(deadline, heard).await;
         let left = deadline.saturating_duration_since(Deadline::now());
         self.mesh.close(Span::from(left).min(CLOSE_SPAN)).await;
-        let _ = tokio::time::timeout_at(deadline, self.front).await;
         slog::info!(logger, "stopped"; "in-flight-ended" => is_empty);
     }
 }
