Send a repeated opening that may be open elsewhere to its next target

Cause: a trial of long random runs found a double run. The owner of a flow's first target was new, in a split; the repeated opening packet opened the flow there though it was open at its second target, which took itself for complete. Ruled out: telling 'whole' with Moved, since an ingress may know the second target from its cache. Ruled out as a fault of the gate: two cases in which the world let attempts of one request overlap while an owner was lost or doubled; the world now keeps its stated assumption there (callers cancel an attempt before they make the next). Without it a NotRun of a contested owner is not known to the next owner, and a late first attempt runs. Change: such a packet gets TryNext with whole = false; with whole = false and no next target a request that may not be repeated is Forgotten; place_nowhere remembers 'not run' only of a whole refusal.

--- a/crates/mustardway_gate/src/admit.rs
+++ b/crates/mustardway_gate/src/admit.rs
@@ -72,7 +72,8 @@
 pub struct Refusal {
     /// The answer, where there is no next target.
     pub answer: answer::Answer,
-    /// Whether no request of the flow can have run before.
+    /// Whether no request of the flow can have run before. Where it can, "not run" is no
+    /// answer to a repeated request that may not be repeated; [`answer::Reason::Forgotten`] is.
     pub whole: bool,
 }
 
@@ -190,8 +191,8 @@
         if let Some(admission) = self.marked(now, ask) {
             return Err(admission);
         }
-        if repeated && ask.mode != Mode::Established && !self.is_new_here(now, key) {
-            return Err(forgotten());
+        if let Some(admission) = self.unsure(now, ask, repeated) {
+            return Err(admission);
         }
         match &ask.mode {
             Mode::Established => Err(self.unknown(now, key, repeated)),
@@ -203,6 +204,24 @@
         }
     }
 
+    /// What to say of a repeated packet of an unknown flow that may be open elsewhere: its
+    /// next target may know it, and where there is none its outcome is unknown.
+    fn unsure(&mut self, now: time::Instant, ask: &Ask, repeated: bool) -> Option<Admission> {
+        if ask.header.attempt <= 1 || ask.mode == Mode::Established {
+            return None;
+        }
+        let key = Key::of(&ask.header);
+        let certain = !is_unwhole(&ask.mode) && self.is_new_here(now, key);
+        if certain {
+            return None;
+        }
+        if matches!(ask.mode, Mode::Open { choice: Choice::First, .. }) {
+            let refusal = self.refuse_opening(now, ask, answer::Reason::Full, true);
+            return Some(Admission::TryNext(refusal));
+        }
+        repeated.then(forgotten)
+    }
+
     /// What the marker of a flow says.
     fn marked(&mut self, now: time::Instant, ask: &Ask) -> Option<Admission> {
         let id = ask.header.flow;
@@ -264,7 +283,7 @@
         soft: bool,
     ) -> Refusal {
         let flow = ask.header.flow;
-        let whole = is_whole(&ask.mode) && self.memory.is_whole(now, flow);
+        let whole = is_whole(&ask.mode) && self.memory.is_new_flow(now, Key::of(&ask.header));
         let refusal = Refusal { answer: self.refusal(now, reason), whole };
         self.markers.set(now, flow, Marker::Refused { refusal, soft, open: 1 });
         refusal
@@ -409,6 +428,11 @@
     matches!(mode, Mode::Open { whole: true, .. })
 }
 
+/// Whether an earlier target says that a new flow may have had requests before.
+fn is_unwhole(mode: &Mode) -> bool {
+    matches!(mode, Mode::Open { whole: false, .. })
+}
+
 fn forgotten() -> Admission {
     Admission::Answer(answer::Answer::new(answer::Reason::Forgotten))
 }
--- a/crates/mustardway_gate/src/gate.rs
+++ b/crates/mustardway_gate/src/gate.rs
@@ -159,7 +159,9 @@
     /// Tells that a request which was refused here was placed on no target, and that its
     /// caller is told so for this attempt.
     pub fn place_nowhere(&mut self, now: time::Instant, key: Key, attempt: u32) {
-        if self.markers.settle(key.flow) {
+        let marker = self.markers.get(now, key.flow);
+        let whole = matches!(marker, Some(Marker::Refused { refusal, .. }) if refusal.whole);
+        if self.markers.settle(key.flow) && whole {
             self.memory.keep(now, key, Memo::NotRun { attempt });
         }
     }
--- a/crates/mustardway_gate/tests/flow_placement.rs
+++ b/crates/mustardway_gate/tests/flow_placement.rs
@@ -50,6 +50,9 @@
     assert_eq!(moved, Admission::Moved(second));
     tick(&mut gate, at(100_000));
     let again = support::due(attempt(ask(1, 1, 3), 2), 200_000);
+    let unsure = admit(&mut gate, at(100_000), &again);
+    assert_matches!(unsure, Admission::TryNext(refusal) if !refusal.whole);
+    let again = mode(again, Mode::Open { choice: Choice::Last, whole: false });
     assert_eq!(reason(&admit(&mut gate, at(100_000), &again)), Some(Reason::Forgotten));
 }
 
--- a/crates/mustardway_gate/tests/support/world/ingress.rs
+++ b/crates/mustardway_gate/tests/support/world/ingress.rs
@@ -53,6 +53,9 @@
         sent.deadline = self.now + PATIENCE;
         sent.gate = self.believed(to);
         self.flying.push(sent);
+        if self.other.is_some() {
+            self.drop_overlaps();
+        }
     }
 
     /// The instance that an ingress takes for the owner: in a split it may be either.
