--- a/crates/mustardway_membership/examples/control_bytes.rs
+++ b/crates/mustardway_membership/examples/control_bytes.rs
@@ -57,9 +57,6 @@
     if sizes.is_empty() {
         sizes = vec![9, 90, 900, 2_000];
     }
-    println!(
-        "nodes | msg/s mean max | B/s mean max | crash ms min/median/max | KiB/node | CPU us/s"
-    );
     for size in sizes {
         measure(size);
     }
--- a/crates/mustardway_membership/tests/partition.rs
+++ b/crates/mustardway_membership/tests/partition.rs
@@ -105,6 +105,15 @@
     check_own_side(90, 6, 1);
 }
 
+#[test]
+fn early_heal() {
+    let mut fleet = Fleet::warm(120, 6, 1);
+    split(&mut fleet, |index| index % 6 == 0);
+    fleet.run(Span::seconds(8));
+    split(&mut fleet, |_| false);
+    assert!(fleet.run_until(Span::seconds(3), Fleet::agrees).is_some());
+}
+
 #[test]
 fn one_cut_off() {
     let mut fleet = Fleet::settled(9, 3, 4);
