--- a/crates/mustardway_membership/tests/partition.rs
+++ b/crates/mustardway_membership/tests/partition.rs
@@ -62,20 +62,20 @@
 #[test]
 fn domain_cut_heals() {
     for seed in 0..5 {
-        cut_and_heal(9, 3, 1, seed, Span::seconds(6));
+        cut_and_heal(9, 3, 1, seed, Span::seconds(3));
     }
 }
 
 #[test]
 fn region_cut_heals() {
     for seed in 0..3 {
-        cut_and_heal(36, 6, 3, seed, Span::seconds(6));
+        cut_and_heal(36, 6, 3, seed, Span::seconds(3));
     }
 }
 
 #[test]
 fn large_cut_heals() {
-    cut_and_heal(120, 6, 1, 1, Span::seconds(15));
+    cut_and_heal(120, 6, 1, 1, Span::seconds(4));
 }
 
 /// A heal costs no instance its place among those it was never cut from.
@@ -105,6 +105,15 @@
     check_own_side(90, 6, 1);
 }
 
+#[test]
+fn early_heal() {
+    let mut fleet = Fleet::warm(120, 6, 1);
+    split(&mut fleet, |index| index % 6 == 0);
+    fleet.run(Span::seconds(8));
+    split(&mut fleet, |_| false);
+    assert!(fleet.run_until(Span::seconds(3), Fleet::agrees).is_some());
+}
+
 #[test]
 fn one_cut_off() {
     let mut fleet = Fleet::settled(9, 3, 4);
