--- a/crates/mustardway_stand_in/src/command/platform.rs
+++ b/crates/mustardway_stand_in/src/command/platform.rs
@@ -36,7 +36,10 @@
         None => None,
     };
     let state = Arc::clone(server.state());
-    tokio::spawn(folder::follow(state, arguments.folder.clone(), arguments.instances.clone()));
+    let source =
+        folder::Source { folder: arguments.folder.clone(), instances: arguments.instances.clone() };
+    source.publish(&state);
+    tokio::spawn(source.follow(state));
     super::stopped().await?;
     Ok(true)
 }
--- a/crates/mustardway_stand_in/tests/stand_in/main.rs
+++ b/crates/mustardway_stand_in/tests/stand_in/main.rs
@@ -5,6 +5,7 @@
 mod deployment_files;
 mod fabric_links;
 mod figure_spread;
+mod platform_folder;
 mod platform_switches;
 mod platform_watch;
 mod support;
