Add the commands and queries of the command line, with one token type

Cause: the binary had only run; settings and the administration API each had a token type, and the settings' token and [platform] wait were not used. Change: drain, check, diff, status, targets, peers, promises, audit and explain, commands and queries in modules apart; the token of the settings is the only one and guards the API; reads of the platform wait at most [platform] wait; an order that comes while the process stops is refused and a refused order leaves the state as it was. Ruled out: a pull of the wait into the control loop, which keeps its own bound; the cap stands before the platform client.

--- a/crates/mustardway_admin/src/lib.rs
+++ b/crates/mustardway_admin/src/lib.rs
@@ -27,7 +27,8 @@
 //! - [`server`]: the API itself.
 //! - [`shape`]: the answers.
 //! - [`table`]: text tables.
-//! - [`token`]: who may ask.
+//!
+//! The [`token`] is that of the settings.
 
 pub mod client;
 pub mod desk;
@@ -39,4 +40,5 @@
 pub mod server;
 pub mod shape;
 pub mod table;
-pub mod token;
+
+pub use mustardway_settings::token;
--- a/crates/mustardway_command/src/run.rs
+++ b/crates/mustardway_command/src/commands/run.rs
@@ -4,32 +4,37 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::SystemTime;
 
 use mustardway_admin::server;
 use mustardway_platform::client;
 use mustardway_runtime::desk::Counter;
-use mustardway_runtime::run::{self, Instance};
+use mustardway_runtime::run::Instance;
 use mustardway_runtime::trail::Writer;
 use mustardway_settings::Settings;
-use mustardway_settings::settings::{Form, Level};
 use mustardway_telemetry::audit::Trail;
 use mustardway_telemetry::log;
 use mustardway_telemetry::promise::Counters;
 use mustardway_types::instance::Incarnation;
-use mustardway_types::time::Span;
 
+use super::convert;
+use super::patience::Patience;
+use crate::failure::{FAILED, fail};
 use crate::signals::Signals;
 
-/// Exit code where the settings are bad or an address cannot be listened on.
-const FAILED: u8 = 1;
 /// Exit codes of a process that a signal ended start here.
 const SIGNAL_BASE: i32 = 128;
 
-/// Run an instance until a signal or a drain stops it (exit 0; 1 where it could
-/// not start; 128 and the number of a second signal)
+/// Run an instance until a signal (TERM, INT or HUP) stops it as planned
 #[derive(Debug, argh::FromArgs)]
-#[argh(subcommand, name = "run")]
+#[argh(
+    subcommand,
+    name = "run",
+    error_code(0, "the instance stopped as planned"),
+    error_code(1, "it could not start; every problem of the settings is on stderr"),
+    error_code(129, "a second signal (HUP) ended the stop"),
+    error_code(130, "a second signal (INT) ended the stop"),
+    error_code(143, "a second signal (TERM) ended the stop")
+)]
 pub struct Run {
     /// the instance's settings file
     #[argh(option)]
@@ -61,31 +66,23 @@
     }
 }
 
-fn fail(lines: &[String]) -> ExitCode {
-    for line in lines {
-        eprintln!("mustardway: {line}");
-    }
-    ExitCode::from(FAILED)
-}
-
 /// Starts everything, waits for the stop and stops.
 async fn serve(settings: Settings) -> ExitCode {
     let mut signals = match Signals::register() {
         Ok(signals) => signals,
         Err(error) => return fail(&[format!("cannot register signals: {error}")]),
     };
-    let log = log::Log::stderr(log_settings(&settings));
+    let log = log::Log::stderr(convert::log_settings(&settings));
     let logger = log.logger().clone();
     let trail = Arc::new(Trail::new(settings.limits.audit as usize, logger.clone()));
     let promises = Arc::new(Counters::default());
-    let seed = start_number();
-    let platform = client::Settings::new(settings.platform.addresses.clone(), seed);
-    let platform = match client::Client::new(platform) {
-        Ok(platform) => platform,
+    let seed = convert::start_number();
+    let platform = match client::Client::new(convert::platform_settings(&settings, seed)) {
+        Ok(inner) => Patience { inner, wait: settings.platform.wait },
         Err(error) => return fail(&[error.to_string()]),
     };
     let observer = Writer::new(Arc::clone(&trail), Arc::clone(&promises));
-    let started = run_settings(&settings, seed);
+    let started = convert::run_settings(&settings, seed);
     let started =
         Instance::start(started, Arc::new(platform), Box::new(observer), logger.clone()).await;
     let instance = match started {
@@ -93,13 +90,13 @@
         Err(error) => return fail(&[error.to_string()]),
     };
     let desk = Arc::new(desk(&settings, &instance, seed, trail, promises));
-    let admin = server::Settings { listen: settings.instance.admin, token: None };
+    let admin = convert::admin_settings(&settings);
     let admin = match server::Server::start(admin, Arc::clone(&desk) as _).await {
         Ok(admin) => admin,
         Err(error) => return fail(&[error.to_string()]),
     };
     signals.next().await;
-    desk.draining.store(true, std::sync::atomic::Ordering::Relaxed);
+    desk.stop();
     let code = tokio::select! {
         () = instance.stop() => ExitCode::SUCCESS,
         number = signals.next() => {
@@ -111,43 +108,6 @@
     code
 }
 
-/// Microseconds since 1970: greater with every start.
-fn start_number() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    Span::from(since.unwrap_or_default()).0
-}
-
-fn log_settings(settings: &Settings) -> log::Settings {
-    let form = match settings.log.form {
-        Form::Json => log::Form::Json,
-        Form::Terminal => log::Form::Terminal,
-    };
-    let level = match settings.log.level {
-        Level::Error => log::Level::Error,
-        Level::Warning => log::Level::Warning,
-        Level::Info => log::Level::Info,
-        Level::Debug | Level::Trace => log::Level::Debug,
-    };
-    log::Settings { form, level }
-}
-
-fn run_settings(settings: &Settings, seed: u64) -> run::Settings {
-    run::Settings {
-        id: settings.instance.name.clone(),
-        domain: settings.instance.domain.clone(),
-        front: settings.instance.front,
-        peer: settings.instance.peer,
-        heartbeat: settings.timing.heartbeat,
-        lease: settings.timing.lease,
-        drain: settings.timing.drain,
-        packet_max: settings.limits.packet,
-        flows_max: settings.limits.flows as usize,
-        seed,
-        incarnation: Incarnation(seed),
-        cut_allowed: false,
-    }
-}
-
 fn desk(
     settings: &Settings,
     instance: &Instance,
@@ -164,6 +124,7 @@
         trail,
         promises,
         draining: AtomicBool::new(false),
+        stopping: AtomicBool::new(false),
         started: instance.node.clock.now(),
     }
 }
--- a/crates/mustardway_runtime/src/desk.rs
+++ b/crates/mustardway_runtime/src/desk.rs
@@ -42,13 +42,21 @@
     pub trail: Arc<Trail>,
     /// Its promises.
     pub promises: Arc<Counters>,
-    /// Whether it drains.
+    /// Whether it has handed over or hands over what it owns.
     pub draining: AtomicBool,
+    /// Whether the process stops: nothing can be ordered any more.
+    pub stopping: AtomicBool,
     /// When it started.
     pub started: Instant,
 }
 
 impl Counter {
+    /// Notes that the process stops.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
     fn state(&self) -> shape::State {
         if self.draining.load(Ordering::Relaxed) {
             return shape::State::Draining;
@@ -67,12 +75,17 @@
     }
 
     fn order(&self, order: Order, draining: bool) -> Result<shape::Command, Error> {
+        let stopping = || Error::Conflict("this instance is stopping".into());
+        if self.stopping.load(Ordering::Relaxed) {
+            return Err(stopping());
+        }
         if self.draining.swap(draining, Ordering::Relaxed) == draining {
             let state = if draining { "drains already" } else { "does not drain" };
             return Err(Error::Conflict(format_compact!("this instance {state}")));
         }
         if self.orders.try_send(order).is_err() {
-            return Err(Error::Conflict("this instance is stopping".into()));
+            self.draining.store(!draining, Ordering::Relaxed);
+            return Err(stopping());
         }
         Ok(shape::Command { state: self.state() })
     }
--- a/crates/mustardway_settings/src/token.rs
+++ b/crates/mustardway_settings/src/token.rs
@@ -12,6 +12,9 @@
 /// Greatest length of a token, in bytes.
 pub const BYTES_MAX: usize = 256;
 
+/// What stands before the token in the `Authorization` header.
+const SCHEME: &str = "Bearer ";
+
 /// A secret that callers of the administration API show.
 #[derive(Clone)]
 pub struct Token(CompactString);
@@ -43,6 +46,19 @@
     }
 }
 
+impl Token {
+    /// The value of the `Authorization` header.
+    pub fn header(&self) -> String {
+        format!("{SCHEME}{}", self.0)
+    }
+
+    /// Whether the `Authorization` header `header` bears this token.
+    pub fn admits(&self, header: &[u8]) -> bool {
+        let text = str::from_utf8(header).unwrap_or_default();
+        text.strip_prefix(SCHEME).is_some_and(|token| self.matches(token))
+    }
+}
+
 impl fmt::Debug for Token {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Token(..)")
