--- a/crates/mustardway_admin/src/report.rs
+++ b/crates/mustardway_admin/src/report.rs
@@ -1,5 +1,6 @@
 //! Answers as tables or JSON text.
 
+use mustardway_telemetry::{audit, label};
 use serde::Serialize;
 
 use crate::shape;
@@ -33,19 +34,13 @@
     value.map_or_else(|| "-".to_owned(), ToString::to_string)
 }
 
-/// The name that a value without members has in JSON.
-fn label(value: impl Serialize) -> String {
-    let json = serde_json::to_value(value).unwrap_or_default();
-    json.as_str().unwrap_or_default().to_owned()
-}
-
 impl Report for shape::Status {
     fn table(&self) -> Table {
         let mut table = Table::new(&["what", "value"]);
         let mut row = |what: &str, value: String| table.row([what.to_owned(), value]);
         row("instance", self.id.to_string());
         row("failure domain", self.domain.to_string());
-        row("state", label(self.state));
+        row("state", label::of(self.state));
         row("up", format!("{:.0}s", self.up.as_seconds()));
         row("revision", self.revision.to_string());
         row("digest", self.digest.to_string());
@@ -130,25 +125,54 @@
         let mut table =
             Table::new(&["revision", "digest", "adopted at", "in force after", "change"]);
         for change in &self.changes {
-            let in_force = change.in_force_at.map(|at| {
-                let micros = at.0.saturating_sub(change.adopted_at.0);
-                format!("{:.3}s", micros as f64 / 1e6)
-            });
-            for (index, line) in change.changes.iter().enumerate() {
-                let first = |text: String| if index == 0 { text } else { String::new() };
-                table.row([
-                    first(change.revision.to_string()),
-                    first(change.digest.to_string()),
-                    first(change.adopted_at.to_string()),
-                    first(or_none(in_force.as_ref())),
-                    line.to_string(),
-                ]);
+            add_change(&mut table, change);
+        }
+        for record in &self.records {
+            let audit::Event::Refused { revision, errors } = &record.event else {
+                continue;
+            };
+            for error in errors {
+                let none = || "-".to_owned();
+                let text = format!("refused at {}: {error}", record.at);
+                table.row([revision.to_string(), none(), none(), none(), text]);
             }
         }
         table
     }
 }
 
+/// Adds a revision: a line for each file, then one for each change.
+fn add_change(table: &mut Table, change: &audit::Change) {
+    let mut lines: Vec<String> = change.files.iter().map(file_line).collect();
+    lines.extend(change.changes.iter().map(ToString::to_string));
+    if lines.is_empty() {
+        lines.push("-".to_owned());
+    }
+    let in_force = change.in_force_at.map(|at| {
+        let micros = at.0.saturating_sub(change.adopted_at.0);
+        format!("{:.3}s", micros as f64 / 1e6)
+    });
+    for (index, line) in lines.into_iter().enumerate() {
+        let first = |text: String| if index == 0 { text } else { String::new() };
+        table.row([
+            first(change.revision.to_string()),
+            first(change.digest.to_string()),
+            first(change.adopted_at.to_string()),
+            first(or_none(in_force.as_ref())),
+            line,
+        ]);
+    }
+}
+
+fn file_line(file: &audit::File) -> String {
+    let verb = match (&file.before, &file.after) {
+        (None, _) => "added",
+        (Some(_), Some(_)) => "replaced",
+        (Some(_), None) => "removed",
+    };
+    format!("file {} {verb}", file.name)
+}
+
 impl Report for shape::Promises {
     fn table(&self) -> Table {
         let mut table = Table::new(&["promise", "decided", "violated", "unknown"]);
@@ -183,7 +207,7 @@
 impl Report for shape::Command {
     fn table(&self) -> Table {
         let mut table = Table::new(&["state"]);
-        table.row([label(self.state)]);
+        table.row([label::of(self.state)]);
         table
     }
 }
--- a/crates/mustardway_command/src/commands/run.rs
+++ b/crates/mustardway_command/src/commands/run.rs
@@ -1,5 +1,6 @@
 //! The command that runs an instance until it is told to stop.
 
+use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -8,13 +9,16 @@
 use mustardway_admin::server;
 use mustardway_platform::client;
 use mustardway_runtime::desk::Counter;
+use mustardway_runtime::meter::{self, Meter};
 use mustardway_runtime::run::Instance;
 use mustardway_runtime::trail::Writer;
 use mustardway_settings::Settings;
 use mustardway_telemetry::audit::Trail;
 use mustardway_telemetry::log;
+use mustardway_telemetry::metrics::Metrics;
 use mustardway_telemetry::promise::Counters;
 use mustardway_types::instance::Incarnation;
+use parking_lot::Mutex;
 
 use super::convert;
 use super::patience::Patience;
@@ -95,6 +99,10 @@
         Ok(admin) => admin,
         Err(error) => return fail(&[error.to_string()]),
     };
+    let meter = match start_meter(&settings, &desk) {
+        Ok(meter) => meter,
+        Err(error) => return fail(&[format!("cannot send metrics: {error}")]),
+    };
     signals.next().await;
     desk.stop();
     let code = tokio::select! {
@@ -105,6 +113,7 @@
         }
     };
     admin.stop();
+    meter.lock().send();
     code
 }
 
@@ -128,3 +137,16 @@
         started: instance.node.clock.now(),
     }
 }
+
+/// Starts to send metrics, to nowhere if the settings name no server.
+fn start_meter(settings: &Settings, desk: &Arc<Counter>) -> io::Result<Arc<Mutex<Meter>>> {
+    let metrics = match settings.metrics.statsd {
+        Some(address) => Metrics::udp(address, &settings.instance.name)?,
+        None => Metrics::none(),
+    };
+    let meter = Arc::new(Mutex::new(Meter::new(Arc::clone(desk), metrics)));
+    if settings.metrics.statsd.is_some() {
+        tokio::spawn(meter::run(Arc::clone(&meter)));
+    }
+    Ok(meter)
+}
--- a/crates/mustardway_command/src/queries/diff.rs
+++ b/crates/mustardway_command/src/queries/diff.rs
@@ -19,7 +19,8 @@
 /// Print what a folder of configuration files would change against what an
 /// instance has in force or against another folder: every change, the targets and
 /// failure domains touched, and for each service the share of new flows that would
-/// go to another target, from 4096 sample flows. Established flows stay.
+/// go to another target, from 4096 sample flows. Established flows are not counted:
+/// they stay on their targets.
 #[derive(Debug, argh::FromArgs)]
 #[argh(
     subcommand,
--- a/crates/mustardway_runtime/src/desk.rs
+++ b/crates/mustardway_runtime/src/desk.rs
@@ -116,7 +116,7 @@
         for gate in self.gates() {
             let gate = gate.lock();
             let load = gate.load(now);
-            owned += u64::from(matches!(gate.tenure(), Tenure::Serving { .. }));
+            owned += u64::from(decides(&gate, now));
             flows += u64::from(load.flows);
             running += u64::from(load.running);
             queued += u64::from(load.queued);
@@ -270,13 +270,23 @@
     }
 }
 
+/// Whether a gate decides. One whose barrier has passed does so from its next
+/// request on.
+fn decides(gate: &Gate, now: Instant) -> bool {
+    match gate.tenure() {
+        Tenure::Pending { until } => *until <= now,
+        Tenure::Serving { .. } => true,
+        Tenure::Closed { .. } => false,
+    }
+}
+
 fn load(gate: &Gate, now: Instant) -> shape::Load {
     let load = gate.load(now);
     let state = match gate.tenure() {
-        Tenure::Pending { .. } => "pending",
         Tenure::Closed { .. } => "handed-over",
-        Tenure::Serving { .. } if load.warmth < 1.0 => "ramping",
-        Tenure::Serving { .. } => "serving",
+        Tenure::Pending { .. } if !decides(gate, now) => "pending",
+        _ if load.warmth < 1.0 => "ramping",
+        _ => "serving",
     };
     shape::Load {
         state: state.into(),
--- a/crates/mustardway_runtime/src/lib.rs
+++ b/crates/mustardway_runtime/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`front`]: packets of callers.
 //! - [`ingress`]: a packet from its arrival to its answer.
 //! - [`message`]: messages of the packet path.
+//! - [`meter`]: the metrics.
 //! - [`node`]: the shared tables.
 //! - [`owner`]: asks of ingresses, judged by gates and sent to targets.
 //! - [`peers`]: frames that come in from other instances.
@@ -32,6 +33,7 @@
 pub mod front;
 pub mod ingress;
 pub mod message;
+pub mod meter;
 pub mod node;
 pub mod owner;
 pub mod peers;
--- a/crates/mustardway_telemetry/src/audit.rs
+++ b/crates/mustardway_telemetry/src/audit.rs
@@ -202,10 +202,30 @@
     pub changes: Vec<CompactString>,
 }
 
+/// How many events there were, also those whose records are no longer kept.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Revisions adopted.
+    pub adopted: u64,
+    /// Revisions refused.
+    pub refused: u64,
+}
+
+impl Totals {
+    fn add(&mut self, event: &Event) {
+        match event {
+            Event::Adopted { .. } => self.adopted += 1,
+            Event::Refused { .. } => self.refused += 1,
+            Event::InForce { .. } => {}
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     records: VecDeque<Record>,
     head: Head,
+    totals: Totals,
 }
 
 /// The trail of one instance.
@@ -225,6 +245,7 @@
     /// Writes a record, also to the log stream.
     pub fn write(&self, at: Time, event: Event) {
         let mut state = self.state.lock();
+        state.totals.add(&event);
         let number = state.head.number.next();
         let record = Record::new(number, at, event, state.head.hash);
         state.head = Head { number, hash: record.hash };
@@ -242,6 +263,11 @@
         self.state.lock().head
     }
 
+    /// How many events there were.
+    pub fn totals(&self) -> Totals {
+        self.state.lock().totals
+    }
+
     /// The records that are kept, oldest first.
     pub fn records(&self) -> Vec<Record> {
         self.state.lock().records.iter().cloned().collect()
--- a/crates/mustardway_telemetry/src/lib.rs
+++ b/crates/mustardway_telemetry/src/lib.rs
@@ -3,6 +3,7 @@
 //! Modules:
 //! - [`audit`]: the trail of configuration changes.
 //! - [`fingerprint`]: cryptographic digests.
+//! - [`label`]: names of plain values.
 //! - [`limit`]: a bound on log lines.
 //! - [`log`]: the log stream.
 //! - [`metrics`]: counts, levels and times to a `StatsD` server.
@@ -11,6 +12,7 @@
 
 pub mod audit;
 pub mod fingerprint;
+pub mod label;
 pub mod limit;
 pub mod log;
 pub mod metrics;
--- a/crates/mustardway_telemetry/src/metrics.rs
+++ b/crates/mustardway_telemetry/src/metrics.rs
@@ -71,7 +71,7 @@
     pub const PEER_SENT: Name = Name { text: "peer.sent", unit: Unit::Bytes };
     /// Bytes received from peers; tag `kind`.
     pub const PEER_RECEIVED: Name = Name { text: "peer.received", unit: Unit::Bytes };
-    /// Calls of the platform; tag `outcome`.
+    /// Reads of the configuration at the platform; tag `outcome`, answered or failed.
     pub const PLATFORM_CALLS: Name = count("platform.calls");
     /// Promises seen broken; tag `promise`.
     pub const VIOLATIONS: Name = count("promises.violated");
