--- a/crates/mustardway_admin/tests/command_line.rs
+++ b/crates/mustardway_admin/tests/command_line.rs
@@ -89,3 +89,27 @@
     let status = client.status().await.unwrap().table().to_string();
     assert!(status.contains("state           serving"), "{status}");
 }
+
+#[test]
+fn audit_lines() {
+    let trail = audit::Trail::new(10, slog::Logger::root(slog::Discard, slog::o!()));
+    let print = Some(mustardway_telemetry::fingerprint::Fingerprint::of(b"text"));
+    let file = |name: &str, before, after| audit::File { name: name.into(), before, after };
+    let adopted = audit::Event::Adopted {
+        revision: revision::Number(1),
+        digest: revision::Digest(7),
+        files: vec![file("a.ini", None, print), file("b.ini", print, None)],
+        changes: Vec::new(),
+    };
+    trail.write(audit::Time(1_000_000), adopted);
+    let errors = vec!["folder: no files".into()];
+    let refused = audit::Event::Refused { revision: revision::Number(2), errors };
+    trail.write(audit::Time(2_000_000), refused);
+    let lines = [
+        "revision  digest            adopted at  in force after  change",
+        "1         0000000000000007  1.000000    -               file a.ini added",
+        "                                                        file b.ini removed",
+        "2         -                 -           -               refused at 2.000000: folder: no files",
+    ];
+    assert_eq!(text(&shape::Audit::of(&trail), Form::Table), lines.join("\n") + "\n");
+}
--- a/crates/mustardway_settings/tests/settings/secret_token.rs
+++ b/crates/mustardway_settings/tests/settings/secret_token.rs
@@ -26,6 +26,18 @@
     }
 }
 
+#[test]
+fn header_admitted() {
+    let token: Token = SECRET.parse().unwrap();
+    assert_eq!(token.header(), format!("Bearer {SECRET}"));
+    assert!(token.admits(token.header().as_bytes()));
+    let others = [SECRET, &format!("bearer {SECRET}"), &format!("Bearer  {SECRET}"), "Bearer ", ""];
+    for other in others {
+        assert!(!token.admits(other.as_bytes()), "{other:?}");
+    }
+    assert!(!token.admits(b"Bearer \xff"));
+}
+
 #[test]
 fn bounds_checked() {
     assert_matches!("a".repeat(15).parse::<Token>(), Err(Error::Length { found: 15 }));
--- a/crates/mustardway_telemetry/tests/audit_trail.rs
+++ b/crates/mustardway_telemetry/tests/audit_trail.rs
@@ -2,7 +2,9 @@
 #![allow(clippy::unwrap_used)]
 
 use assert_matches::assert_matches;
-use mustardway_telemetry::audit::{Event, Fault, File, Head, Number, Record, Time, Trail, verify};
+use mustardway_telemetry::audit::{
+    Event, Fault, File, Head, Number, Record, Time, Totals, Trail, verify,
+};
 use mustardway_telemetry::fingerprint::Fingerprint;
 use mustardway_types::revision;
 use slog::{Discard, Logger, o};
@@ -148,3 +150,13 @@
     assert_eq!(changes[1].adopted_at, Time(2_000));
     assert_eq!(changes[1].in_force_at, Some(Time(9_000)));
 }
+
+#[test]
+fn totals_outlive_records() {
+    let trail = trail(2, 5);
+    trail.write(Time(6_000), in_force(5));
+    let errors = vec!["no files".into()];
+    trail.write(Time(7_000), Event::Refused { revision: revision::Number(6), errors });
+    assert_eq!(trail.records().len(), 2);
+    assert_eq!(trail.totals(), Totals { adopted: 5, refused: 1 });
+}
