--- a/tests/command_line_instance.rs
+++ b/tests/command_line_instance.rs
@@ -2,7 +2,8 @@
 #![allow(clippy::unwrap_used)]
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::thread;
@@ -95,6 +96,28 @@
         panic!("never {state}: {seen}");
     }
 
+    /// Status line of `/ready`, which wants no token.
+    fn ready(&self) -> String {
+        let mut stream = TcpStream::connect(self.admin).unwrap();
+        stream.write_all(b"GET /ready HTTP/1.1\r\nhost: a\r\n\r\n").unwrap();
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line).unwrap();
+        line
+    }
+
+    /// Waits until `/ready` answers with `status`.
+    fn answers_ready(&self, status: &str) {
+        let mut line = String::new();
+        for _ in 0..LOOKS_MAX {
+            line = self.ready();
+            if line.contains(status) {
+                return;
+            }
+            thread::sleep(LOOK_INTERVAL);
+        }
+        panic!("never {status}: {line}");
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let status = Command::new("kill").args(["-s", name, &id]).status().unwrap();
@@ -173,13 +196,16 @@
     let (_runtime, server) = platform();
     let mut instance = Instance::start("drain", server.address(), nowhere());
     instance.reaches("serving");
+    instance.answers_ready(" 200 ");
     assert_eq!(instance.json(&["drain"])["state"], "draining");
+    assert!(instance.ready().contains(" 503 "));
     let again = instance.ask(&["drain"]);
     assert_eq!(again.status.code(), Some(1));
     assert!(stderr(&again).contains("drains already"), "{}", stderr(&again));
     // It goes on serving, and can be taken back.
     assert!(instance.child.try_wait().unwrap().is_none());
     assert_eq!(instance.json(&["drain", "--undrain"])["state"], "serving");
+    instance.answers_ready(" 200 ");
     let again = instance.ask(&["drain", "--undrain"]);
     assert!(stderr(&again).contains("does not drain"), "{}", stderr(&again));
     instance.signal("TERM");
