Never say 'not run' of a retry on the ingress's own word

Change: such answers are 'outcome unknown'; a refusal by gates stands only where none of them doubts the flow.

--- a/crates/mustardway_routing/src/attempt.rs
+++ b/crates/mustardway_routing/src/attempt.rs
@@ -13,7 +13,8 @@
 //!   candidate is told to send the flow there, so that packets that meet
 //!   instances with different views end on one target.
 //! - A retry of a request that may not be repeated first looks for its flow at
-//!   every owner of the service.
+//!   every owner of the service, and no answer of the ingress's own making says
+//!   of it "not run".
 
 use mustardway_types::answer::{Answer, Reason};
 use mustardway_types::packet::Header;
@@ -172,7 +173,7 @@
         };
         let step = match attempt.plan(cached, snapshot, now) {
             Ok(()) => attempt.next(snapshot),
-            Err(answer) => Step::Answer(answer),
+            Err(answer) => attempt.give(answer),
         };
         (attempt, step)
     }
@@ -186,7 +187,7 @@
         now: Instant,
     ) -> Step {
         if self.asks >= ASKS_MAX {
-            return refuse(Reason::Moving);
+            return self.refuse(Reason::Moving);
         }
         match reply {
             Reply::Answer(answer) => Step::Answer(answer),
@@ -359,15 +360,27 @@
     /// The answer where nobody is left to ask.
     fn exhausted(&self) -> Step {
         if let Some(refusal) = self.refusal {
-            return Step::Answer(refusal);
+            return if self.whole { Step::Answer(refusal) } else { self.give(refusal) };
         }
         if self.unreached {
-            return refuse(Reason::NoOwner);
+            return self.refuse(Reason::NoOwner);
         }
-        if self.header.repeat == Repeat::Once && self.header.attempt > 1 {
+        self.give(Answer::new(Reason::FlowUnknown))
+    }
+
+    /// An answer of the ingress's own making. It cannot say of a retry that the
+    /// request was not run: an earlier attempt may have been.
+    fn give(&self, answer: Answer) -> Step {
+        let is_retry = self.header.repeat == Repeat::Once && self.header.attempt > 1;
+        if is_retry && answer.kind().says_not_run() {
             return Step::Answer(Answer::new(Reason::Forgotten));
         }
-        Step::Answer(Answer::new(Reason::FlowUnknown))
+        Step::Answer(answer)
+    }
+
+    /// A refusal with the usual time to come back.
+    fn refuse(&self, reason: Reason) -> Step {
+        self.give(Answer::come_back(reason, COME_BACK))
     }
 
     fn refused(&mut self, answer: Answer, whole: bool, snapshot: &Snapshot) -> Step {
@@ -386,10 +399,10 @@
         self.redirect = None;
         self.redirects = 0;
         let Some(found) = snapshot.target(&target) else {
-            return Step::Answer(Answer::new(Reason::TargetGone));
+            return self.give(Answer::new(Reason::TargetGone));
         };
         if snapshot.is_out(&found.domain) {
-            return Step::Answer(Answer::new(Reason::DomainOut));
+            return self.give(Answer::new(Reason::DomainOut));
         }
         let next = self.visits.get(self.cursor);
         let is_next = next.is_some_and(|(visit, mode)| *visit == target && mode.opens());
@@ -424,18 +437,13 @@
     fn pause(&mut self, span: Span, reason: Reason, now: Instant) -> Step {
         let paused = self.paused + span;
         if paused > PAUSES_MAX || now + span >= self.deadline {
-            return refuse(reason);
+            return self.refuse(reason);
         }
         self.paused = paused;
         Step::Pause(span)
     }
 }
 
-/// A refusal with the usual time to come back.
-fn refuse(reason: Reason) -> Step {
-    Step::Answer(Answer::come_back(reason, COME_BACK))
-}
-
 /// Pools of all services that the address has or had.
 fn searched_pools<'a>(header: &Header, snapshot: &'a Snapshot) -> Vec<&'a Pool> {
     let mut pools = Vec::new();
--- a/crates/mustardway_routing/tests/packet_steps.rs
+++ b/crates/mustardway_routing/tests/packet_steps.rs
@@ -294,3 +294,49 @@
     let answer = answered(&attempt.reply(wait, &snapshot, &mut Budget::default(), NOW));
     assert_eq!(answer.kind(), Kind::Refused);
 }
+
+#[test]
+fn retry_never_denied_here() {
+    let quiet = Snapshot::empty("rosario-0".parse().unwrap());
+    let retry = mustardway_types::packet::Header { attempt: 2, ..header(5) };
+    let (_, step) = Attempt::start(retry.clone(), DEADLINE, None, &quiet, NOW);
+    assert_eq!(answered(&step).reason, Reason::Forgotten);
+    let (_, step) = Attempt::start(retry.clone(), NOW, None, &quiet, NOW);
+    assert_eq!(answered(&step).reason, Reason::Forgotten);
+    let snapshot = snapshot(view(14), live(2));
+    let (mut attempt, mut step) = Attempt::start(retry, DEADLINE, None, &snapshot, NOW);
+    let mut budget = Budget::default();
+    let mut now = NOW;
+    let answer = loop {
+        step = match step {
+            Step::Ask(_) => attempt.reply(Reply::NotSent, &snapshot, &mut budget, now),
+            Step::Pause(span) => {
+                now = now + span;
+                attempt.resume(&snapshot)
+            }
+            Step::Answer(answer) => break answer,
+        };
+    };
+    assert_eq!(answer.reason, Reason::Forgotten);
+}
+
+#[test]
+fn doubtful_refusal_not_denied() {
+    let snapshot = snapshot(view(14), live(2));
+    let retry = mustardway_types::packet::Header { attempt: 2, ..header(5) };
+    let full = Answer::come_back(Reason::Full, Span::millis(300));
+    for (whole, reason) in [(true, Reason::Full), (false, Reason::Forgotten)] {
+        let (mut attempt, mut step) = Attempt::start(retry.clone(), DEADLINE, None, &snapshot, NOW);
+        let mut budget = Budget::default();
+        let answer = loop {
+            let reply = match &step {
+                Step::Ask(ask) if ask.mode == Mode::Find => Reply::UnknownFlow { whole: true },
+                Step::Ask(_) => Reply::TryNext { answer: full, whole },
+                Step::Answer(answer) => break *answer,
+                Step::Pause(_) => panic!("paused"),
+            };
+            step = attempt.reply(reply, &snapshot, &mut budget, NOW);
+        };
+        assert_eq!(answer.reason, reason);
+    }
+}
--- a/crates/mustardway_runtime/src/ingress.rs
+++ b/crates/mustardway_runtime/src/ingress.rs
@@ -46,8 +46,11 @@
 pub async fn serve(node: &Arc<Node>, header: Header, payload: Bytes, deadline: Instant) -> Served {
     node.in_flight.fetch_add(1, Ordering::Relaxed);
     let _in_flight = InFlight(Arc::clone(node));
+    let is_retry = header.repeat == Repeat::Once && header.attempt > 1;
     let served = match heard_peers(node, deadline).await {
         Ok(()) => attempt(node, header, payload, deadline).await,
+        // An earlier attempt may have run.
+        Err(_) if is_retry => Served::Answer(Answer::new(Reason::Forgotten)),
         Err(answer) => Served::Answer(answer),
     };
     node.count(match &served {
