Wait until every target has work before a run is measured

Cause: gates that opened late at the start coloured every scenario measured. Change: light requests go out until each target has run one, 60 s at most; the time is printed by 'deploy' and a measure of its own in 'measure'.

--- a/crates/mustardway_stand_in/src/command/deploy.rs
+++ b/crates/mustardway_stand_in/src/command/deploy.rs
@@ -98,12 +98,19 @@
     };
     let time = Duration::from_secs(arguments.seconds);
     let traffic = Traffic::new(fleet.plan(), volume);
+    let reached = traffic.reach_all(fleet).await?;
     traffic.settle(arguments.settle).await;
     let stop_at = arguments.stop_one_at.map(|at| time.mul_f64(at.share()));
     let (stopped, ()) = tokio::join!(stop_one(fleet, stop_at), traffic.run(time));
     let targets = fleet.ledgers().await?;
     let audit = Audit::new(&fleet.runs().await?, &traffic.not_run());
-    Ok(Summary { requests: rows(&traffic), targets, audit, stopped: stopped? })
+    Ok(Summary {
+        requests: rows(&traffic),
+        targets,
+        audit,
+        reached_millis: reached.map(|time| time.as_millis() as u64),
+        stopped: stopped?,
+    })
 }
 
 /// Stops the first instance after `at`, and takes it off the platform's list.
--- a/crates/mustardway_stand_in/src/command/measure.rs
+++ b/crates/mustardway_stand_in/src/command/measure.rs
@@ -31,6 +31,9 @@
     /// number of seeds
     #[argh(option, default = "5")]
     seeds: u64,
+    /// time before each run in which long flows are opened
+    #[argh(option, default = "Duration::from_secs(6)", from_str_fn(super::duration))]
+    settle: Duration,
     /// length of each run in seconds
     #[argh(option, default = "18")]
     seconds: u64,
@@ -65,7 +68,7 @@
             let volume =
                 Volume { load: arguments.rate.share(), flows_per_target: arguments.flows, seed };
             let plan = Plan::new(arguments.user)?;
-            let run = Run { scenario, part, volume };
+            let run = Run { scenario, settle: arguments.settle, part, volume };
             match run.measure(plan, launch.clone(), launch::root()).await {
                 Ok(figures) => collection.add(scenario, &figures),
                 Err(error) => eprintln!("{scenario}, seed {seed}: not measured: {error}"),
--- a/crates/mustardway_stand_in/src/deployment/summary.rs
+++ b/crates/mustardway_stand_in/src/deployment/summary.rs
@@ -32,6 +32,9 @@
     pub targets: Vec<ledger::Summary>,
     /// Broken promises.
     pub audit: Audit,
+    /// Time from readiness until every target had run a request; `None` when
+    /// one never had in the time allowed.
+    pub reached_millis: Option<u64>,
     /// Exit code of the instance that was stopped; `None` where none was.
     pub stopped: Option<Stop>,
 }
@@ -76,6 +79,10 @@
             let code = stop.code.map_or("none in time".to_owned(), |code| code.to_string());
             writeln!(f, "instance {} stopped, exit code: {code}", stop.instance)?;
         }
+        match self.reached_millis {
+            Some(millis) => writeln!(f, "every target had work {millis} ms after ready")?,
+            None => writeln!(f, "some targets had no work before the run")?,
+        }
         let verdict = if self.is_good() { "yes" } else { "NO" };
         writeln!(f, "every request answered once: {verdict}")
     }
--- a/crates/mustardway_stand_in/src/deployment/traffic.rs
+++ b/crates/mustardway_stand_in/src/deployment/traffic.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mustardway_types::request::{Repeat, Urgency};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
-use super::plan::Plan;
+use super::fleet::{Error, Fleet};
+use super::plan::{Plan, Service};
 use super::user::Activity;
 use crate::caller::load::Line;
 use crate::caller::report::Report;
@@ -26,6 +29,21 @@
 /// Flows opened a second while the deployment settles.
 const OPENINGS_PER_SECOND: f64 = 1_500.0;
 
+/// Longest time until every target has run a request.
+const REACH_MAX: Duration = Duration::from_secs(60);
+
+/// Time between two looks whether it has.
+const REACH_POLL: Duration = Duration::from_millis(500);
+
+/// Light requests a second to each service, until then.
+const SCOUTS_PER_SECOND: f64 = 100.0;
+
+/// Time until the answer to a light request is late.
+const SCOUT_DEADLINE: Duration = Duration::from_secs(1);
+
+/// First seed of light requests, beyond those of the kinds.
+const SCOUT_SEED: u64 = 500;
+
 /// How much traffic.
 #[derive(Debug, Clone, Copy)]
 pub struct Volume {
@@ -41,6 +59,7 @@
 pub struct Traffic {
     fabric: Arc<Fabric>,
     lines: Vec<Arc<Line>>,
+    scouts: Vec<Arc<Line>>,
 }
 
 impl Traffic {
@@ -53,7 +72,14 @@
             let seed = volume.seed.wrapping_mul(1_000).wrapping_add(index);
             lines.push(Line::new(kind, Persistence::default(), Arc::clone(&fabric), seed));
         }
-        Traffic { fabric, lines }
+        let mut scouts = Vec::new();
+        for (index, service) in (0..).zip(&plan.services) {
+            let seed = volume.seed.wrapping_mul(1_000).wrapping_add(SCOUT_SEED + index);
+            let persistence = Persistence { attempts_max: 1, ..Persistence::default() };
+            let fabric = Arc::clone(&fabric);
+            scouts.push(Line::new(scout(service), persistence, fabric, seed));
+        }
+        Traffic { fabric, lines, scouts }
     }
 
     /// The fabric.
@@ -66,6 +92,28 @@
         &self.lines
     }
 
+    /// Sends light requests until every target has run one; gives how long that
+    /// took, `None` when it takes too long.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process of targets does not answer.
+    pub async fn reach_all(&self, fleet: &Fleet) -> Result<Option<Duration>, Error> {
+        let start = Instant::now();
+        while start.elapsed() < REACH_MAX {
+            let mut tasks = JoinSet::new();
+            for line in &self.scouts {
+                let line = Arc::clone(line);
+                tasks.spawn(async move { line.run(REACH_POLL).await });
+            }
+            while tasks.join_next().await.is_some() {}
+            if fleet.ledgers().await?.iter().all(|ledger| ledger.runs > 0) {
+                return Ok(Some(start.elapsed()));
+            }
+        }
+        Ok(None)
+    }
+
     /// Opens the long flows, for at least `time`.
     pub async fn settle(&self, time: Duration) {
         let mut tasks = JoinSet::new();
@@ -101,6 +149,24 @@
     }
 }
 
+/// A light request over a flow of its own.
+fn scout(service: &Service) -> Kind {
+    Kind {
+        name: "scout".into(),
+        address: service.address,
+        urgency: Urgency::Ordinary,
+        repeat: Repeat::Idempotent,
+        rate: SCOUTS_PER_SECOND,
+        flows: 0,
+        requests_per_flow: Some(1),
+        parts: 1,
+        deadline: SCOUT_DEADLINE,
+        patience: SCOUT_DEADLINE,
+        request_bytes: REQUEST_BYTES,
+        wish: Wish { answer_bytes: 1, work_micros: 1_000 },
+    }
+}
+
 fn kind(plan: &Plan, activity: &Activity, volume: Volume) -> Kind {
     let service = &plan.services[activity.service];
     let targets = plan.targets_of(&service.name).len();
--- a/crates/mustardway_stand_in/src/experiment/figure.rs
+++ b/crates/mustardway_stand_in/src/experiment/figure.rs
@@ -32,6 +32,8 @@
     ColdLoad,
     /// Times that a target fell over.
     Falls,
+    /// Seconds from readiness until every target had run a request.
+    SecondsToServe,
     /// Seconds until a failure domain got no more packets.
     SecondsToEmpty,
     /// Seconds until a leaving target got no new flows.
@@ -47,7 +49,7 @@
 }
 
 /// Every measure with its text.
-const TABLE: [(Measure, &str); 16] = [
+const TABLE: [(Measure, &str); 17] = [
     (Measure::BrokenFlows, "broken flows per 10,000"),
     (Measure::GivenUpFlows, "flows given up with their domain per 10,000"),
     (Measure::UrgentService, "urgent answered in time / asked"),
@@ -58,6 +60,7 @@
     (Measure::WrongService, "packets of another service"),
     (Measure::ColdLoad, "load on a cold target / borne"),
     (Measure::Falls, "targets fallen over"),
+    (Measure::SecondsToServe, "s from ready until every target has work"),
     (Measure::SecondsToEmpty, "s until a domain is empty"),
     (Measure::SecondsToLeave, "s until no new flows at a leaving target"),
     (Measure::SecondsInForce, "s until in force everywhere"),
--- a/crates/mustardway_stand_in/src/experiment/run.rs
+++ b/crates/mustardway_stand_in/src/experiment/run.rs
@@ -39,6 +39,8 @@
 pub struct Run {
     /// What happens.
     pub scenario: Scenario,
+    /// Time before it in which long flows are opened.
+    pub settle: Duration,
     /// Length of each of its three parts.
     pub part: Duration,
     /// How much traffic.
@@ -59,8 +61,11 @@
     ) -> Result<Figures, Error> {
         let mut fleet = Fleet::start(plan, launch, root).await?;
         let traffic = Traffic::new(fleet.plan(), self.volume);
-        traffic.settle(fleet.plan().limits.warm_up).await;
         let mut figures = Figures::new();
+        if let Some(took) = traffic.reach_all(&fleet).await? {
+            figures.insert(Measure::SecondsToServe, took.as_secs_f64());
+        }
+        traffic.settle(self.settle).await;
         if self.scenario == Scenario::Calm
             && let Some((direct, through)) =
                 probe::compare(&fleet, self.volume.seed, COMPARE_TIME).await
