--- a/crates/mustardway_membership/src/suspicion.rs
+++ b/crates/mustardway_membership/src/suspicion.rs
@@ -101,7 +101,10 @@
             self.send(from, Body::Vouch(vouch), actions);
             return;
         }
-        self.send(from, Body::Vouch(vouch), actions);
+        // A contact hears from this instance anyway.
+        if self.contacts.get(from).is_none() {
+            self.send(from, Body::Vouch(vouch), actions);
+        }
         if self.relays.len() >= RELAYS_MAX {
             return;
         }
@@ -163,17 +166,21 @@
 
     /// Asks others whether they hear a silent contact, and the contact itself.
     fn ask(&mut self, id: &instance::Id, now: Instant, actions: &mut Vec<Action>) {
+        let mut again = false;
         if let Some(contact) = self.contacts.get_mut(id) {
+            again = contact.asked.is_some();
             let first = contact.asked.map_or(now, |(first, _)| first);
             contact.asked = Some((first, now));
         }
-        if self.state(id) == Some(State::Alive) {
+        if again && self.state(id) == Some(State::Alive) {
             self.table.set_state(id, State::Suspect, now);
         }
         let Some(record) = self.table.get(id) else { return };
         let query = Query { subject: id.to_string(), incarnation: record.member.incarnation.0 };
         let mut helpers = ring::neighbours(&self.table, record, self.links());
-        helpers.extend(self.strangers(id));
+        if again {
+            helpers.extend(self.strangers(id));
+        }
         helpers.sort();
         helpers.dedup();
         for helper in helpers {
--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -160,6 +160,7 @@
     version: u64,
     states: BTreeMap<instance::Id, member::State>,
     doubted: BTreeMap<domain::Name, Instant>,
+    contested: BTreeSet<domain::Name>,
     revisions: BTreeMap<instance::Id, revision::Number>,
     everywhere: revision::Number,
     report: Arc<parking_lot::RwLock<Report>>,
@@ -167,6 +168,7 @@
     heard_inbox: mpsc::Receiver<Heard>,
     settled_at: Instant,
     is_custody_due: bool,
+    was_fenced: bool,
     lost: BTreeSet<instance::Id>,
 }
 
@@ -197,6 +199,7 @@
             version: 0,
             states: BTreeMap::new(),
             doubted: BTreeMap::new(),
+            contested: BTreeSet::new(),
             revisions: BTreeMap::new(),
             everywhere: revision::Number(0),
             report,
@@ -204,6 +207,7 @@
             heard_inbox,
             settled_at: now,
             is_custody_due: true,
+            was_fenced: true,
             lost: BTreeSet::new(),
         }
     }
@@ -236,7 +240,7 @@
         self.tell_membership(event::Event::Tick);
         self.tell_spread(spread_event::Event::Tick);
         let now = self.node.clock.now();
-        self.node.ticked(now, self.membership.fenced(now));
+        self.tick_fence(now);
         self.custody.tick(&self.node);
         self.tick_gates(now);
         if self.is_due(now) {
@@ -245,12 +249,30 @@
         self.write_report(now);
     }
 
+    /// Notes whether this instance may act as an owner. Once it may again, others
+    /// may have served its targets meanwhile.
+    fn tick_fence(&mut self, now: Instant) {
+        let fenced = self.membership.fenced(now);
+        if self.was_fenced && !fenced {
+            slog::info!(self.node.logger, "has heard its peers");
+            for gate in self.node.gates.read().values() {
+                gate.lock().doubt(now);
+            }
+        }
+        if fenced && !self.was_fenced {
+            slog::warn!(self.node.logger, "is fenced: it has not heard its peers or was paused");
+        }
+        self.was_fenced = fenced;
+        self.node.ticked(now, fenced);
+    }
+
     /// Whether time alone calls for a new snapshot.
     fn is_due(&self, now: Instant) -> bool {
         if self.membership.version() != self.version || self.is_custody_due {
             return true;
         }
-        let ages = self.previous.is_some() || !self.doubted.is_empty();
+        let ages =
+            self.previous.is_some() || !self.doubted.is_empty() || !self.contested.is_empty();
         ages && now.since(self.settled_at) >= SETTLE_INTERVAL
     }
 
@@ -430,6 +452,10 @@
                 lost.insert(id.clone());
             }
             healed |= earlier == Some(member::State::Dead) && record.state.is_live();
+            if earlier != Some(record.state) {
+                slog::info!(self.node.logger, "membership"; "instance" => %id,
+                    "state" => ?record.state, "incarnation" => %record.member.incarnation);
+            }
             states.insert(id, record.state);
         }
         self.states = states;
@@ -439,9 +465,25 @@
                 gate.lock().doubt(now);
             }
         }
+        self.note_contested(now);
         lost
     }
 
+    /// Notes the failure domains in which an instance was found dead lately: it
+    /// may be cut off and still serve.
+    fn note_contested(&mut self, now: Instant) {
+        let dead = |record: &&member::Record| {
+            record.state == member::State::Dead && now.since(record.changed) <= DOUBT
+        };
+        let domain = |record: &member::Record| record.member.domain.clone();
+        self.contested = self.membership.members().filter(dead).map(domain).collect();
+        let snapshot = self.node.snapshot();
+        for (id, gate) in self.node.gates.read().iter() {
+            let Some(target) = snapshot.target(id) else { continue };
+            gate.lock().set_contested(now, self.contested.contains(&target.domain));
+        }
+    }
+
     /// Notes the failure domains that nothing is heard of.
     fn note_doubt(&mut self, now: Instant) {
         let mut known: BTreeMap<&domain::Name, bool> = BTreeMap::new();
--- a/crates/mustardway_stand_in/src/command/mod.rs
+++ b/crates/mustardway_stand_in/src/command/mod.rs
@@ -2,10 +2,15 @@
 //!
 //! Modules:
 //! - [`platform`], [`target`], [`load`]: one stand-in each.
+//! - [`baseline`]: an instance to measure against.
 //! - [`deploy`]: a user's whole deployment.
+//! - [`measure`]: scenarios over several seeds.
 
+pub mod baseline;
 pub mod deploy;
+mod launch;
 pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod target;
 
@@ -28,7 +33,9 @@
     Platform(platform::Arguments),
     Target(target::Arguments),
     Load(load::Arguments),
+    Baseline(baseline::Arguments),
     Deploy(deploy::Arguments),
+    Measure(measure::Arguments),
 }
 
 /// Why a command failed, in one line.
@@ -45,7 +52,9 @@
             Command::Platform(arguments) => platform::run(arguments).await,
             Command::Target(arguments) => target::run(arguments).await,
             Command::Load(arguments) => load::run(arguments).await,
+            Command::Baseline(arguments) => baseline::run(arguments).await,
             Command::Deploy(arguments) => deploy::run(arguments).await,
+            Command::Measure(arguments) => measure::run(arguments).await,
         }
     });
     runtime.shutdown_background();
@@ -72,9 +81,11 @@
     use tokio::signal::unix::{SignalKind, signal};
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        _ = hangup.recv() => {}
     }
     Ok(())
 }
--- a/crates/mustardway_stand_in/src/target/front.rs
+++ b/crates/mustardway_stand_in/src/target/front.rs
@@ -17,9 +17,6 @@
 use crate::deadline;
 use crate::payload::{self, Key, Wish};
 
-/// Longest time that a call may take which brings no deadline.
-const DEADLINE_MAX: Duration = Duration::from_secs(60);
-
 /// Both services.
 #[derive(Debug, Clone)]
 pub(super) struct Service {
@@ -51,7 +48,8 @@
             .ok_or_else(|| Status::invalid_argument("the payload makes no wish"))?;
         match self.core.admit(&header) {
             Ok(()) => {}
-            Err(Denial::Refused) => return Ok(refusal(wire)),
+            Err(Denial::Refused) => return Ok(not_run(wire, Reason::Shed)),
+            Err(Denial::UnknownFlow) => return Ok(not_run(wire, Reason::FlowUnknown)),
             Err(Denial::Away) => return Err(Status::unavailable("the target is away")),
         }
         let mut load = Load { core: &self.core, outcome: Outcome::Cancelled };
@@ -61,7 +59,7 @@
             _ = falls.changed() => Err(Status::unavailable("the target fell over")),
         };
         if load.outcome == Outcome::Expired {
-            return Ok(refusal(wire));
+            return Ok(not_run(wire, Reason::Shed));
         }
         load.outcome = Outcome::Done;
         result?;
@@ -116,13 +114,13 @@
 }
 
 /// The answer "not run" to the request of `header`.
-fn refusal(header: Option<&packet::Header>) -> Reply {
-    convert::wire_answer(header, &Answer::new(Reason::Shed))
+fn not_run(header: Option<&packet::Header>, reason: Reason) -> Reply {
+    convert::wire_answer(header, &Answer::new(reason))
 }
 
 impl Front for Service {
     async fn send(&self, request: Request<Packet>) -> Result<Response<Reply>, Status> {
-        let left = deadline::read(request.metadata()).unwrap_or(DEADLINE_MAX);
+        let left = deadline::read(request.metadata());
         let deadline = Instant::now() + left;
         let reply = self.answer(request.into_inner(), deadline).await?;
         Ok(Response::new(reply))
--- a/crates/mustardway_stand_in/src/target/mod.rs
+++ b/crates/mustardway_stand_in/src/target/mod.rs
@@ -4,7 +4,8 @@
 //! the standard health service. It runs as many requests at once as it has
 //! slots and queues the rest. Cold, it bears less: the bound grows evenly from
 //! its cold slots to its slots over the warm-up; what it does with more is set
-//! by [`behaviour::Over`].
+//! by [`behaviour::Over`]. It answers packets only of flows that were opened at
+//! it, as a connection lives at one end; falling over loses all of them.
 //!
 //! Modules:
 //! - [`behaviour`]: what operators and failure tests switch.
@@ -29,6 +30,7 @@
 use mustardway_types::address;
 use mustardway_wire::health::HealthServer;
 use mustardway_wire::packet::FrontServer;
+use tokio::time::Instant;
 use volo_grpc::server::ServiceBuilder;
 
 use crate::listener;
@@ -126,6 +128,11 @@
         self.core.behaviour()
     }
 
+    /// When it was last cold.
+    pub fn cold_since(&self) -> Instant {
+        self.core.cold_since()
+    }
+
     /// Turns it cold without warning.
     pub fn turn_cold(&self) {
         self.core.turn_cold();
