--- a/crates/mustardway_command/src/queries/diff.rs
+++ b/crates/mustardway_command/src/queries/diff.rs
@@ -105,8 +105,8 @@
         let Touched { targets, domains } = &self.touched;
         let domain_names: Vec<&str> = domains.iter().map(|domain| domain.as_str()).collect();
         let domain_names = domain_names.join(", ");
-        lines += &format!("\n{} targets touched", targets.len());
-        lines += &format!(", {} failure domains: {domain_names}\n\n", domains.len());
+        lines += &format!("\ntargets touched: {}\n", targets.len());
+        lines += &format!("failure domains touched: {domain_names}\n\n");
         lines + &report::text(self, report::Form::Table)
     }
 }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -231,7 +231,11 @@
     let output = mustardway(&["diff", new, "--against", old]);
     assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
     assert!(stdout(&output).starts_with("failure domain cordoba taken out\n"));
-    assert!(stdout(&output).contains("1 failure domains: cordoba"), "{}", stdout(&output));
+    assert!(
+        stdout(&output).contains("\ntargets touched: 0\nfailure domains touched: cordoba\n"),
+        "{}",
+        stdout(&output)
+    );
     let output = mustardway(&["diff", new, "--against", new]);
     assert_eq!(stdout(&output), "nothing changes\n");
     let output = mustardway(&["diff", new]);
