--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -239,6 +239,7 @@
     fn tick(&mut self) {
         self.tell_membership(event::Event::Tick);
         self.tell_spread(spread_event::Event::Tick);
+        self.tell_revision();
         let now = self.node.clock.now();
         self.tick_fence(now);
         self.custody.tick(&self.node);
@@ -386,13 +387,18 @@
         };
         self.tell_spread(spread_event::Event::Verdict { number: set.number, accepted });
         if accepted {
-            let (number, digest) = (set.number, set.digest);
-            let age = self.spread.age(self.node.clock.now());
-            self.tell_membership(event::Event::Revision { number, digest, age });
+            self.tell_revision();
             self.settle();
         }
     }
 
+    /// Has heartbeats carry the revision in force and when it was confirmed.
+    fn tell_revision(&mut self) {
+        let (number, digest) = (self.spread.in_force().number, self.spread.in_force().digest);
+        let age = self.spread.age(self.node.clock.now());
+        self.tell_membership(event::Event::Revision { number, digest, age });
+    }
+
     fn adopt(&mut self, view: mustardway_view::model::View, files: Files) -> bool {
         let view = Arc::new(view);
         let now = self.node.clock.now();
@@ -536,6 +542,8 @@
     fn tell_neighbours(&mut self) {
         let neighbours = self.membership.neighbours();
         self.tell_spread(spread_event::Event::Neighbours(neighbours));
+        let live = self.membership.live().count();
+        self.tell_spread(spread_event::Event::Live(live));
         let domain = self.membership.me().member.domain.clone();
         let ranked = readers::rank(self.membership.live_in(&domain), readers::READERS);
         let is_reader = ranked.contains(&self.node.me);
