Keep a closed gate's memory when its target comes back; tell ended flows why

Change: the same gate serves again, in doubt; a stop counts only gates that somebody can take; the reason names the failure domain.

--- a/crates/mustardway_routing/src/attempt.rs
+++ b/crates/mustardway_routing/src/attempt.rs
@@ -141,6 +141,7 @@
     unreached: bool,
     retried: bool,
     whole: bool,
+    ended_with_domain: bool,
     refusal: Option<Answer>,
     refused_by: Vec<target::Id>,
 }
@@ -168,6 +169,7 @@
             unreached: false,
             retried: false,
             whole: true,
+            ended_with_domain: false,
             refusal: None,
             refused_by: Vec::new(),
         };
@@ -277,7 +279,13 @@
             return Err(Answer::new(Reason::NoService));
         }
         for pool in pools {
-            for target in pool.rank(self.header.flow) {
+            let ranked = pool.rank(self.header.flow);
+            let was_out = |target: &&&target::Id| {
+                let target = snapshot.target(target);
+                target.is_some_and(|target| snapshot.lately_out.contains(&target.domain))
+            };
+            self.ended_with_domain |= ranked.iter().take(CANDIDATES).any(|t| was_out(&t));
+            for target in ranked {
                 let known = self.visits.iter().any(|(visit, _)| visit == target);
                 let is_out = snapshot.target(target).is_none_or(|t| snapshot.is_out(&t.domain));
                 if known || is_out {
@@ -365,7 +373,11 @@
         if self.unreached {
             return self.refuse(Reason::NoOwner);
         }
-        self.give(Answer::new(Reason::FlowUnknown))
+        // A flow goes to one of its first candidates, so one that nobody knows
+        // ended with the failure domain of such a candidate.
+        let ended_with_domain = self.ended_with_domain;
+        let reason = if ended_with_domain { Reason::DomainOut } else { Reason::FlowUnknown };
+        self.give(Answer::new(reason))
     }
 
     /// An answer of the ingress's own making. It cannot say of a retry that the
--- a/crates/mustardway_routing/src/snapshot.rs
+++ b/crates/mustardway_routing/src/snapshot.rs
@@ -125,6 +125,8 @@
     pub earlier_services: BTreeMap<address::Address, Vec<service::Name>>,
     /// Failure domains that are or lately were out of reach.
     pub doubted: BTreeSet<domain::Name>,
+    /// Failure domains that operators took out, now or lately.
+    pub lately_out: BTreeSet<domain::Name>,
 }
 
 impl Snapshot {
@@ -138,6 +140,7 @@
             quarantined: BTreeSet::new(),
             earlier_services: BTreeMap::new(),
             doubted: BTreeSet::new(),
+            lately_out: BTreeSet::new(),
         }
     }
 
--- a/crates/mustardway_routing/tests/packet_steps.rs
+++ b/crates/mustardway_routing/tests/packet_steps.rs
@@ -340,3 +340,27 @@
         assert_eq!(answer.reason, reason);
     }
 }
+
+#[test]
+fn ended_flow_told_why() {
+    let mut snapshot = snapshot(view(14), live(2));
+    let unknown = |snapshot: &Snapshot, flow| {
+        let header = mustardway_types::packet::Header { opening: false, ..header(flow) };
+        let (mut attempt, mut step) = Attempt::start(header, DEADLINE, None, snapshot, NOW);
+        let mut budget = Budget::default();
+        while let Step::Ask(_) = step {
+            let reply = Reply::UnknownFlow { whole: true };
+            step = attempt.reply(reply, snapshot, &mut budget, NOW);
+        }
+        answered(&step).reason
+    };
+    assert_eq!(unknown(&snapshot, 5), Reason::FlowUnknown);
+    snapshot.lately_out.insert("cordoba".parse().unwrap());
+    for flow in 0..100 {
+        let (first, second) = first_two(&snapshot, flow);
+        let home = |id: &target::Id| snapshot.target(id).unwrap().domain.as_str() == "cordoba";
+        let ended =
+            if home(&first) || home(&second) { Reason::DomainOut } else { Reason::FlowUnknown };
+        assert_eq!(unknown(&snapshot, flow), ended);
+    }
+}
--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -26,6 +26,7 @@
 use mustardway_view::change::Change;
 use mustardway_view::folder::{self, Files};
 use mustardway_view::history::History;
+use mustardway_view::model::DomainState;
 use prost::Message;
 use tokio::sync::{mpsc, oneshot};
 
@@ -46,6 +47,8 @@
 const HEARD: usize = 64;
 /// Time between snapshots while something in them ages.
 const SETTLE_INTERVAL: Span = Span::millis(500);
+/// How long flows that ended with a failure domain are told so.
+const OUT_MEMORY: Span = Span::seconds(3_600);
 /// Notes that wait for the control loop.
 const NOTES: usize = 16_384;
 
@@ -161,6 +164,7 @@
     states: BTreeMap<instance::Id, member::State>,
     doubted: BTreeMap<domain::Name, Instant>,
     contested: BTreeSet<domain::Name>,
+    out: BTreeMap<domain::Name, Instant>,
     revisions: BTreeMap<instance::Id, revision::Number>,
     everywhere: revision::Number,
     report: Arc<parking_lot::RwLock<Report>>,
@@ -200,6 +204,7 @@
             states: BTreeMap::new(),
             doubted: BTreeMap::new(),
             contested: BTreeSet::new(),
+            out: BTreeMap::new(),
             revisions: BTreeMap::new(),
             everywhere: revision::Number(0),
             report,
@@ -535,9 +540,22 @@
             quarantined,
             earlier_services,
             doubted: self.doubted.keys().cloned().collect(),
+            lately_out: self.lately_out(now),
         }
     }
 
+    /// Failure domains that operators took out, now or lately.
+    fn lately_out(&mut self, now: Instant) -> BTreeSet<domain::Name> {
+        let domains = self.plan.iter().flat_map(|plan| &plan.view.domains);
+        for (name, domain) in domains {
+            if domain.state == DomainState::Out {
+                self.out.insert(name.clone(), now);
+            }
+        }
+        self.out.retain(|_, seen| now.since(*seen) <= OUT_MEMORY);
+        self.out.keys().cloned().collect()
+    }
+
     /// Tells the spread of configuration who the neighbours are.
     fn tell_neighbours(&mut self) {
         let neighbours = self.membership.neighbours();
--- a/crates/mustardway_runtime/src/custody.rs
+++ b/crates/mustardway_runtime/src/custody.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use mustardway_gate::gate::Gate;
-use mustardway_gate::{Announcement, Handover, Key, Tenure, message, tenure};
+use mustardway_gate::{Announcement, Handover, Key, Step, Tenure, message, tenure};
 use mustardway_peer::link::Peer;
 use mustardway_peer::send::Priority;
 use mustardway_routing::snapshot::{Snapshot, domain_in};
@@ -64,7 +64,7 @@
         }
         self.drop_strangers(node, snapshot);
         for instance in lost {
-            self.take_back(node, instance);
+            self.forget(node, instance);
         }
     }
 
@@ -93,10 +93,12 @@
         }
     }
 
-    /// Whether every gate of this instance has been taken by its next owner.
+    /// Whether every gate that another instance can take has been taken.
     pub fn is_empty(&self, node: &Node) -> bool {
+        let snapshot = node.snapshot();
         for (id, gate) in node.gates.read().iter() {
-            let serves = matches!(gate.lock().tenure(), Tenure::Serving { .. });
+            let has_heir = snapshot.heir(id).is_some();
+            let serves = has_heir && matches!(gate.lock().tenure(), Tenure::Serving { .. });
             if serves || self.leaving.get(id).is_some_and(|leaving| !leaving.accepted) {
                 return false;
             }
@@ -124,20 +126,13 @@
             let tenure = gate.tenure().clone();
             match (tenure, snapshot.heir(id)) {
                 (Tenure::Closed { .. }, _) if owned => {
-                    drop(gate);
-                    self.reopen(node, id, target, now);
-                    node.dispatch(steps, None);
-                    return;
+                    self.take_back(&mut gate, id, now, &mut steps);
                 }
-                (Tenure::Serving { .. }, Some(heir)) if !owned => {
+                (Tenure::Serving { .. } | Tenure::Pending { .. }, Some(heir)) if !owned => {
                     let to = heir.id.clone();
                     state = Some((to.clone(), gate.hand_over(now, to, &mut steps)));
                 }
                 (Tenure::Closed { .. }, Some(heir)) => self.turn(node, id, &heir.id, now),
-                (Tenure::Pending { .. }, _) if !owned => {
-                    drop(gate);
-                    node.gates.write().remove(id);
-                }
                 _ => {}
             }
         }
@@ -159,24 +154,20 @@
         send(node, heir, leaving.state.clone());
     }
 
-    /// Opens a gate anew that this instance had handed over.
-    fn reopen(&mut self, node: &Arc<Node>, id: &target::Id, target: &Target, now: Instant) {
-        let left = self.leaving.remove(id);
-        let mut gate = new_gate(node, id, target, Tenure::Pending { until: now + HANDOVER_WAIT });
-        if let Some(left) = left.filter(|left| !left.accepted) {
-            // Nobody took it: its own state is the latest.
-            let mut steps = Vec::new();
-            for part in left.state.into_parts() {
-                // What this gate handed out itself is well formed.
-                let _ = gate.receive(now, &part, &mut steps);
-            }
-            node.dispatch(steps, None);
+    /// Serves again with a gate that was handed over. What still runs there
+    /// stays known; what another instance may have done since is in doubt.
+    fn take_back(&mut self, gate: &mut Gate, id: &target::Id, now: Instant, steps: &mut Vec<Step>) {
+        gate.take_over(now);
+        let Some(left) = self.leaving.remove(id).filter(|left| !left.accepted) else { return };
+        for part in left.state.into_parts() {
+            // What this gate handed out itself is well formed.
+            let _ = gate.receive(now, &part, steps);
         }
-        node.gates.write().insert(id.clone(), Arc::new(Mutex::new(gate)));
+        gate.doubt(now);
     }
 
     /// Gives up on handing over to an instance that was lost.
-    fn take_back(&mut self, node: &Node, lost: &instance::Id) {
+    fn forget(&mut self, node: &Node, lost: &instance::Id) {
         for gate in node.gates.read().values() {
             gate.lock().lose_instance(lost);
         }
@@ -222,7 +213,7 @@
     snapshot: &Snapshot,
     target: &Target,
     now: Instant,
-    steps: &mut Vec<mustardway_gate::Step>,
+    steps: &mut Vec<Step>,
 ) {
     let Some(plan) = &snapshot.plan else { return };
     if *gate.limits() != target.limits {
@@ -257,18 +248,15 @@
     let Some(target) = snapshot.target(&id) else { return };
     let now = node.clock.now();
     let gate = match node.gate(&id) {
-        Some(gate) if matches!(gate.lock().tenure(), Tenure::Closed { .. }) => {
-            if part.parts == 0 {
-                return;
-            }
-            replace(node, &id, target)
-        }
         Some(gate) => gate,
-        None => replace(node, &id, target),
+        None => expect(node, &id, target),
     };
     let mut steps = Vec::new();
     let opened = {
         let mut gate = gate.lock();
+        if matches!(gate.tenure(), Tenure::Closed { .. }) && part.parts > 0 {
+            gate.take_over(now);
+        }
         if let Err(error) = gate.receive(now, part, &mut steps) {
             slog::warn!(node.logger, "refuses a handover"; "target" => %id, "error" => %error);
             return;
@@ -285,7 +273,7 @@
 }
 
 /// A gate that waits for the state which is just coming in.
-fn replace(node: &Node, id: &target::Id, target: &Target) -> Arc<Mutex<Gate>> {
+fn expect(node: &Node, id: &target::Id, target: &Target) -> Arc<Mutex<Gate>> {
     let until = node.clock.now() + HANDOVER_WAIT;
     let gate = new_gate(node, id, target, Tenure::Pending { until });
     let gate = Arc::new(Mutex::new(gate));
