--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -172,6 +172,8 @@
     heard_inbox: mpsc::Receiver<Heard>,
     settled_at: Instant,
     is_custody_due: bool,
+    /// Live list and view that the gates were last settled for.
+    custody_basis: (u64, revision::Number),
     was_fenced: bool,
     lost: BTreeSet<instance::Id>,
 }
@@ -212,6 +214,7 @@
             heard_inbox,
             settled_at: now,
             is_custody_due: true,
+            custody_basis: (0, revision::Number(0)),
             was_fenced: true,
             lost: BTreeSet::new(),
         }
@@ -434,7 +437,10 @@
         for id in &lost {
             self.node.relay.owner_dead(id);
         }
-        self.is_custody_due = true;
+        let revision = snapshot.plan.as_ref().map(|plan| plan.view.revision).unwrap_or_default();
+        let basis = (self.version, revision);
+        self.is_custody_due |= basis != self.custody_basis;
+        self.custody_basis = basis;
         self.lost.extend(lost.iter().cloned());
         self.settle_custody(&snapshot, &before, now);
         custody::announce(&self.node, &before, &snapshot, &lost);
@@ -443,7 +449,7 @@
 
     /// Settles the gates once this instance may act as an owner.
     fn settle_custody(&mut self, snapshot: &Snapshot, before: &Snapshot, now: Instant) {
-        if self.membership.fenced(now) || !self.membership.ready(now) {
+        if !self.is_custody_due || self.membership.fenced(now) || !self.membership.ready(now) {
             return;
         }
         let lost = std::mem::take(&mut self.lost);
