--- a/crates/mustardway_command/src/commands/run.rs
+++ b/crates/mustardway_command/src/commands/run.rs
@@ -87,8 +87,9 @@
     };
     let observer = Writer::new(Arc::clone(&trail), Arc::clone(&promises));
     let started = convert::run_settings(&settings, seed);
+    let (platform, observer) = (Arc::new(platform), Box::new(observer));
     let started =
-        Instance::start(started, Arc::new(platform), Box::new(observer), logger.clone()).await;
+        Instance::start(started, platform, observer, Arc::clone(&promises), logger.clone()).await;
     let instance = match started {
         Ok(instance) => instance,
         Err(error) => return fail(&[error.to_string()]),
--- a/crates/mustardway_runtime/src/ingress.rs
+++ b/crates/mustardway_runtime/src/ingress.rs
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::owner;
 use crate::relay::Told;
+use crate::verdict;
 
 /// Wait before a fenced instance looks again whether it has heard its peers.
 const FENCED_PAUSE: Span = Span::millis(50);
@@ -85,6 +86,7 @@
 async fn attempt(node: &Arc<Node>, header: Header, payload: Bytes, deadline: Instant) -> Served {
     node.budget.lock().earn();
     let cached = node.cache(header.flow).lock().touch(header.flow);
+    let is_established = cached.is_some();
     let snapshot = node.snapshot();
     let now = node.clock.now();
     let (mut attempt, mut step) = Attempt::start(header.clone(), deadline, cached, &snapshot, now);
@@ -107,6 +109,7 @@
             }
         }
     };
+    verdict::answered(node, &header, is_established, &served);
     remember(node, &header, &served);
     tell_refusers(node, &header, &attempt, &served);
     served
--- a/crates/mustardway_runtime/src/lib.rs
+++ b/crates/mustardway_runtime/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`ticket_table`]: who waits for what a gate decides.
 //! - [`trail`]: what the audit trail is told.
 //! - [`upstream`]: calls to targets.
+//! - [`verdict`]: promises, judged case by case.
 
 pub mod clock;
 pub mod control;
@@ -43,3 +44,4 @@
 pub mod ticket_table;
 pub mod trail;
 pub mod upstream;
+pub mod verdict;
--- a/crates/mustardway_runtime/src/node.rs
+++ b/crates/mustardway_runtime/src/node.rs
@@ -14,6 +14,7 @@
 use mustardway_routing::budget::Budget;
 use mustardway_routing::cache::Cache;
 use mustardway_routing::snapshot::Snapshot;
+use mustardway_telemetry::promise::Counters;
 use mustardway_telemetry::tally::Tally;
 use mustardway_types::answer::Reason;
 use mustardway_types::time::{Instant, Span};
@@ -61,6 +62,8 @@
     pub logger: slog::Logger,
     /// Packets at their ingress that have no answer yet.
     pub in_flight: AtomicU64,
+    /// Promises, as far as this instance can judge them.
+    pub promises: Arc<Counters>,
     /// Answers to callers by reason.
     pub answers: Tally,
     snapshot: RwLock<Arc<Snapshot>>,
@@ -74,7 +77,13 @@
 impl Node {
     /// Empty tables; `flows` bounds the cache, and a gap of `tick_gap_max`
     /// between ticks of the control loop is a pause of the process.
-    pub fn new(me: instance::Id, flows: usize, tick_gap_max: Span, logger: slog::Logger) -> Self {
+    pub fn new(
+        me: instance::Id,
+        flows: usize,
+        tick_gap_max: Span,
+        promises: Arc<Counters>,
+        logger: slog::Logger,
+    ) -> Self {
         let shard = || Mutex::new(Cache::new(flows / CACHE_SHARDS));
         Node {
             snapshot: RwLock::new(Arc::new(Snapshot::empty(me.clone()))),
@@ -89,6 +98,7 @@
             upstream: upstream::Pool::default(),
             logger,
             in_flight: AtomicU64::new(0),
+            promises,
             answers: Tally::default(),
             cache: std::iter::repeat_with(shard).take(CACHE_SHARDS).collect(),
             loads: Mutex::default(),
--- a/crates/mustardway_runtime/src/owner.rs
+++ b/crates/mustardway_runtime/src/owner.rs
@@ -26,6 +26,7 @@
 use crate::node::{self, Node};
 use crate::ticket_table::{End, Job};
 use crate::upstream;
+use crate::verdict;
 
 /// Wait until a gate or a view that is expected here has come.
 const SOON: Span = Span::millis(100);
@@ -293,13 +294,18 @@
     if node.is_fenced() || snapshot.is_out(&target.domain) || remaining == Span::ZERO {
         return Ending::Unsent;
     }
+    if !verdict::right_service(node, &snapshot, &job.header, target) {
+        return Ending::Unsent;
+    }
     let payload = job.payload.clone();
     let (id, endpoint) = (&job.target, target.endpoint);
-    match node.upstream.send(id, endpoint, &job.header, payload, remaining).await {
+    let outcome = node.upstream.send(id, endpoint, &job.header, payload, remaining).await;
+    verdict::replied(node, &outcome);
+    match outcome {
         upstream::Outcome::Done(payload) => Ending::Done(payload),
         upstream::Outcome::Refused => Ending::Shed,
         upstream::Outcome::NotSent => Ending::Unsent,
-        upstream::Outcome::Lost => Ending::Lost,
+        upstream::Outcome::Lost | upstream::Outcome::Foreign => Ending::Lost,
         upstream::Outcome::Overrun => Ending::Overrun,
     }
 }
--- a/crates/mustardway_runtime/src/run.rs
+++ b/crates/mustardway_runtime/src/run.rs
@@ -15,6 +15,7 @@
 use mustardway_peer::mesh::Mesh;
 use mustardway_peer::settings as peer;
 use mustardway_platform::platform::Platform;
+use mustardway_telemetry::promise::Counters;
 use mustardway_types::size::Bytes;
 use mustardway_types::time::Span;
 use mustardway_types::{domain, hash, instance};
@@ -31,6 +32,7 @@
 use crate::node::{Node, frame_kind};
 use crate::peers::Peers;
 use crate::probe;
+use crate::verdict;
 
 /// Time between two looks at how far a stop has come.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -110,11 +112,12 @@
         settings: Settings,
         platform: Arc<dyn Platform>,
         observer: Box<dyn Observer>,
+        promises: Arc<Counters>,
         logger: slog::Logger,
     ) -> Result<Self, Error> {
         let gap_max = Span(settings.lease.0 / 2);
-        let id = settings.id.clone();
-        let node = Arc::new(Node::new(id, settings.flows_max, gap_max, logger.clone()));
+        let (id, flows_max) = (settings.id.clone(), settings.flows_max);
+        let node = Arc::new(Node::new(id, flows_max, gap_max, promises, logger.clone()));
         let (handles, inbox) = control::channels();
         let mesh = start_mesh(&settings, &node, handles.notes, logger).await?;
         let _ = node.mesh.set(mesh.clone());
@@ -156,6 +159,7 @@
         let _ = tokio::time::timeout_at(deadline, heard).await;
         let left = deadline.saturating_duration_since(Deadline::now());
         self.mesh.close(Span::from(left).min(CLOSE_SPAN)).await;
+        verdict::stopped(&self.node, handed_over, is_empty);
         slog::info!(logger, "stopped"; "in-flight-ended" => is_empty);
     }
 }
--- a/crates/mustardway_runtime/src/upstream.rs
+++ b/crates/mustardway_runtime/src/upstream.rs
@@ -31,6 +31,8 @@
     NotSent,
     /// The connection broke, or the target failed, after the request was sent.
     Lost,
+    /// The reply names another flow, request or part.
+    Foreign,
     /// The deadline passed after the request was sent.
     Overrun,
 }
@@ -68,7 +70,7 @@
         options.config.set_rpc_timeout(Some(timeout));
         let call = client.front.with_callopt(options).send(packet);
         match tokio::time::timeout(timeout, call).await {
-            Ok(Ok(reply)) => outcome(reply.into_inner()),
+            Ok(Ok(reply)) => outcome(header, reply.into_inner()),
             Ok(Err(status)) => failure(&status),
             Err(_) => Outcome::Overrun,
         }
@@ -114,8 +116,13 @@
     Client { endpoint, front, health }
 }
 
-/// What a target's reply says.
-fn outcome(reply: packet::Reply) -> Outcome {
+/// What a target's reply to the request of `header` says.
+fn outcome(header: &Header, reply: packet::Reply) -> Outcome {
+    let is_own =
+        (reply.flow, reply.request, reply.part) == (header.flow.0, header.request.0, header.part);
+    if !is_own {
+        return Outcome::Foreign;
+    }
     match convert::kind(reply.answer) {
         answer::Kind::Done => Outcome::Done(reply.payload),
         answer::Kind::Unknown => Outcome::Lost,
