--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -3,33 +3,42 @@
 //! One task owns all of it. It ticks, takes what peers and the platform say,
 //! and when anything changed it builds a new snapshot, announces what a lost
 //! owner took with it, and settles the gates.
+//!
+//! Modules:
+//! - [`channel`]: ways to reach the loop.
+//! - [`observer`]: who hears of revisions.
+//! - [`report`]: what others may see of the loop.
+
+pub mod channel;
+pub mod observer;
+mod reading;
+pub mod report;
+mod standing;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use mustardway_membership::{action, event, member, message, node as membership, roster};
+use mustardway_membership::{action, event, member, message, node as membership};
 use mustardway_peer::link::Peer;
 use mustardway_peer::send::Priority;
-use mustardway_platform::answer::{Answer, Listed, State as ListedState};
-use mustardway_platform::failure::Failure;
 use mustardway_platform::platform::Platform;
-use mustardway_routing::live::{Instance, Live};
 use mustardway_routing::snapshot::{Plan, Snapshot};
 use mustardway_spread::{
-    action as spread_action, event as spread_event, message as spread_message, platform, readers,
-    replica, set,
+    action as spread_action, event as spread_event, message as spread_message, readers, replica,
+    set,
 };
 use mustardway_types::time::{Instant, Span};
-use mustardway_types::{address, domain, instance, revision};
-use mustardway_view::change::Change;
+use mustardway_types::{domain, instance, revision};
 use mustardway_view::folder::{self, Files};
 use mustardway_view::history::History;
-use mustardway_view::model::DomainState;
 use prost::Message;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
+use self::channel::{Inbox, Order};
+use self::observer::{Adopted, Observer};
+use self::reading::{Heard, folder_of, platform_answer, read_roster, roster_entry};
+use self::report::{PeerReport, Report};
 use crate::custody::{self, Custody};
 use crate::message::Kind;
 use crate::node::Node;
@@ -37,116 +46,10 @@
 
 /// Time between two ticks.
 pub const TICK: Duration = Duration::from_millis(50);
-/// Time between two reads of the platform's instance list.
-const ROSTER_INTERVAL: Duration = Duration::from_secs(5);
-/// Wait before a failed read of the instance list is repeated.
-const ROSTER_RETRY: Duration = Duration::from_secs(1);
-/// How long a failure domain that was out of reach stays in doubt after.
-const DOUBT: Span = Span::seconds(60);
 /// Answers of the platform that wait for the control loop.
 const HEARD: usize = 64;
 /// Time between snapshots while something in them ages.
 const SETTLE_INTERVAL: Span = Span::millis(500);
-/// How long flows that ended with a failure domain are told so.
-const OUT_MEMORY: Span = Span::seconds(3_600);
-/// Notes that wait for the control loop.
-const NOTES: usize = 16_384;
-
-/// What the control loop is asked by this process.
-pub enum Order {
-    /// Begin to hand over.
-    Leave,
-    /// Take work again.
-    Return,
-    /// Stop; answered when the peers were told.
-    Stop(oneshot::Sender<()>),
-}
-
-/// What others may see of the control loop.
-#[derive(Debug, Clone, Default)]
-pub struct Report {
-    /// Whether this instance may take packets.
-    pub is_ready: bool,
-    /// Every gate has been taken by its next owner.
-    pub handed_over: bool,
-    /// Whether this instance reads the platform.
-    pub is_reader: bool,
-    /// Time since the platform confirmed the revision in force to anybody.
-    pub confirmed_ago: Span,
-    /// Reads of the platform, and how many failed.
-    pub reads: u64,
-    /// Reads that failed.
-    pub failures: u64,
-    /// Instances with their states.
-    pub peers: Vec<PeerReport>,
-}
-
-/// What is believed of one instance.
-#[derive(Debug, Clone)]
-pub struct PeerReport {
-    /// Its name.
-    pub id: instance::Id,
-    /// Its failure domain.
-    pub domain: domain::Name,
-    /// Where it listens for its peers.
-    pub address: SocketAddr,
-    /// Its state.
-    pub state: member::State,
-    /// The revision it told last.
-    pub revision: revision::Number,
-}
-
-/// What is told when a revision came in force here.
-#[derive(Debug, Clone)]
-pub struct Adopted {
-    /// Its number.
-    pub revision: revision::Number,
-    /// Its digest.
-    pub digest: revision::Digest,
-    /// What it changed.
-    pub changes: Vec<Change>,
-    /// Files before.
-    pub before: Files,
-    /// Files now.
-    pub after: Files,
-}
-
-/// Hears of revisions that came in force or were refused.
-pub trait Observer: Send {
-    /// A revision came in force.
-    fn adopted(&self, adopted: &Adopted);
-    /// A revision was refused with these problems.
-    fn refused(&self, revision: revision::Number, problems: &[String]);
-    /// Every live instance was seen to have `revision` in force.
-    fn everywhere(&self, revision: revision::Number);
-}
-
-/// Ways to reach the control loop.
-pub struct Handles {
-    /// Notes of peers.
-    pub notes: mpsc::Sender<Note>,
-    /// Orders of this process.
-    pub orders: mpsc::Sender<Order>,
-}
-
-/// Ends of the channels that the loop reads.
-pub struct Inbox {
-    notes: mpsc::Receiver<Note>,
-    orders: mpsc::Receiver<Order>,
-}
-
-/// The channels of a control loop.
-pub fn channels() -> (Handles, Inbox) {
-    let (notes, notes_inbox) = mpsc::channel(NOTES);
-    let (orders, orders_inbox) = mpsc::channel(16);
-    (Handles { notes, orders }, Inbox { notes: notes_inbox, orders: orders_inbox })
-}
-
-/// What the platform said.
-enum Heard {
-    Configuration(Result<Answer, Failure>),
-    Roster(Vec<Listed>),
-}
 
 /// The state of the control loop.
 pub struct Control {
@@ -457,111 +360,6 @@
         self.is_custody_due = false;
     }
 
-    /// Notes the states of all instances; those that were found dead.
-    fn note_states(&mut self, now: Instant) -> BTreeSet<instance::Id> {
-        let mut lost = BTreeSet::new();
-        let mut states = BTreeMap::new();
-        let mut healed = false;
-        for record in self.membership.members() {
-            let id = record.member.id.clone();
-            let earlier = self.states.get(&id).copied();
-            if record.state == member::State::Dead && earlier.is_some_and(member::State::is_live) {
-                lost.insert(id.clone());
-            }
-            healed |= earlier == Some(member::State::Dead) && record.state.is_live();
-            if earlier != Some(record.state) {
-                slog::info!(self.node.logger, "membership"; "instance" => %id,
-                    "state" => ?record.state, "incarnation" => %record.member.incarnation);
-            }
-            states.insert(id, record.state);
-        }
-        self.states = states;
-        self.note_doubt(now);
-        if healed {
-            for gate in self.node.gates.read().values() {
-                gate.lock().doubt(now);
-            }
-        }
-        self.note_contested(now);
-        lost
-    }
-
-    /// Notes the failure domains in which an instance was found dead lately: it
-    /// may be cut off and still serve.
-    fn note_contested(&mut self, now: Instant) {
-        let dead = |record: &&member::Record| {
-            record.state == member::State::Dead && now.since(record.changed) <= DOUBT
-        };
-        let domain = |record: &member::Record| record.member.domain.clone();
-        self.contested = self.membership.members().filter(dead).map(domain).collect();
-        let snapshot = self.node.snapshot();
-        for (id, gate) in self.node.gates.read().iter() {
-            let Some(target) = snapshot.target(id) else { continue };
-            gate.lock().set_contested(now, self.contested.contains(&target.domain));
-        }
-    }
-
-    /// Notes the failure domains that nothing is heard of.
-    fn note_doubt(&mut self, now: Instant) {
-        let mut known: BTreeMap<&domain::Name, bool> = BTreeMap::new();
-        for record in self.membership.members() {
-            if record.state == member::State::Left {
-                continue;
-            }
-            *known.entry(&record.member.domain).or_default() |= record.state.is_live();
-        }
-        for (domain, is_heard) in known {
-            if !is_heard {
-                self.doubted.insert(domain.clone(), now);
-            }
-        }
-        self.doubted.retain(|_, since| now.since(*since) <= DOUBT);
-    }
-
-    fn snapshot(&mut self, now: Instant) -> Snapshot {
-        let mut live = Live::default();
-        for record in self.membership.live() {
-            let member = &record.member;
-            let instance = Instance::new(member.id.clone(), member.address, record.is_leaving());
-            live.insert(member.domain.clone(), instance);
-        }
-        if self.history.previous(now).next().is_none() {
-            self.previous = None;
-        }
-        let quarantined: BTreeSet<address::Address> =
-            self.history.quarantined(now).map(|(address, _)| address).collect();
-        let mut earlier_services = BTreeMap::new();
-        let addresses = self.plan.iter().flat_map(|plan| plan.view.addresses.keys());
-        for address in addresses {
-            let earlier: Vec<_> = self.history.earlier_services(*address).cloned().collect();
-            if !earlier.is_empty() {
-                earlier_services.insert(*address, earlier);
-            }
-        }
-        Snapshot {
-            me: self.node.me.clone(),
-            plan: self.plan.clone(),
-            previous: self.previous.clone(),
-            live,
-            quarantined,
-            earlier_services,
-            doubted: self.doubted.keys().cloned().collect(),
-            lately_out: self.lately_out(now),
-        }
-    }
-
-    /// Failure domains that operators took out, now or lately.
-    fn lately_out(&mut self, now: Instant) -> BTreeSet<domain::Name> {
-        let domains = self.plan.iter().flat_map(|plan| &plan.view.domains);
-        for (name, domain) in domains {
-            if domain.state == DomainState::Out {
-                self.out.insert(name.clone(), now);
-            }
-        }
-        self.out.retain(|_, seen| now.since(*seen) <= OUT_MEMORY);
-        self.out.keys().cloned().collect()
-    }
-
     /// Tells the spread of configuration who the neighbours are.
     fn tell_neighbours(&mut self) {
         let neighbours = self.membership.neighbours();
@@ -623,56 +421,3 @@
         !gates.values().any(pending)
     }
 }
-
-/// Reads the platform's instance list for ever.
-async fn read_roster(platform: Arc<dyn Platform>, heard: mpsc::Sender<Heard>) {
-    loop {
-        let pause = match platform.instances().await {
-            Ok(listed) => {
-                if heard.send(Heard::Roster(listed)).await.is_err() {
-                    return;
-                }
-                ROSTER_INTERVAL
-            }
-            Err(_) => ROSTER_RETRY,
-        };
-        tokio::time::sleep(pause).await;
-    }
-}
-
-fn roster_entry(listed: Listed) -> roster::Entry {
-    roster::Entry {
-        id: listed.id,
-        domain: listed.domain,
-        address: listed.peer,
-        leaving: listed.state == ListedState::Leaving,
-    }
-}
-
-fn platform_answer(answer: Result<Answer, Failure>) -> Result<platform::Answer, platform::Failure> {
-    let answer = answer.map_err(|failure| match failure {
-        Failure::Timeout => platform::Failure::Timeout,
-        Failure::Unreachable => platform::Failure::Unreachable,
-        Failure::Nonsense | Failure::TooLarge => platform::Failure::Nonsense,
-        _ => platform::Failure::Refused,
-    })?;
-    let content = match answer.files {
-        None => platform::Content::NotChanged,
-        Some(folder) => {
-            let file = |file: mustardway_platform::answer::File| {
-                (file.name, Arc::from(file.text.into_bytes()))
-            };
-            platform::Content::Whole(folder.files.into_iter().map(file).collect())
-        }
-    };
-    Ok(platform::Answer { number: answer.revision, content })
-}
-
-/// The files of a set as a folder.
-fn folder_of(files: &set::Files) -> Files {
-    let mut folder = Files::new();
-    for (name, content) in files {
-        folder.insert(name, Arc::clone(content));
-    }
-    folder
-}
--- /dev/null
+++ b/crates/mustardway_runtime/src/control/reading.rs
@@ -0,0 +1,78 @@
+//! What the platform says, in the terms of the decision crates.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mustardway_membership::roster;
+use mustardway_platform::answer::{Answer, Listed, State as ListedState};
+use mustardway_platform::failure::Failure;
+use mustardway_platform::platform::Platform;
+use mustardway_spread::{platform, set};
+use mustardway_view::folder::Files;
+use tokio::sync::mpsc;
+
+/// Time between two reads of the platform's instance list.
+const ROSTER_INTERVAL: Duration = Duration::from_secs(5);
+/// Wait before a failed read of the instance list is repeated.
+const ROSTER_RETRY: Duration = Duration::from_secs(1);
+
+/// What the platform said.
+pub(super) enum Heard {
+    Configuration(Result<Answer, Failure>),
+    Roster(Vec<Listed>),
+}
+
+/// Reads the platform's instance list for ever.
+pub(super) async fn read_roster(platform: Arc<dyn Platform>, heard: mpsc::Sender<Heard>) {
+    loop {
+        let pause = match platform.instances().await {
+            Ok(listed) => {
+                if heard.send(Heard::Roster(listed)).await.is_err() {
+                    return;
+                }
+                ROSTER_INTERVAL
+            }
+            Err(_) => ROSTER_RETRY,
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+pub(super) fn roster_entry(listed: Listed) -> roster::Entry {
+    roster::Entry {
+        id: listed.id,
+        domain: listed.domain,
+        address: listed.peer,
+        leaving: listed.state == ListedState::Leaving,
+    }
+}
+
+pub(super) fn platform_answer(
+    answer: Result<Answer, Failure>,
+) -> Result<platform::Answer, platform::Failure> {
+    let answer = answer.map_err(|failure| match failure {
+        Failure::Timeout => platform::Failure::Timeout,
+        Failure::Unreachable => platform::Failure::Unreachable,
+        Failure::Nonsense | Failure::TooLarge => platform::Failure::Nonsense,
+        _ => platform::Failure::Refused,
+    })?;
+    let content = match answer.files {
+        None => platform::Content::NotChanged,
+        Some(folder) => {
+            let file = |file: mustardway_platform::answer::File| {
+                (file.name, Arc::from(file.text.into_bytes()))
+            };
+            platform::Content::Whole(folder.files.into_iter().map(file).collect())
+        }
+    };
+    Ok(platform::Answer { number: answer.revision, content })
+}
+
+/// The files of a set as a folder.
+pub(super) fn folder_of(files: &set::Files) -> Files {
+    let mut folder = Files::new();
+    for (name, content) in files {
+        folder.insert(name, Arc::clone(content));
+    }
+    folder
+}
--- /dev/null
+++ b/crates/mustardway_runtime/src/control/standing.rs
@@ -0,0 +1,125 @@
+//! Where the other instances and the failure domains stand, and the snapshot
+//! that follows.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mustardway_membership::member;
+use mustardway_routing::live::{Instance, Live};
+use mustardway_routing::snapshot::Snapshot;
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{address, domain, instance};
+use mustardway_view::model::DomainState;
+
+use super::Control;
+
+/// How long a failure domain that was out of reach stays in doubt after.
+const DOUBT: Span = Span::seconds(60);
+/// How long flows that ended with a failure domain are told so.
+const OUT_MEMORY: Span = Span::seconds(3_600);
+
+impl Control {
+    /// Notes the states of all instances; those that were found dead.
+    pub(super) fn note_states(&mut self, now: Instant) -> BTreeSet<instance::Id> {
+        let mut lost = BTreeSet::new();
+        let mut states = BTreeMap::new();
+        let mut healed = false;
+        for record in self.membership.members() {
+            let id = record.member.id.clone();
+            let earlier = self.states.get(&id).copied();
+            if record.state == member::State::Dead && earlier.is_some_and(member::State::is_live) {
+                lost.insert(id.clone());
+            }
+            healed |= earlier == Some(member::State::Dead) && record.state.is_live();
+            if earlier != Some(record.state) {
+                slog::info!(self.node.logger, "membership"; "instance" => %id,
+                    "state" => ?record.state, "incarnation" => %record.member.incarnation);
+            }
+            states.insert(id, record.state);
+        }
+        self.states = states;
+        self.note_doubt(now);
+        if healed {
+            for gate in self.node.gates.read().values() {
+                gate.lock().doubt(now);
+            }
+        }
+        self.note_contested(now);
+        lost
+    }
+
+    /// Notes the failure domains in which an instance was found dead lately: it
+    /// may be cut off and still serve.
+    fn note_contested(&mut self, now: Instant) {
+        let dead = |record: &&member::Record| {
+            record.state == member::State::Dead && now.since(record.changed) <= DOUBT
+        };
+        let domain = |record: &member::Record| record.member.domain.clone();
+        self.contested = self.membership.members().filter(dead).map(domain).collect();
+        let snapshot = self.node.snapshot();
+        for (id, gate) in self.node.gates.read().iter() {
+            let Some(target) = snapshot.target(id) else { continue };
+            gate.lock().set_contested(now, self.contested.contains(&target.domain));
+        }
+    }
+
+    /// Notes the failure domains that nothing is heard of.
+    fn note_doubt(&mut self, now: Instant) {
+        let mut known: BTreeMap<&domain::Name, bool> = BTreeMap::new();
+        for record in self.membership.members() {
+            if record.state == member::State::Left {
+                continue;
+            }
+            *known.entry(&record.member.domain).or_default() |= record.state.is_live();
+        }
+        for (domain, is_heard) in known {
+            if !is_heard {
+                self.doubted.insert(domain.clone(), now);
+            }
+        }
+        self.doubted.retain(|_, since| now.since(*since) <= DOUBT);
+    }
+
+    pub(super) fn snapshot(&mut self, now: Instant) -> Snapshot {
+        let mut live = Live::default();
+        for record in self.membership.live() {
+            let member = &record.member;
+            let instance = Instance::new(member.id.clone(), member.address, record.is_leaving());
+            live.insert(member.domain.clone(), instance);
+        }
+        if self.history.previous(now).next().is_none() {
+            self.previous = None;
+        }
+        let quarantined: BTreeSet<address::Address> =
+            self.history.quarantined(now).map(|(address, _)| address).collect();
+        let mut earlier_services = BTreeMap::new();
+        let addresses = self.plan.iter().flat_map(|plan| plan.view.addresses.keys());
+        for address in addresses {
+            let earlier: Vec<_> = self.history.earlier_services(*address).cloned().collect();
+            if !earlier.is_empty() {
+                earlier_services.insert(*address, earlier);
+            }
+        }
+        Snapshot {
+            me: self.node.me.clone(),
+            plan: self.plan.clone(),
+            previous: self.previous.clone(),
+            live,
+            quarantined,
+            earlier_services,
+            doubted: self.doubted.keys().cloned().collect(),
+            lately_out: self.lately_out(now),
+        }
+    }
+
+    /// Failure domains that operators took out, now or lately.
+    fn lately_out(&mut self, now: Instant) -> BTreeSet<domain::Name> {
+        let domains = self.plan.iter().flat_map(|plan| &plan.view.domains);
+        for (name, domain) in domains {
+            if domain.state == DomainState::Out {
+                self.out.insert(name.clone(), now);
+            }
+        }
+        self.out.retain(|_, seen| now.since(*seen) <= OUT_MEMORY);
+        self.out.keys().cloned().collect()
+    }
+}
--- a/crates/mustardway_runtime/src/desk.rs
+++ b/crates/mustardway_runtime/src/desk.rs
@@ -20,7 +20,8 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::mpsc;
 
-use crate::control::{Order, Report};
+use crate::control::channel::Order;
+use crate::control::report::Report;
 use crate::node::Node;
 
 /// Deadline that an explanation assumes.
--- a/crates/mustardway_runtime/src/run.rs
+++ b/crates/mustardway_runtime/src/run.rs
@@ -26,7 +26,10 @@
 use volo::net::Address;
 use volo_grpc::server::{Server, ServiceBuilder};
 
-use crate::control::{self, Control, Observer, Order, Report};
+use crate::control::channel::{self, Order};
+use crate::control::observer::Observer;
+use crate::control::report::Report;
+use crate::control::{self, Control};
 use crate::front::Front;
 use crate::message::Kind;
 use crate::node::{Node, frame_kind};
@@ -118,7 +121,7 @@
         let gap_max = Span(settings.lease.0 / 2);
         let (id, flows_max) = (settings.id.clone(), settings.flows_max);
         let node = Arc::new(Node::new(id, flows_max, gap_max, promises, logger.clone()));
-        let (handles, inbox) = control::channels();
+        let (handles, inbox) = channel::channels();
         let mesh = start_mesh(&settings, &node, handles.notes, logger).await?;
         let _ = node.mesh.set(mesh.clone());
         let report = Arc::new(RwLock::new(Report::default()));
--- a/crates/mustardway_runtime/src/trail.rs
+++ b/crates/mustardway_runtime/src/trail.rs
@@ -12,7 +12,7 @@
 use mustardway_view::folder::Files;
 use parking_lot::Mutex;
 
-use crate::control::{Adopted, Observer};
+use crate::control::observer::{Adopted, Observer};
 
 /// Writes revisions to the audit trail and judges the promise about them.
 pub struct Writer {
