--- a/crates/mustardway_routing/src/lib.rs
+++ b/crates/mustardway_routing/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`live`]: the live instances by failure domain.
 //! - [`owner`]: which instance owns a target.
 //! - [`snapshot`]: one consistent input for decisions.
+//! - [`step`]: questions, replies and next steps of an attempt.
 //! - [`tree`]: weighted rendezvous hashing in logarithmic time.
 
 pub mod attempt;
@@ -21,4 +22,5 @@
 pub mod live;
 pub mod owner;
 pub mod snapshot;
+pub mod step;
 pub mod tree;
--- a/crates/mustardway_routing/tests/packet_steps.rs
+++ b/crates/mustardway_routing/tests/packet_steps.rs
@@ -8,9 +8,10 @@
 
 use assert_matches::assert_matches;
 use common::*;
-use mustardway_routing::attempt::{Ask, Attempt, Mode, Reply, Step};
+use mustardway_routing::attempt::Attempt;
 use mustardway_routing::budget::Budget;
 use mustardway_routing::snapshot::{Plan, Snapshot};
+use mustardway_routing::step::{Ask, Mode, Reply, Step};
 use mustardway_types::answer::{Answer, Kind, Reason};
 use mustardway_types::request::Repeat;
 use mustardway_types::target;
--- a/crates/mustardway_runtime/src/ingress.rs
+++ b/crates/mustardway_runtime/src/ingress.rs
@@ -9,7 +9,8 @@
 use mustardway_peer::link::Peer;
 use mustardway_peer::send::Priority;
 use mustardway_peer::tracked;
-use mustardway_routing::attempt::{self, Attempt, Mode, Reply, Step};
+use mustardway_routing::attempt::Attempt;
+use mustardway_routing::step::{self, Mode, Reply, Step};
 use mustardway_types::answer::{Answer, Reason};
 use mustardway_types::packet::Header;
 use mustardway_types::request::Repeat;
@@ -200,7 +201,7 @@
     header: &Header,
     payload: &Bytes,
     deadline: Instant,
-    ask: &attempt::Ask,
+    ask: &step::Ask,
 ) -> Asked {
     let remaining = deadline.since(node.clock.now());
     let mut message = message::Ask {
@@ -232,7 +233,7 @@
 }
 
 /// Asks another instance.
-async fn relayed(node: &Arc<Node>, mut message: message::Ask, ask: &attempt::Ask) -> Asked {
+async fn relayed(node: &Arc<Node>, mut message: message::Ask, ask: &step::Ask) -> Asked {
     let snapshot = node.snapshot();
     let Some(owner) = snapshot.live.get(&ask.owner) else { return Asked::NotSent };
     let Some(mesh) = node.mesh.get() else { return Asked::NotSent };
