--- a/crates/mustardway_types/src/answer.rs
+++ b/crates/mustardway_types/src/answer.rs
@@ -64,8 +64,6 @@
     Leaving,
     /// the address has just changed its service
     Quarantined,
-    /// this instance is stopping
-    Stopping,
     /// this instance was paused and has not heard its peers again
     Woken,
     /// the owner of the target is changing
@@ -99,7 +97,7 @@
 }
 
 /// Every reason with its answer.
-pub const TABLE: [(Reason, Kind); 25] = [
+pub const TABLE: [(Reason, Kind); 24] = [
     (Reason::Answered, Kind::Done),
     (Reason::NoView, Kind::Refused),
     (Reason::NoOwner, Kind::Refused),
@@ -109,7 +107,6 @@
     (Reason::Shed, Kind::Refused),
     (Reason::Leaving, Kind::Refused),
     (Reason::Quarantined, Kind::Refused),
-    (Reason::Stopping, Kind::Refused),
     (Reason::Woken, Kind::Refused),
     (Reason::Moving, Kind::Refused),
     (Reason::Expired, Kind::GaveUp),
--- a/crates/mustardway_types/src/lib.rs
+++ b/crates/mustardway_types/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod domain;
 pub mod flow;
 pub mod hash;
+mod hex_id;
 pub mod instance;
 mod name;
 pub mod packet;
