--- a/crates/mustardway_runtime/src/custody.rs
+++ b/crates/mustardway_runtime/src/custody.rs
@@ -35,6 +35,15 @@
     accepted: bool,
 }
 
+/// A target whose gate is here.
+struct Held<'a> {
+    id: &'a target::Id,
+    target: &'a Target,
+    gate: &'a Mutex<Gate>,
+    /// Whether this instance is to own it.
+    owned: bool,
+}
+
 /// Gates on their way to other owners. Kept by the control loop.
 #[derive(Default)]
 pub struct Custody {
@@ -57,7 +66,10 @@
             let owned = snapshot.heir(id).is_some_and(|heir| heir.id == node.me);
             let gate = node.gate(id);
             match gate {
-                Some(gate) => self.keep(node, snapshot, id, target, &gate, owned, now),
+                Some(gate) => {
+                    let held = Held { id, target, gate: &gate, owned };
+                    self.keep(node, snapshot, &held, now);
+                }
                 None if owned => open(node, id, target, before, lost, now),
                 None => {}
             }
@@ -107,22 +119,13 @@
     }
 
     /// Keeps a gate in line with the view, or hands it over.
-    #[allow(clippy::too_many_arguments)]
-    fn keep(
-        &mut self,
-        node: &Arc<Node>,
-        snapshot: &Snapshot,
-        id: &target::Id,
-        target: &Target,
-        gate: &Mutex<Gate>,
-        owned: bool,
-        now: Instant,
-    ) {
+    fn keep(&mut self, node: &Arc<Node>, snapshot: &Snapshot, held: &Held<'_>, now: Instant) {
+        let (id, owned) = (held.id, held.owned);
         let mut steps = Vec::new();
         let mut state = None;
         {
-            let mut gate = gate.lock();
-            adjust(&mut gate, snapshot, target, now, &mut steps);
+            let mut gate = held.gate.lock();
+            adjust(&mut gate, snapshot, held.target, now, &mut steps);
             let tenure = gate.tenure().clone();
             match (tenure, snapshot.heir(id)) {
                 (Tenure::Closed { .. }, _) if owned => {
--- /dev/null
+++ b/crates/mustardway_runtime/tests/forwarded_requests.rs
@@ -0,0 +1,50 @@
+//! Requests that were sent to owners stay known for a bounded time and number.
+
+#![allow(clippy::unwrap_used)]
+
+use mustardway_gate::Key;
+use mustardway_runtime::forwarded::Table;
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{flow, request, target};
+
+fn key(number: u64) -> Key {
+    Key { flow: flow::Id(number), request: request::Id(1), part: 0 }
+}
+
+fn target(name: &str) -> target::Id {
+    name.parse().unwrap()
+}
+
+#[test]
+fn told_by_target() {
+    let mut table = Table::default();
+    let now = Instant(1_000_000);
+    table.insert(target("a"), key(1), now);
+    table.insert(target("b"), key(2), now);
+    table.insert(target("a"), key(3), now);
+    let found = table.by_target(|id| *id == target("a"));
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[&target("a")], [key(1), key(3)]);
+}
+
+#[test]
+fn kept_for_a_minute() {
+    let mut table = Table::default();
+    let now = Instant(1_000_000);
+    table.insert(target("a"), key(1), now);
+    table.expire(now + Span::seconds(60));
+    assert_eq!(table.len(), 1);
+    table.expire(now + Span::seconds(61));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn number_bounded() {
+    let mut table = Table::default();
+    for number in 0..100_100 {
+        table.insert(target("a"), key(number), Instant(1));
+    }
+    assert_eq!(table.len(), 100_000);
+    let found = table.by_target(|_| true);
+    assert!(!found[&target("a")].contains(&key(0)));
+}
