Measure a failure domain taken out while one of its instances is paused

Cause: the promise that a paused instance sends nothing to a domain taken out before it has heard its peers had no run on real processes.

--- a/crates/mustardway_stand_in/src/experiment/run.rs
+++ b/crates/mustardway_stand_in/src/experiment/run.rs
@@ -32,6 +32,9 @@
 /// Length of the comparison with direct calls.
 const COMPARE_TIME: Duration = Duration::from_secs(3);
 
+/// Time that a woken instance has before its failure domain is back.
+const AWAKE_TIME: Duration = Duration::from_secs(1);
+
 /// Index of the instance, the target and the failure domain that are hit.
 const HIT: usize = 0;
 
@@ -113,13 +116,17 @@
                 tokio::time::sleep_until(undo_at).await;
                 fleet.signal(&instance.id, Signal::Continue)?;
             }
-            Scenario::DomainOut => self.take_domain_out(fleet, undo_at, figures).await?,
+            Scenario::DomainOut => self.take_domain_out(fleet, None, undo_at, figures).await?,
             Scenario::DomainOutAndKill => {
                 let other = fleet.plan().instances[HIT + 1].clone();
                 fleet.signal(&other.id, Signal::Kill)?;
-                self.take_domain_out(fleet, undo_at, figures).await?;
+                self.take_domain_out(fleet, None, undo_at, figures).await?;
                 fleet.start_instance(&other)?;
             }
+            Scenario::DomainOutAndPause => {
+                fleet.signal(&instance.id, Signal::Stop)?;
+                self.take_domain_out(fleet, Some(&instance), undo_at, figures).await?;
+            }
             Scenario::TargetLeaving => {
                 let folder = fleet.folder();
                 put(folder.put_target(&target, TargetState::Leaving))?;
@@ -149,23 +156,30 @@
     }
 
     /// Takes a failure domain out and back in.
+    /// Takes the failure domain out, wakes `paused` where it is given, and
+    /// brings the domain back at `undo_at`.
     async fn take_domain_out(
         &self,
-        fleet: &Fleet,
+        fleet: &mut Fleet,
+        paused: Option<&Instance>,
         undo_at: Instant,
         figures: &mut Figures,
     ) -> Result<(), Error> {
-        let plan = fleet.plan();
-        let domain = &plan.domains[HIT];
+        let domain = fleet.plan().domains[HIT].clone();
         let revision = probe::revision(fleet).await?;
-        put(fleet.folder().put_domain(plan, domain, DomainState::Out))?;
+        put(fleet.folder().put_domain(fleet.plan(), &domain, DomainState::Out))?;
         let (start, started) = (clock::now_millis(), Instant::now());
         if self.scenario == Scenario::DomainOut
             && let Some(took) = probe::in_force(fleet, revision, started).await
         {
             figures.insert(Measure::SecondsInForce, took.as_secs_f64());
         }
+        if let Some(instance) = paused {
+            tokio::time::sleep_until(undo_at - AWAKE_TIME).await;
+            fleet.signal(&instance.id, Signal::Continue)?;
+        }
         tokio::time::sleep_until(undo_at).await;
+        let plan = fleet.plan();
         let mut last = 0;
         for ledger in fleet.ledgers().await? {
             if plan.targets_in(&domain.name).iter().any(|target| target.id == ledger.name) {
@@ -173,7 +187,7 @@
             }
         }
         figures.insert(Measure::SecondsToEmpty, seconds_since(start, last));
-        put(fleet.folder().put_domain(plan, domain, DomainState::In))
+        put(fleet.folder().put_domain(plan, &domain, DomainState::In))
     }
 }
 
--- a/crates/mustardway_stand_in/src/experiment/scenario.rs
+++ b/crates/mustardway_stand_in/src/experiment/scenario.rs
@@ -29,10 +29,13 @@
     PlatformDown,
     /// A failure domain is taken out while an instance is killed.
     DomainOutAndKill,
+    /// A failure domain is taken out while one of its instances is paused,
+    /// which wakes up before the domain is back.
+    DomainOutAndPause,
 }
 
 /// Every scenario with its name.
-pub const TABLE: [(Scenario, &str); 10] = [
+pub const TABLE: [(Scenario, &str); 11] = [
     (Scenario::Calm, "calm"),
     (Scenario::InstanceStop, "instance-stop"),
     (Scenario::InstanceKill, "instance-kill"),
@@ -43,6 +46,7 @@
     (Scenario::TargetDown, "target-down"),
     (Scenario::PlatformDown, "platform-down"),
     (Scenario::DomainOutAndKill, "domain-out-and-kill"),
+    (Scenario::DomainOutAndPause, "domain-out-and-pause"),
 ];
 
 impl fmt::Display for Scenario {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -59,6 +59,11 @@
     keeps_promises("frio-austral", "domain-out-and-kill");
 }
 
+#[test]
+fn domain_out_and_pause() {
+    keeps_promises("frio-austral", "domain-out-and-pause");
+}
+
 #[test]
 fn target_leaves() {
     keeps_promises("partitura-viva", "target-leaving");
