Never say 'not run' after an owner was lost with the request

An idempotent request whose owner was lost is asked once more; where that second ask was refused, the refusal went to the caller, although the lost owner may have run the first. Ruled out: requests that may not be repeated (they are never asked again). Change: once an owner was lost, an answer that says 'not run' becomes 'outcome unknown'. The new test fails on the code before and passes after.

--- a/crates/mustardway_routing/src/attempt.rs
+++ b/crates/mustardway_routing/src/attempt.rs
@@ -58,6 +58,7 @@
     paused: Span,
     unreached: bool,
     retried: bool,
+    may_have_run: bool,
     whole: bool,
     ended_with_domain: bool,
     refusal: Option<Answer>,
@@ -86,6 +87,7 @@
             paused: Span::ZERO,
             unreached: false,
             retried: false,
+            may_have_run: false,
             whole: true,
             ended_with_domain: false,
             refusal: None,
@@ -105,6 +107,18 @@
         snapshot: &Snapshot,
         budget: &mut Budget,
         now: Instant,
+    ) -> Step {
+        let step = self.judge(reply, snapshot, budget, now);
+        self.truthful(step)
+    }
+
+    /// The step after a reply.
+    fn judge(
+        &mut self,
+        reply: Reply,
+        snapshot: &Snapshot,
+        budget: &mut Budget,
+        now: Instant,
     ) -> Step {
         if self.asks >= ASKS_MAX {
             return self.refuse(Reason::Moving);
@@ -139,7 +153,19 @@
     pub fn resume(&mut self, snapshot: &Snapshot) -> Step {
         self.redirects = 0;
         self.redirect = None;
-        self.next(snapshot)
+        let step = self.next(snapshot);
+        self.truthful(step)
+    }
+
+    /// A step that does not say "not run" once an owner was lost that may have
+    /// run the request.
+    fn truthful(&self, step: Step) -> Step {
+        match step {
+            Step::Answer(answer) if self.may_have_run && answer.kind().says_not_run() => {
+                Step::Answer(Answer::new(Reason::OwnerLost))
+            }
+            step => step,
+        }
     }
 
     /// Targets still to ask, first first, each with what is asked of its owner.
@@ -352,15 +378,13 @@
     }
 
     fn lost(&mut self, budget: &mut Budget, now: Instant) -> Step {
+        self.may_have_run = true;
         let may_repeat = self.header.repeat == Repeat::Idempotent;
         if !may_repeat || self.retried || !budget.spend() {
             return Step::Answer(Answer::new(Reason::OwnerLost));
         }
         self.retried = true;
-        match self.pause(UNREACHED_PAUSE, Reason::NoOwner, now) {
-            Step::Answer(_) => Step::Answer(Answer::new(Reason::OwnerLost)),
-            step => step,
-        }
+        self.pause(UNREACHED_PAUSE, Reason::NoOwner, now)
     }
 
     /// Waits if the deadline and the bound on waiting leave room for it.
--- a/crates/mustardway_routing/tests/packet_steps.rs
+++ b/crates/mustardway_routing/tests/packet_steps.rs
@@ -365,3 +365,25 @@
         assert_eq!(unknown(&snapshot, flow), ended);
     }
 }
+
+#[test]
+fn refusal_after_loss_unknown() {
+    let snapshot = snapshot(view(14), live(2));
+    let full = Answer::come_back(Reason::Full, Span::millis(300));
+    let replies = [
+        Reply::TryNext { answer: full, whole: true },
+        Reply::Answer(full),
+        Reply::Wait(Span::seconds(10)),
+    ];
+    for reply in replies {
+        let header = mustardway_types::packet::Header { repeat: Repeat::Idempotent, ..header(5) };
+        let (mut attempt, _) = Attempt::start(header, DEADLINE, None, &snapshot, NOW);
+        let mut budget = Budget::default();
+        assert_matches!(attempt.reply(Reply::Lost, &snapshot, &mut budget, NOW), Step::Pause(_));
+        let mut step = attempt.resume(&snapshot);
+        while let Step::Ask(_) = step {
+            step = attempt.reply(reply.clone(), &snapshot, &mut budget, NOW);
+        }
+        assert_eq!(answered(&step).reason, Reason::OwnerLost);
+    }
+}
