Search past an owner whose failure domain is out

Cause, found by reading: an ingress that has not yet the revision that takes a domain out ended a flow at its first candidate's word, though the flow may live on its second in another domain. A flow there must go on.

--- a/crates/mustardway_routing/src/attempt.rs
+++ b/crates/mustardway_routing/src/attempt.rs
@@ -124,7 +124,7 @@
             return self.refuse(Reason::Moving);
         }
         match reply {
-            Reply::Answer(answer) => Step::Answer(answer),
+            Reply::Answer(answer) => self.answered(answer, snapshot),
             Reply::TryNext { answer, whole } => self.refused(answer, whole, snapshot),
             Reply::Reserved { whole } => {
                 self.whole &= whole;
@@ -339,6 +339,17 @@
         self.give(Answer::come_back(reason, COME_BACK))
     }
 
+    /// An answer stands, but for a search that meets an owner whose failure
+    /// domain is out: the flow may live elsewhere.
+    fn answered(&mut self, answer: Answer, snapshot: &Snapshot) -> Step {
+        let is_find = matches!(self.visits.get(self.cursor), Some((_, Mode::Find)));
+        if is_find && answer.reason == Reason::DomainOut {
+            self.ended_with_domain = true;
+            return self.advance(snapshot);
+        }
+        Step::Answer(answer)
+    }
+
     fn refused(&mut self, answer: Answer, whole: bool, snapshot: &Snapshot) -> Step {
         let soonest =
             |known: Answer| if known.come_back <= answer.come_back { known } else { answer };
--- a/crates/mustardway_routing/tests/packet_steps.rs
+++ b/crates/mustardway_routing/tests/packet_steps.rs
@@ -387,3 +387,19 @@
         assert_eq!(answered(&step).reason, Reason::OwnerLost);
     }
 }
+
+#[test]
+fn search_goes_past_domain_out() {
+    let snapshot = snapshot(view(14), live(2));
+    let header = mustardway_types::packet::Header { opening: false, ..header(5) };
+    let (mut attempt, _) = Attempt::start(header, DEADLINE, None, &snapshot, NOW);
+    let mut budget = Budget::default();
+    let out = Reply::Answer(Answer::new(Reason::DomainOut));
+    let mut step = attempt.reply(out, &snapshot, &mut budget, NOW);
+    asked(step.clone());
+    while let Step::Ask(_) = step {
+        let reply = Reply::UnknownFlow { whole: true };
+        step = attempt.reply(reply, &snapshot, &mut budget, NOW);
+    }
+    assert_eq!(answered(&step).reason, Reason::DomainOut);
+}
