--- a/crates/mustardway_runtime/src/run.rs
+++ b/crates/mustardway_runtime/src/run.rs
@@ -39,6 +39,9 @@
 
 /// Time between two looks at how far a stop has come.
 const STOP_POLL: Duration = Duration::from_millis(20);
+/// How long an instance that has left still tells peers who owns its targets,
+/// while the news reaches them.
+const FAREWELL: Duration = Duration::from_millis(500);
 /// Part of the stop's deadline that is kept for the last words to peers.
 const CLOSE_SPAN: Span = Span::seconds(1);
 
@@ -160,6 +163,7 @@
         let (told, heard) = oneshot::channel();
         let _ = self.orders.send(Order::Stop(told)).await;
         let _ = tokio::time::timeout_at(deadline, heard).await;
+        tokio::time::sleep_until(deadline.min(Deadline::now() + FAREWELL)).await;
         let left = deadline.saturating_duration_since(Deadline::now());
         self.mesh.close(Span::from(left).min(CLOSE_SPAN)).await;
         verdict::stopped(&self.node, handed_over, is_empty);
