--- a/crates/mustardway_command/src/commands/patience.rs
+++ b/crates/mustardway_command/src/commands/patience.rs
@@ -1,7 +1,7 @@
 //! The longest wait of one read of the platform.
 
-use mustardway_platform::answer::{Answer, Listed};
-use mustardway_platform::platform::{Platform, Reply};
+use mustardway_reader::answer::{Answer, Listed};
+use mustardway_reader::platform::{Platform, Reply};
 use mustardway_types::{revision, time};
 
 /// A platform that is never asked to hold an answer back for longer than `wait`.
--- a/crates/mustardway_command/src/commands/run.rs
+++ b/crates/mustardway_command/src/commands/run.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::AtomicBool;
 
 use mustardway_admin::server;
-use mustardway_platform::client;
+use mustardway_reader::client;
 use mustardway_runtime::desk::Counter;
 use mustardway_runtime::meter::{self, Meter};
 use mustardway_runtime::run::Instance;
@@ -20,9 +20,9 @@
 use mustardway_types::instance::Incarnation;
 use parking_lot::Mutex;
 
-use super::convert;
 use super::patience::Patience;
-use crate::failure::{FAILED, fail};
+use super::{convert, start};
+use crate::exit::{FAILED, fail};
 use crate::signals::Signals;
 
 /// Exit codes of a process that a signal ended start here.
@@ -76,11 +76,11 @@
         Ok(signals) => signals,
         Err(error) => return fail(&[format!("cannot register signals: {error}")]),
     };
-    let log = log::Log::stderr(convert::log_settings(&settings));
+    let log = log::Log::stderr(start::log_settings(&settings.log));
     let logger = log.logger().clone();
     let trail = Arc::new(Trail::new(settings.limits.audit as usize, logger.clone()));
     let promises = Arc::new(Counters::default());
-    let seed = convert::start_number();
+    let seed = start::start_number();
     let platform = match client::Client::new(convert::platform_settings(&settings, seed)) {
         Ok(inner) => Patience { inner, wait: settings.platform.wait },
         Err(error) => return fail(&[error.to_string()]),
--- a/crates/mustardway_command/src/failure.rs
+++ b/crates/mustardway_command/src/failure.rs
@@ -10,8 +10,7 @@
 use mustardway_telemetry::audit::Fault;
 use mustardway_view::directory;
 
-/// Exit code of every failure.
-pub const FAILED: u8 = 1;
+use crate::exit::fail;
 
 /// Why the command line did not do what it was told.
 #[derive(Debug, Display)]
@@ -61,11 +60,3 @@
         }
     }
 }
-
-/// Prints lines to stderr and gives the exit code.
-pub fn fail(lines: &[String]) -> ExitCode {
-    for line in lines {
-        eprintln!("mustardway: {line}");
-    }
-    ExitCode::from(FAILED)
-}
--- a/crates/mustardway_command/src/lib.rs
+++ b/crates/mustardway_command/src/lib.rs
@@ -1,28 +1,41 @@
 //! The command line of mustardway.
 //!
+//! The packet front is always there; the feature `requests` adds the own request
+//! interface with its administration API and queries.
+//!
 //! Modules:
 //! - [`access`]: how an instance is asked.
 //! - [`commands`]: what changes something.
+//! - [`exit`]: how the process ends after a failure.
 //! - [`failure`]: why the command line did not do what it was told.
 //! - [`output`]: what is printed.
 //! - [`queries`]: what tells something.
 //! - [`signals`]: signals that stop the process.
 
+#[cfg(feature = "requests")]
 pub mod access;
 pub mod commands;
+pub mod exit;
+#[cfg(feature = "requests")]
 pub mod failure;
+#[cfg(feature = "requests")]
 pub mod output;
+#[cfg(feature = "requests")]
 pub mod queries;
+#[cfg(feature = "requests")]
 pub mod signals;
 
 use std::process::ExitCode;
 
+use crate::commands::front;
+#[cfg(feature = "requests")]
 use crate::commands::{drain, run};
+#[cfg(feature = "requests")]
 use crate::queries::{audit, check, diff, explain, instance};
 
 /// A layer-4 load balancer whose instances share nothing but what the platform
-/// publishes. Commands: run, drain. Queries: check, diff, status, targets, peers,
-/// promises, audit, explain.
+/// publishes. Packet front: front. Request interface, commands: run, drain;
+/// queries: check, diff, status, targets, peers, promises, audit, explain.
 #[derive(Debug, argh::FromArgs)]
 #[argh(error_code(1, "the command line is not understood, or the subcommand failed"))]
 struct Arguments {
@@ -30,9 +43,11 @@
     subcommand: Subcommand,
 }
 
+#[cfg(feature = "requests")]
 #[derive(Debug, argh::FromArgs)]
 #[argh(subcommand)]
 enum Subcommand {
+    Front(front::Run),
     Run(run::Run),
     Drain(drain::Drain),
     Check(check::Check),
@@ -45,10 +60,19 @@
     Explain(explain::Explain),
 }
 
+#[cfg(not(feature = "requests"))]
+#[derive(Debug, argh::FromArgs)]
+#[argh(subcommand)]
+enum Subcommand {
+    Front(front::Run),
+}
+
 /// Does what the command line says.
+#[cfg(feature = "requests")]
 pub fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let result = match arguments.subcommand {
+        Subcommand::Front(front) => return front.execute(),
         Subcommand::Run(run) => return run.execute(),
         Subcommand::Drain(drain) => drain.execute(),
         Subcommand::Check(check) => check.answer(),
@@ -65,3 +89,12 @@
         Err(failure) => failure.report(),
     }
 }
+
+/// Does what the command line says.
+#[cfg(not(feature = "requests"))]
+pub fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match arguments.subcommand {
+        Subcommand::Front(front) => front.execute(),
+    }
+}
--- /dev/null
+++ b/crates/mustardway_flow/src/front.rs
@@ -0,0 +1,214 @@
+//! The decisions of one instance of the packet front, joined.
+
+mod carry;
+mod open;
+mod watch;
+
+use std::net::SocketAddrV4;
+
+use compact_str::CompactString;
+use mustardway_mirror::publication::Change;
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{domain, instance, target};
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use rustc_hash::FxHashMap;
+
+use crate::directory::Directory;
+use crate::note::{Dropped, Note, Refused};
+use crate::packet::{Flow, Packet, Reset};
+use crate::standing::Outcome;
+use crate::table::{Record, Stage, Table};
+use crate::token::Token;
+
+/// Age of the published state up to which an instance relies on what is absent
+/// from it: the shortest bound in which a change has to be in force (3 s).
+const FRESH: Span = Span::seconds(3);
+
+/// What becomes of a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It goes to a target.
+    Forward {
+        /// Number that addresses exactly this target.
+        key: u64,
+        /// Where the target takes packets.
+        address: SocketAddrV4,
+        /// Token to write into it.
+        token: Token,
+    },
+    /// Its flow is reset.
+    Reset(Reset),
+    /// It is dropped.
+    Drop(Dropped),
+}
+
+/// What one instance is told, other than packets.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Time has passed; given at least every 50 ms.
+    Tick,
+    /// The published state has changed.
+    Published(Vec<Change>),
+    /// When the platform last confirmed the published state.
+    Confirmed(Instant),
+    /// Known instances, live or not, this one among them.
+    Known(Vec<instance::Id>),
+    /// What a probe found.
+    Probed(target::Id, Outcome),
+    /// A peer found that a target left something unanswered.
+    Doubted(target::Id),
+}
+
+/// What one instance wants done, other than forwarding.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Reset a flow.
+    Reset(Reset),
+    /// Probe a target.
+    Probe(Probe),
+    /// Tell peers that a target left something unanswered.
+    TellDoubt(target::Id),
+    /// Log a decision.
+    Note(Note),
+}
+
+/// One probe of a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Probe {
+    /// The target.
+    pub target: target::Id,
+    /// Where it answers health checks.
+    pub address: SocketAddrV4,
+    /// Path of the health check.
+    pub path: CompactString,
+}
+
+/// The decisions of one instance.
+#[derive(Debug)]
+pub struct Front {
+    me: instance::Id,
+    home: domain::Name,
+    directory: Directory,
+    table: Table,
+    known: Vec<instance::Id>,
+    confirmed: Option<Instant>,
+    /// When an unknown token was first seen in a flow.
+    strangers: FxHashMap<Flow, Instant>,
+    next_sweep: Instant,
+    rng: Pcg32,
+}
+
+impl Front {
+    /// An instance named `me` in the failure domain `home`.
+    pub fn new(me: instance::Id, home: domain::Name, seed: u64) -> Self {
+        Front {
+            known: vec![me.clone()],
+            me,
+            home,
+            directory: Directory::default(),
+            table: Table::default(),
+            confirmed: None,
+            strangers: FxHashMap::default(),
+            next_sweep: Instant::default(),
+            rng: Pcg32::seed_from_u64(seed),
+        }
+    }
+
+    /// Routes and targets as published.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Flows seen here.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Whether packets can be placed.
+    pub fn is_ready(&self) -> bool {
+        self.directory.is_configured()
+    }
+
+    /// Decides what becomes of a caller's packet.
+    pub fn packet(&mut self, packet: &Packet, now: Instant, actions: &mut Vec<Action>) -> Verdict {
+        if !self.is_ready() {
+            return Verdict::Drop(Dropped::Unconfigured);
+        }
+        if packet.flags.opens {
+            return self.open(packet, now, actions);
+        }
+        self.carry(packet, now, actions)
+    }
+
+    /// Takes one event and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.tick(now, actions),
+            Event::Published(changes) => self.publish(changes, now, actions),
+            Event::Confirmed(at) => self.confirmed = Some(at),
+            Event::Known(known) => self.known = known,
+            Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
+            Event::Doubted(target) => self.hear_doubt(&target, now, actions),
+        }
+    }
+
+    /// Time since the platform confirmed the published state.
+    fn age(&self, now: Instant) -> Option<Span> {
+        self.confirmed.map(|at| now.since(at))
+    }
+
+    /// Whether what is absent from the published state can be relied on.
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.age(now).is_some_and(|age| age < FRESH)
+    }
+
+    fn forward(&self, slot: usize) -> Option<Verdict> {
+        let target = self.directory.get(slot)?;
+        let key = target.registration.key;
+        let address = target.registration.address;
+        Some(Verdict::Forward { key, address, token: target.token })
+    }
+
+    /// Resets the flow of `packet` and forgets it.
+    fn refuse(
+        &mut self,
+        packet: &Packet,
+        reason: Refused,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Verdict {
+        let flow = packet.flow();
+        let record = self.forget(&flow);
+        let target = record.and_then(|record| self.directory.get(record.target));
+        let target = target.map(|target| target.registration.id.clone());
+        let age = self.age(now);
+        actions.push(Action::Note(Note::Reset { flow, target, reason, age }));
+        // In an opening packet the acknowledgement counts copies; any position
+        // resets a flow that is not open.
+        Verdict::Reset(Reset { flow, sequence: packet.acknowledgement })
+    }
+
+    /// Remembers a flow at its target.
+    fn remember(&mut self, flow: Flow, record: Record) {
+        self.forget(&flow);
+        if self.table.insert(flow, record)
+            && let Some(target) = self.directory.get_mut(record.target)
+        {
+            target.signal.flows += 1;
+        }
+    }
+
+    /// Forgets a flow and what it counts for at its target.
+    fn forget(&mut self, flow: &Flow) -> Option<Record> {
+        let record = self.table.remove(flow)?;
+        if let Some(target) = self.directory.get_mut(record.target)
+            && record.stage != Stage::Ended
+        {
+            target.signal.flows = target.signal.flows.saturating_sub(1);
+            let waiting = u32::from(record.waiting.is_some());
+            target.signal.waiting = target.signal.waiting.saturating_sub(waiting);
+        }
+        Some(record)
+    }
+}
--- /dev/null
+++ b/crates/mustardway_flow/src/front/carry.rs
@@ -0,0 +1,179 @@
+//! Packets of open flows: each goes to the target that its token names.
+
+use mustardway_types::time::{Instant, Span};
+
+use super::{Action, FRESH, Front, Verdict};
+use crate::note::{Dropped, Refused};
+use crate::packet::{Flow, Packet, is_after};
+use crate::standing::Trust;
+use crate::table::{Record, Stage};
+use crate::token::Token;
+
+/// Time without an answer after which bytes that are sent again count against
+/// the target. Callers send them again after 200 ms.
+const UNANSWERED: Span = Span::millis(150);
+/// Flows with unknown tokens that are remembered, at most.
+const STRANGERS_MAX: usize = 4_096;
+
+impl Front {
+    /// Decides what becomes of a packet that opens no flow.
+    pub(super) fn carry(
+        &mut self,
+        packet: &Packet,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Verdict {
+        if packet.token == Token::NONE {
+            return Verdict::Drop(Dropped::NoToken);
+        }
+        let Some(slot) = self.directory.slot_of_token(packet.token) else {
+            return self.carry_stranger(packet, now, actions);
+        };
+        let Some(target) = self.directory.get(slot) else {
+            return Verdict::Drop(Dropped::UnknownToken);
+        };
+        if !self.directory.has_led(packet.destination, &target.registration.service) {
+            return Verdict::Drop(Dropped::ForeignToken);
+        }
+        let Some(route) = self.directory.route(packet.destination) else {
+            return self.refuse(packet, Refused::RouteRemoved, now, actions);
+        };
+        let is_repeatable = super::open::is_repeatable(route);
+        self.observe(packet, slot, now, actions);
+        if self.is_over(slot, is_repeatable) && !packet.flags.resets {
+            return self.refuse(packet, Refused::TargetLost, now, actions);
+        }
+        self.forward(slot).unwrap_or(Verdict::Drop(Dropped::UnknownToken))
+    }
+
+    /// Whether the flows of a target cannot go on. A request that may run once
+    /// at most is left alone while its target may still be at work on it.
+    pub(super) fn is_over(&self, slot: usize, is_repeatable: bool) -> bool {
+        let Some(target) = self.directory.get(slot) else { return false };
+        target.standing.trust() == Trust::Lost && (is_repeatable || target.standing.is_gone())
+    }
+
+    /// A token that names no known target: of one that was registered just now,
+    /// or of one that left before this instance started.
+    fn carry_stranger(
+        &mut self,
+        packet: &Packet,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Verdict {
+        let flow = packet.flow();
+        let Some(first) = self.strangers.get(&flow).copied() else {
+            if self.strangers.len() < STRANGERS_MAX {
+                self.strangers.insert(flow, now);
+            }
+            return Verdict::Drop(Dropped::UnknownToken);
+        };
+        if now.since(first) < FRESH || !self.is_fresh(now) {
+            return Verdict::Drop(Dropped::UnknownToken);
+        }
+        self.strangers.remove(&flow);
+        self.refuse(packet, Refused::UnknownToken, now, actions)
+    }
+
+    /// Notes what a packet tells of its flow and its target.
+    fn observe(&mut self, packet: &Packet, slot: usize, now: Instant, actions: &mut Vec<Action>) {
+        let flow = packet.flow();
+        self.settle(&flow, packet, slot, now);
+        let Some(record) = self.table.get_mut(&flow) else { return };
+        record.seen = now;
+        let mut heard = false;
+        if record.stage == Stage::Opening {
+            record.stage = Stage::Open;
+            record.acknowledged = packet.acknowledgement;
+            heard = true;
+        }
+        if is_after(packet.acknowledgement, record.acknowledged) {
+            record.acknowledged = packet.acknowledgement;
+            heard = true;
+        }
+        let answered = heard && record.waiting.take().is_some();
+        let mut silent_since = None;
+        let mut asked = false;
+        if packet.length > 0 {
+            let end = packet.sequence.wrapping_add(u32::from(packet.length));
+            let is_new = record.sent.is_none_or(|sent| is_after(end, sent));
+            if is_new {
+                record.sent = Some(end);
+                asked = record.waiting.is_none();
+                record.waiting = record.waiting.or(Some(now));
+            } else {
+                silent_since = record.waiting;
+            }
+        }
+        let ended = packet.flags.finishes || packet.flags.resets;
+        self.count(slot, heard, answered, asked, now, actions);
+        if let Some(since) = silent_since {
+            self.hear_silence(slot, flow, since, now, actions);
+        }
+        if ended {
+            self.end(&flow);
+        }
+    }
+
+    /// Makes the record of a flow agree with the token that its packet carries.
+    fn settle(&mut self, flow: &Flow, packet: &Packet, slot: usize, now: Instant) {
+        let known = self.table.get(flow).copied();
+        if known.is_some_and(|record| record.target == slot) {
+            return;
+        }
+        // Another target than the last one that was tried has opened the flow,
+        // or this instance has not seen the flow before.
+        let stage = if known.is_some() { Stage::Opening } else { Stage::Open };
+        let mut record = Record::new(slot, stage, now);
+        record.opening = known.and_then(|known| known.opening);
+        record.acknowledged = packet.acknowledgement;
+        self.remember(*flow, record);
+    }
+
+    /// Counts at a target what one packet told.
+    fn count(
+        &mut self,
+        slot: usize,
+        heard: bool,
+        answered: bool,
+        asked: bool,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(target) = self.directory.get_mut(slot) else { return };
+        let signal = &mut target.signal;
+        signal.waiting = signal.waiting.saturating_sub(u32::from(answered)) + u32::from(asked);
+        if !heard {
+            return;
+        }
+        signal.hear(now);
+        if target.standing.hear() {
+            let id = target.registration.id.clone();
+            actions.push(Action::Note(crate::note::Note::Trusted { target: id }));
+        }
+    }
+
+    /// A caller sent the same bytes again.
+    fn hear_silence(
+        &mut self,
+        slot: usize,
+        flow: Flow,
+        since: Instant,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(target) = self.directory.get(slot) else { return };
+        if now.since(since) < UNANSWERED || target.signal.heard_after(since) {
+            return;
+        }
+        self.doubt(slot, Some(flow), now, actions);
+    }
+
+    /// The caller has nothing more to send.
+    fn end(&mut self, flow: &Flow) {
+        let Some(mut record) = self.forget(flow) else { return };
+        record.stage = Stage::Ended;
+        record.waiting = None;
+        self.table.insert(*flow, record);
+    }
+}
--- /dev/null
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -0,0 +1,215 @@
+//! Opening packets: each new flow is placed once.
+//!
+//! Copies of an opening packet follow the first one, unless that went unanswered
+//! for as long as a caller waits before it sends a copy.
+
+use mustardway_mirror::publication::{Route, Share};
+use mustardway_types::service;
+use mustardway_types::time::{Instant, Span};
+use rand::RngExt;
+
+use super::{Action, Front, Verdict};
+use crate::cold;
+use crate::directory::{LAPSE, Target};
+use crate::note::{Dropped, Note, Refused};
+use crate::packet::Packet;
+use crate::placement::{self, Candidate, Grade, WEIGHTS};
+use crate::standing::Trust;
+use crate::table::{Record, Stage};
+
+/// Time without an answer after which a copy of an opening packet may go to
+/// another target. Callers send the first copy after 200 ms; copies that come
+/// sooner were held up together, so they tell nothing of the target.
+const UNANSWERED: Span = Span::millis(150);
+
+impl Front {
+    /// Decides what becomes of an opening packet.
+    pub(super) fn open(
+        &mut self,
+        packet: &Packet,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Verdict {
+        if self.directory.route(packet.destination).is_none() {
+            if !self.is_fresh(now) {
+                return Verdict::Drop(Dropped::NoRoute);
+            }
+            return self.refuse(packet, Refused::NoRoute, now, actions);
+        }
+        let avoid = match self.copied(packet, now, actions) {
+            Copied::Follow(verdict) => return verdict,
+            Copied::Avoid(slot) => Some(slot),
+            Copied::No => None,
+        };
+        match self.place(packet, avoid, now) {
+            Some(slot) => self.start(packet, slot, now, actions),
+            None => self.refuse(packet, Refused::NoTarget, now, actions),
+        }
+    }
+
+    /// What is known of an earlier copy of an opening packet.
+    fn copied(&mut self, packet: &Packet, now: Instant, actions: &mut Vec<Action>) -> Copied {
+        let flow = packet.flow();
+        let Some(record) = self.table.get(&flow).copied() else { return Copied::No };
+        if record.opening != Some(packet.sequence) {
+            return Copied::No;
+        }
+        let trust = self.directory.get(record.target).map(|target| target.standing.trust());
+        let is_lost = trust == Some(Trust::Lost);
+        let is_early = now.since(record.placed) < UNANSWERED && !is_lost;
+        if (record.stage != Stage::Opening || is_early)
+            && let Some(verdict) = self.forward(record.target)
+        {
+            return Copied::Follow(verdict);
+        }
+        if let Some(target) = self.directory.get_mut(record.target) {
+            target.signal.pass_over(now);
+        }
+        if !self.has_answered(record.target, record.placed) {
+            self.doubt(record.target, Some(flow), now, actions);
+        }
+        Copied::Avoid(record.target)
+    }
+
+    /// Whether a caller has heard a target since `at`.
+    fn has_answered(&self, slot: usize, at: Instant) -> bool {
+        self.directory.get(slot).is_some_and(|target| target.signal.heard_after(at))
+    }
+
+    /// Sends a new flow to the target at `slot`.
+    fn start(
+        &mut self,
+        packet: &Packet,
+        slot: usize,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Verdict {
+        let flow = packet.flow();
+        let Some(verdict) = self.forward(slot) else {
+            return self.refuse(packet, Refused::NoTarget, now, actions);
+        };
+        let mut record = Record::new(slot, Stage::Opening, now);
+        record.opening = Some(packet.sequence);
+        self.remember(flow, record);
+        self.count_cold(slot, now);
+        let age = self.age(now);
+        if let Some(target) = self.directory.get(slot) {
+            actions.push(Action::Note(Note::Placed {
+                flow,
+                target: target.registration.id.clone(),
+                copies: packet.acknowledgement,
+                waiting: target.signal.waiting,
+                age,
+            }));
+        }
+        verdict
+    }
+
+    /// The target of a new flow.
+    fn place(&mut self, packet: &Packet, avoid: Option<usize>, now: Instant) -> Option<usize> {
+        let mut shares = self.directory.route(packet.destination)?.shares.clone();
+        while !shares.is_empty() {
+            let share = shares.swap_remove(self.draw(&shares));
+            let mut candidates = self.candidates(&share.service, now);
+            if candidates.iter().any(|candidate| Some(candidate.slot) != avoid) {
+                candidates.retain(|candidate| Some(candidate.slot) != avoid);
+            }
+            if let Some(slot) = placement::choose(&candidates, &WEIGHTS, &mut self.rng) {
+                return Some(slot);
+            }
+        }
+        None
+    }
+
+    /// Draws one of `shares` by weight.
+    fn draw(&mut self, shares: &[Share]) -> usize {
+        let total: u64 = shares.iter().map(|share| u64::from(share.weight)).sum();
+        if total == 0 {
+            return self.rng.random_range(0..shares.len());
+        }
+        let mut drawn = self.rng.random_range(0..total);
+        for (index, share) in shares.iter().enumerate() {
+            let weight = u64::from(share.weight);
+            if drawn < weight {
+                return index;
+            }
+            drawn -= weight;
+        }
+        0
+    }
+
+    /// Targets of a service that may take a new flow.
+    fn candidates(&self, service: &service::Name, now: Instant) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for slot in self.directory.slots_of(service) {
+            let Some(target) = self.directory.get(*slot) else { continue };
+            if !self.may_take(target, now) {
+                continue;
+            }
+            let doubtful = target.standing.trust() != Trust::Trusted
+                || target.missing.is_some()
+                || target.signal.is_passed_over(now);
+            candidates.push(Candidate {
+                slot: *slot,
+                grade: if doubtful { Grade::Doubtful } else { Grade::Good },
+                is_local: target.registration.domain == self.home,
+                is_cold: now < target.cold_until,
+                waiting: target.signal.waiting,
+                flows: target.signal.flows,
+                slots: target.registration.slots,
+            });
+        }
+        candidates
+    }
+
+    fn may_take(&self, target: &Target, now: Instant) -> bool {
+        let registration = &target.registration;
+        if registration.leaving || target.is_shadowed {
+            return false;
+        }
+        if self.directory.is_evacuated(&registration.domain) {
+            return false;
+        }
+        if target.missing.is_some_and(|since| now.since(since) >= LAPSE) {
+            return false;
+        }
+        if target.standing.trust() == Trust::Lost {
+            return false;
+        }
+        now >= target.cold_until
+            || self.cold_share(target).is_none_or(|rate| rate > 0.0 && target.pacer.is_open(now))
+    }
+
+    /// Flows a second that this instance may send to a cold target, where limited.
+    fn cold_share(&self, target: &Target) -> Option<f64> {
+        let rate = self.directory.cold_rate(&target.registration.service)?;
+        Some(cold::share(&self.me, &self.known, &target.registration.id, rate))
+    }
+
+    fn count_cold(&mut self, slot: usize, now: Instant) {
+        let Some(target) = self.directory.get(slot) else { return };
+        if now >= target.cold_until {
+            return;
+        }
+        let Some(rate) = self.cold_share(target) else { return };
+        if let Some(target) = self.directory.get_mut(slot) {
+            target.pacer.take(rate, now);
+        }
+    }
+}
+
+/// What is known of an earlier copy of an opening packet.
+enum Copied {
+    /// Nothing.
+    No,
+    /// This one goes the same way.
+    Follow(Verdict),
+    /// The target left it unanswered.
+    Avoid(usize),
+}
+
+/// Whether callers of a route may repeat a request that may have run.
+pub(super) fn is_repeatable(route: &Route) -> bool {
+    use mustardway_mirror::publication::Repeat;
+    route.repeat == Repeat::Free
+}
--- /dev/null
+++ b/crates/mustardway_flow/src/front/watch.rs
@@ -0,0 +1,149 @@
+//! Doubts, probes and the published state.
+
+use mustardway_mirror::publication::{Change, Key};
+use mustardway_types::target;
+use mustardway_types::time::{Instant, Span};
+
+use super::{Action, Front, Probe};
+use crate::note::{Note, Refused};
+use crate::packet::{Flow, Reset};
+use crate::standing::{Finding, Outcome};
+
+/// Time between two sweeps of old flows and targets.
+const SWEEP: Span = Span::seconds(1);
+/// How long a flow with an unknown token is remembered.
+const STRANGER_MAX: Span = Span::seconds(10);
+
+impl Front {
+    /// A target left something unanswered.
+    pub(super) fn doubt(
+        &mut self,
+        slot: usize,
+        flow: Option<Flow>,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(target) = self.directory.get_mut(slot) else { return };
+        if !target.standing.doubt(now) {
+            return;
+        }
+        let id = target.registration.id.clone();
+        if flow.is_some() {
+            actions.push(Action::TellDoubt(id.clone()));
+        }
+        actions.push(Action::Note(Note::Doubted { target: id, flow }));
+        self.probe(slot, now, actions);
+    }
+
+    /// A peer found that a target left something unanswered. An instance that
+    /// has no flows there, or has just heard it, has nothing to find out.
+    pub(super) fn hear_doubt(&mut self, id: &target::Id, now: Instant, actions: &mut Vec<Action>) {
+        const HEARD: Span = Span::millis(100);
+        let Some(slot) = self.directory.slot_of(id) else { return };
+        let Some(target) = self.directory.get(slot) else { return };
+        let has_heard = target.signal.heard.is_some_and(|heard| now.since(heard) < HEARD);
+        if target.signal.flows == 0 || has_heard {
+            return;
+        }
+        self.doubt(slot, None, now, actions);
+    }
+
+    fn probe(&mut self, slot: usize, now: Instant, actions: &mut Vec<Action>) {
+        let Some(target) = self.directory.get_mut(slot) else { return };
+        if !target.standing.start_probe(now) {
+            return;
+        }
+        let registration = &target.registration;
+        let (target, address) = (registration.id.clone(), registration.address);
+        let path = self.directory.health(&self.directory_service(slot)).cloned();
+        let path = path.unwrap_or_default();
+        actions.push(Action::Probe(Probe { target, address, path }));
+    }
+
+    fn directory_service(&self, slot: usize) -> mustardway_types::service::Name {
+        let target = self.directory.get(slot).expect("the caller has found the target");
+        target.registration.service.clone()
+    }
+
+    /// Takes what a probe found.
+    pub(super) fn probed(
+        &mut self,
+        id: &target::Id,
+        outcome: Outcome,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(slot) = self.directory.slot_of(id) else { return };
+        let Some(target) = self.directory.get_mut(slot) else { return };
+        let heard = target.signal.heard;
+        match target.standing.probed(outcome, heard, now) {
+            Finding::Unchanged => {}
+            Finding::Trusted => {
+                actions.push(Action::Note(Note::Trusted { target: id.clone() }));
+            }
+            Finding::Lost => self.lose(slot, id, now, actions),
+        }
+    }
+
+    /// Resets the flows of a target that no longer answers, so that callers
+    /// start again at another one.
+    fn lose(&mut self, slot: usize, id: &target::Id, now: Instant, actions: &mut Vec<Action>) {
+        let age = self.age(now);
+        let mut count = 0;
+        for (flow, record) in self.table.flows_of(slot) {
+            let route = self.directory.route(flow.route);
+            let is_repeatable = route.is_some_and(super::open::is_repeatable);
+            if !self.is_over(slot, is_repeatable) {
+                continue;
+            }
+            self.forget(&flow);
+            count += 1;
+            actions.push(Action::Reset(Reset { flow, sequence: record.acknowledged }));
+            let target = Some(id.clone());
+            let reason = Refused::TargetLost;
+            actions.push(Action::Note(Note::Reset { flow, target, reason, age }));
+        }
+        actions.push(Action::Note(Note::Lost { target: id.clone(), flows: count }));
+    }
+
+    /// Takes changes of the published state.
+    pub(super) fn publish(
+        &mut self,
+        changes: Vec<Change>,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        for change in changes {
+            let removed = match &change {
+                Change::Removed(Key::Target(id)) => Some(id.clone()),
+                _ => None,
+            };
+            actions.extend(self.directory.apply(change, now).map(Action::Note));
+            let Some(slot) = removed.and_then(|id| self.directory.slot_of(&id)) else { continue };
+            let flows = self.directory.get(slot).map_or(0, |target| target.signal.flows);
+            if flows > 0 {
+                self.doubt(slot, None, now, actions);
+            }
+        }
+    }
+
+    /// Probes that are due, and sweeps.
+    pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        for slot in self.directory.slots() {
+            let Some(target) = self.directory.get(slot) else { continue };
+            if target.missing.is_some() && target.signal.flows == 0 {
+                continue;
+            }
+            self.probe(slot, now, actions);
+        }
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP;
+        for flow in self.table.old(self.directory.idle(), now) {
+            self.forget(&flow);
+        }
+        self.strangers.retain(|_, first| now.since(*first) < STRANGER_MAX);
+        self.directory.forget(now);
+    }
+}
--- /dev/null
+++ b/crates/mustardway_flow/src/note.rs
@@ -0,0 +1,133 @@
+//! Decisions worth a log line, and why packets are dropped.
+
+use displaydoc::Display;
+use mustardway_types::time::Span;
+use mustardway_types::{domain, target};
+
+use crate::packet::Flow;
+
+/// Why a packet was dropped without an answer.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Dropped {
+    /// nothing is published yet
+    Unconfigured,
+    /// no such route, but the copy is too old to be sure
+    NoRoute,
+    /// its token names no known target
+    UnknownToken,
+    /// its token names a target of a service that the route never led to
+    ForeignToken,
+    /// no flow to open and no token
+    NoToken,
+}
+
+impl Dropped {
+    /// All of them.
+    pub const ALL: [Dropped; 5] = [
+        Dropped::Unconfigured,
+        Dropped::NoRoute,
+        Dropped::UnknownToken,
+        Dropped::ForeignToken,
+        Dropped::NoToken,
+    ];
+}
+
+/// Why a flow was reset.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Refused {
+    /// no such route
+    NoRoute,
+    /// the route was removed
+    RouteRemoved,
+    /// no target of the route may take it
+    NoTarget,
+    /// its target no longer answers
+    TargetLost,
+    /// its token names no known target
+    UnknownToken,
+}
+
+impl Refused {
+    /// All of them.
+    pub const ALL: [Refused; 5] = [
+        Refused::NoRoute,
+        Refused::RouteRemoved,
+        Refused::NoTarget,
+        Refused::TargetLost,
+        Refused::UnknownToken,
+    ];
+}
+
+/// One decision.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    /// A new flow was placed.
+    Placed {
+        /// The flow.
+        flow: Flow,
+        /// Its target.
+        target: target::Id,
+        /// Copies of the opening packet that went before.
+        copies: u32,
+        /// Requests that were seen waiting at the target.
+        waiting: u32,
+        /// Time since the published state was confirmed.
+        age: Option<Span>,
+    },
+    /// A flow was reset.
+    Reset {
+        /// The flow.
+        flow: Flow,
+        /// Its target, where it has one.
+        target: Option<target::Id>,
+        /// Why.
+        reason: Refused,
+        /// Time since the published state was confirmed.
+        age: Option<Span>,
+    },
+    /// A target left something unanswered.
+    Doubted {
+        /// The target.
+        target: target::Id,
+        /// The flow that noticed; none where a peer told.
+        flow: Option<Flow>,
+    },
+    /// A target does not answer a probe either.
+    Lost {
+        /// The target.
+        target: target::Id,
+        /// Flows that were reset.
+        flows: usize,
+    },
+    /// A target answers.
+    Trusted {
+        /// The target.
+        target: target::Id,
+    },
+    /// A configuration came into force.
+    Configured {
+        /// Its version.
+        version: u64,
+        /// Its routes.
+        routes: usize,
+    },
+    /// A target was registered, or registered anew.
+    Registered {
+        /// The target.
+        target: target::Id,
+        /// It is about to leave.
+        leaving: bool,
+    },
+    /// A target is no longer registered.
+    Unregistered {
+        /// The target.
+        target: target::Id,
+    },
+    /// A failure domain gets nothing, or is taken back.
+    Evacuated {
+        /// The failure domain.
+        domain: domain::Name,
+        /// It gets nothing.
+        out: bool,
+    },
+}
--- /dev/null
+++ b/crates/mustardway_flow/src/placement.rs
@@ -0,0 +1,83 @@
+//! The target of a new flow.
+//!
+//! Every candidate is scored by the work that waits at it for each of its slots,
+//! with a charge for another failure domain and some noise, so that instances
+//! that see the same do not all choose the same. This answers bursts of new
+//! flows, and the bytes between failure domains.
+
+use rand::RngExt;
+use rand_pcg::Pcg32;
+
+/// How gladly a target is used, best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Grade {
+    /// Nothing speaks against it.
+    Good,
+    /// It left something unanswered, or its registration is missing.
+    Doubtful,
+}
+
+/// A target that may take a new flow.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// Its place in the directory.
+    pub slot: usize,
+    /// How gladly it is used.
+    pub grade: Grade,
+    /// It lives in the failure domain of this instance.
+    pub is_local: bool,
+    /// It has just started and works slowly.
+    pub is_cold: bool,
+    /// Requests seen here that wait at it.
+    pub waiting: u32,
+    /// Flows seen here that are open at it.
+    pub flows: u32,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+}
+
+/// Weights of the score, in requests that wait for one slot.
+#[derive(Debug, Clone, Copy)]
+pub struct Weights {
+    /// Charge for another failure domain.
+    pub distance: f64,
+    /// Charge for a cold target.
+    pub cold: f64,
+    /// Charge for an open flow that asks nothing now: the share of their time
+    /// that long flows spend waiting for an answer.
+    pub flow: f64,
+    /// Greatest random addition.
+    pub noise: f64,
+}
+
+/// Measured on both users' standard days.
+pub const WEIGHTS: Weights = Weights { distance: 0.6, cold: 0.5, flow: 0.1, noise: 0.3 };
+
+/// The best candidate, if there is any.
+pub fn choose(candidates: &[Candidate], weights: &Weights, rng: &mut Pcg32) -> Option<usize> {
+    let grade = candidates.iter().map(|candidate| candidate.grade).min()?;
+    let mut best: Option<(f64, usize)> = None;
+    for candidate in candidates {
+        if candidate.grade != grade {
+            continue;
+        }
+        let score = score(candidate, weights) + rng.random_range(0.0..=weights.noise);
+        if best.is_none_or(|(least, _)| score < least) {
+            best = Some((score, candidate.slot));
+        }
+    }
+    best.map(|(_, slot)| slot)
+}
+
+fn score(candidate: &Candidate, weights: &Weights) -> f64 {
+    let idle = candidate.flows.saturating_sub(candidate.waiting);
+    let work = f64::from(candidate.waiting) + weights.flow * f64::from(idle);
+    let mut score = work / f64::from(candidate.slots.max(1));
+    if !candidate.is_local {
+        score += weights.distance;
+    }
+    if candidate.is_cold {
+        score += weights.cold;
+    }
+    score
+}
--- /dev/null
+++ b/crates/mustardway_flow/src/table.rs
@@ -0,0 +1,130 @@
+//! Flows seen here.
+
+use mustardway_types::time::{Instant, Span};
+use rustc_hash::FxHashMap;
+
+use crate::packet::Flow;
+
+/// Most flows that are remembered: 96 bytes each, under 4 MB together. Others
+/// are still forwarded by their tokens.
+const FLOWS_MAX: usize = 40_000;
+/// How long a flow that ended is remembered, for copies of its last packets.
+const ENDED: Span = Span::seconds(5);
+/// Silence after which a flow is forgotten, unless the configuration says less.
+const IDLE_MAX: Span = Span::seconds(60);
+
+/// How far a flow has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// The caller has not yet shown that it heard the target.
+    Opening,
+    /// Both ends know of each other.
+    Open,
+    /// The caller has nothing more to send.
+    Ended,
+}
+
+/// What is remembered of one flow.
+#[derive(Debug, Clone, Copy)]
+pub struct Record {
+    /// Place of its target in the directory.
+    pub target: usize,
+    /// How far it has come.
+    pub stage: Stage,
+    /// Sequence of its opening packet, where that was seen.
+    pub opening: Option<u32>,
+    /// When it was placed, or first seen.
+    pub placed: Instant,
+    /// When the caller last sent something.
+    pub seen: Instant,
+    /// Position up to which the caller has received.
+    pub acknowledged: u32,
+    /// End of what the caller has sent; none before the first data.
+    pub sent: Option<u32>,
+    /// Since when a request waits for its answer.
+    pub waiting: Option<Instant>,
+}
+
+impl Record {
+    /// A flow that was just placed, or is seen for the first time.
+    pub fn new(target: usize, stage: Stage, now: Instant) -> Self {
+        Record {
+            target,
+            stage,
+            opening: None,
+            placed: now,
+            seen: now,
+            acknowledged: 0,
+            sent: None,
+            waiting: None,
+        }
+    }
+}
+
+/// Flows seen here.
+#[derive(Debug, Default)]
+pub struct Table {
+    flows: FxHashMap<Flow, Record>,
+}
+
+impl Table {
+    /// What is remembered of a flow.
+    pub fn get_mut(&mut self, flow: &Flow) -> Option<&mut Record> {
+        self.flows.get_mut(flow)
+    }
+
+    /// What is remembered of a flow.
+    pub fn get(&self, flow: &Flow) -> Option<&Record> {
+        self.flows.get(flow)
+    }
+
+    /// Remembers a flow; whether there was room.
+    pub fn insert(&mut self, flow: Flow, record: Record) -> bool {
+        if self.flows.len() >= FLOWS_MAX {
+            return false;
+        }
+        self.flows.insert(flow, record);
+        true
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, flow: &Flow) -> Option<Record> {
+        self.flows.remove(flow)
+    }
+
+    /// Flows of a target that have not ended.
+    pub fn flows_of(&self, target: usize) -> Vec<(Flow, Record)> {
+        let mut flows = Vec::new();
+        for (flow, record) in &self.flows {
+            if record.target == target && record.stage != Stage::Ended {
+                flows.push((*flow, *record));
+            }
+        }
+        flows.sort_unstable_by_key(|(flow, _)| *flow);
+        flows
+    }
+
+    /// Flows that need not be remembered any longer.
+    pub fn old(&self, idle: Option<Span>, now: Instant) -> Vec<Flow> {
+        let idle = idle.map_or(IDLE_MAX, |idle| idle.min(IDLE_MAX));
+        let mut old = Vec::new();
+        for (flow, record) in &self.flows {
+            let most = if record.stage == Stage::Open { idle } else { ENDED };
+            if now.since(record.seen) >= most {
+                old.push(*flow);
+            }
+        }
+        old.sort_unstable();
+        old
+    }
+
+    /// Flows remembered.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Whether no flow is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.flows.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/mustardway_front/src/control.rs
@@ -0,0 +1,395 @@
+//! The task that owns the decisions.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use mustardway_flow::front::{self, Front, Verdict};
+use mustardway_flow::standing::Outcome;
+use mustardway_membership::{action, event, member, message as membership_message, node};
+use mustardway_mirror::node::{self as mirror, Answer, Failure};
+use mustardway_mirror::{message as mirror_message, place};
+use mustardway_peer::frame::Kind;
+use mustardway_peer::link::Peer;
+use mustardway_peer::mesh::Mesh;
+use mustardway_peer::send::Priority;
+use mustardway_types::clock::Clock;
+use mustardway_types::time::{Instant, Span};
+use mustardway_types::{domain, instance, target};
+use prost::Message;
+use slog::Logger;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::pause::Watch;
+use crate::peers::{DOUBT, Doubt, MEMBERSHIP, MIRROR};
+use crate::port::Ports;
+use crate::report::Report;
+
+/// Packets that are read before other work gets its turn.
+const BATCH: usize = 64;
+/// Room for one datagram: envelope, head and 1,200 bytes of data, with a margin.
+const DATAGRAM_MAX: usize = 2_048;
+/// Live instances up to which a doubt is told to all of them; beyond, only to
+/// those of the own failure domain, which send to the same targets.
+const TELL_ALL_MAX: usize = 16;
+
+/// What the task is told.
+#[derive(Debug)]
+pub enum Input {
+    /// A frame of a peer.
+    Frame {
+        /// The peer.
+        from: instance::Id,
+        /// What the body holds.
+        kind: Kind,
+        /// The message.
+        body: Bytes,
+    },
+    /// The link to a peer broke.
+    LinkDown(instance::Id),
+    /// The platform's answer.
+    Answer(Result<Answer, Failure>),
+    /// What a probe found.
+    Probed(target::Id, Outcome),
+}
+
+/// What the task works with.
+pub struct Parts {
+    /// The clock.
+    pub clock: Clock,
+    /// Name of this instance among its peers.
+    pub me: instance::Id,
+    /// Failure domain that it lives in.
+    pub home: domain::Name,
+    /// Where packets come in.
+    pub socket: UdpSocket,
+    /// Links to other instances.
+    pub mesh: Mesh,
+    /// Who lives.
+    pub membership: node::Node,
+    /// What an adapter brings.
+    pub ports: Ports,
+    /// Ways to tell the task something.
+    pub inputs: mpsc::Sender<Input>,
+    /// Where it logs.
+    pub logger: Logger,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+/// The state of the task.
+pub struct Control {
+    parts: Parts,
+    front: Front,
+    mirror: mirror::Node,
+    report: Report,
+    watch: Watch,
+    /// Version of the live list that places were worked out for.
+    version: Option<u64>,
+    /// Live peers and where they listen.
+    peers: BTreeMap<instance::Id, SocketAddr>,
+    neighbours: Vec<instance::Id>,
+    /// When the latest packet came in.
+    packet_at: Instant,
+    buffer: Vec<u8>,
+}
+
+impl Control {
+    /// A task that starts now.
+    pub fn new(parts: Parts) -> Self {
+        let now = parts.clock.now();
+        Control {
+            front: Front::new(parts.me.clone(), parts.home.clone(), parts.seed),
+            mirror: mirror::Node::new(parts.seed, now),
+            report: Report::new(parts.logger.clone()),
+            watch: Watch::new(now),
+            version: None,
+            peers: BTreeMap::new(),
+            neighbours: Vec::new(),
+            packet_at: now,
+            buffer: vec![0; DATAGRAM_MAX],
+            parts,
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Instant {
+        self.parts.clock.now()
+    }
+
+    /// Whether packets can be placed.
+    pub fn is_ready(&self) -> bool {
+        self.front.is_ready()
+    }
+
+    /// Time since the latest packet came in.
+    pub fn quiet(&self) -> Span {
+        self.now().since(self.packet_at)
+    }
+
+    /// Waits until a packet can be read.
+    ///
+    /// # Errors
+    /// When the socket fails.
+    pub async fn readable(&self) -> std::io::Result<()> {
+        self.parts.socket.readable().await
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self) {
+        let now = self.now();
+        if let Some((paused, missed)) = self.watch.tick(now) {
+            slog::warn!(self.parts.logger, "the process did not run";
+                "for" => %paused, "missed_by_clock" => %missed);
+            self.tell_mirror(mirror::Event::Paused(missed), now);
+        }
+        self.tell_membership(event::Event::Tick, now);
+        self.tell_mirror(mirror::Event::Tick, now);
+        self.tell_front(front::Event::Tick, now);
+        self.report.tick(now);
+    }
+
+    /// Takes what the task is told.
+    pub fn take(&mut self, input: Input) {
+        let now = self.now();
+        match input {
+            Input::Frame { from, kind, body } => self.take_frame(from, kind, body, now),
+            Input::LinkDown(id) => self.tell_membership(event::Event::LinkDown(id), now),
+            Input::Answer(answer) => self.tell_mirror(mirror::Event::Answer(answer), now),
+            Input::Probed(target, outcome) => {
+                self.tell_front(front::Event::Probed(target, outcome), now);
+            }
+        }
+    }
+
+    /// Tells peers that this instance is about to stop.
+    pub fn leave(&mut self) {
+        let now = self.now();
+        self.tell_membership(event::Event::Leave, now);
+    }
+
+    /// Tells peers that this instance stops, and closes the links.
+    pub async fn close(&mut self, deadline: Span) {
+        let now = self.now();
+        self.tell_membership(event::Event::Left, now);
+        self.parts.mesh.close(deadline).await;
+    }
+
+    /// Reads and forwards the packets that wait, up to a batch.
+    pub fn receive(&mut self) {
+        let now = self.now();
+        let envelope = self.parts.ports.codec.envelope();
+        let mut actions = Vec::new();
+        for _ in 0..BATCH {
+            let received = self.parts.socket.try_recv_from(&mut self.buffer[envelope..]);
+            let length = match received {
+                Ok((length, _)) => length,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+                Err(error) => {
+                    // An earlier datagram met a closed port.
+                    slog::debug!(self.parts.logger, "reading a packet failed"; "error" => %error);
+                    continue;
+                }
+            };
+            self.packet_at = now;
+            self.carry(envelope + length, now, &mut actions);
+        }
+        self.act(actions, now);
+    }
+
+    fn carry(&mut self, end: usize, now: Instant, actions: &mut Vec<front::Action>) {
+        let codec = Arc::clone(&self.parts.ports.codec);
+        let Some(packet) = codec.decode(&self.buffer[codec.envelope()..end]) else {
+            self.report.malformed();
+            return;
+        };
+        match self.front.packet(&packet, now, actions) {
+            Verdict::Forward { key, address, token } => {
+                codec.address(&mut self.buffer[..end], key, token);
+                self.report.forwarded();
+                self.send(&self.buffer[..end], address.into());
+            }
+            Verdict::Reset(reset) => self.reset(&reset),
+            Verdict::Drop(reason) => self.report.dropped(reason),
+        }
+    }
+
+    fn reset(&self, reset: &mustardway_flow::packet::Reset) {
+        let (bytes, address) = self.parts.ports.codec.reset(reset);
+        self.send(&bytes, address.into());
+    }
+
+    fn send(&self, bytes: &[u8], to: SocketAddr) {
+        if let Err(error) = self.parts.socket.try_send_to(bytes, to) {
+            // Lost like any packet: its sender sends it again.
+            slog::debug!(self.parts.logger, "sending a packet failed"; "error" => %error);
+        }
+    }
+
+    fn take_frame(&mut self, from: instance::Id, kind: Kind, body: Bytes, now: Instant) {
+        let result = match kind {
+            MEMBERSHIP => membership_message::Message::decode(body).map(|message| {
+                self.tell_membership(event::Event::Received { from: from.clone(), message }, now);
+            }),
+            MIRROR => mirror_message::Message::decode(body).map(|message| {
+                self.tell_mirror(mirror::Event::Received { from: from.clone(), message }, now);
+            }),
+            _ => Doubt::decode(body).map(|doubt| self.take_doubt(&doubt, now)),
+        };
+        if let Err(error) = result {
+            slog::warn!(self.parts.logger, "skipped a malformed message";
+                "peer" => %from, "kind" => %kind, "error" => %error);
+        }
+    }
+
+    fn take_doubt(&mut self, doubt: &Doubt, now: Instant) {
+        match doubt.target.parse() {
+            Ok(target) => self.tell_front(front::Event::Doubted(target), now),
+            Err(error) => {
+                slog::warn!(self.parts.logger, "skipped a doubt"; "error" => %error);
+            }
+        }
+    }
+
+    fn tell_membership(&mut self, event: event::Event, now: Instant) {
+        let mut actions = Vec::new();
+        self.parts.membership.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                action::Action::Send { to, address, message } => {
+                    self.tell(&to, address, Priority::Control, MEMBERSHIP, &message);
+                }
+                // Peers tell of the published state themselves.
+                action::Action::Changed | action::Action::Heard { .. } => {}
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Works out the places of instances where the live list has changed.
+    fn settle(&mut self, now: Instant) {
+        let version = self.parts.membership.version();
+        if self.version == Some(version) {
+            return;
+        }
+        self.version = Some(version);
+        let mut known = Vec::new();
+        let mut live = Vec::new();
+        self.peers.clear();
+        for record in self.parts.membership.members() {
+            if record.state == member::State::Left {
+                continue;
+            }
+            let member = &record.member;
+            known.push(member.id.clone());
+            if !record.state.is_live() {
+                continue;
+            }
+            live.push((&member.id, &member.domain));
+            if member.id != self.parts.me {
+                self.peers.insert(member.id.clone(), member.address);
+            }
+        }
+        let place = place::Place::new(&self.parts.me, &self.parts.home, live);
+        slog::info!(self.parts.logger, "live list changed"; "live" => self.peers.len() + 1,
+            "known" => known.len(), "rank" => place.fleet);
+        self.neighbours.clone_from(&place.neighbours);
+        self.tell_mirror(mirror::Event::Place(place), now);
+        self.tell_front(front::Event::Known(known), now);
+    }
+
+    fn tell_mirror(&mut self, event: mirror::Event, now: Instant) {
+        let mut actions = Vec::new();
+        self.mirror.handle(now, event, &mut actions);
+        for action in actions {
+            self.act_mirror(action, now);
+        }
+    }
+
+    fn act_mirror(&mut self, action: mirror::Action, now: Instant) {
+        let logger = &self.parts.logger;
+        match action {
+            mirror::Action::Read(ask) => {
+                let (store, inputs) =
+                    (Arc::clone(&self.parts.ports.store), self.parts.inputs.clone());
+                tokio::spawn(async move {
+                    let answer = store.ask(ask).await;
+                    // Only a task that has ended does not take it.
+                    let _ = inputs.send(Input::Answer(answer)).await;
+                });
+            }
+            mirror::Action::Send { to, message } => {
+                let Some(address) = self.peers.get(&to).copied() else { return };
+                self.tell(&to, address, Priority::Bulk, MIRROR, &message);
+            }
+            mirror::Action::Changed(changes) => {
+                self.tell_front(front::Event::Published(changes), now);
+            }
+            mirror::Action::Platform(Ok(())) => slog::info!(logger, "the platform answers again"),
+            mirror::Action::Platform(Err(failure)) => {
+                slog::warn!(logger, "the platform does not answer"; "failure" => %failure);
+            }
+            mirror::Action::Unread { from, count } => {
+                slog::warn!(logger, "skipped unreadable changes"; "peer" => %from, "count" => count);
+            }
+        }
+    }
+
+    fn tell_front(&mut self, event: front::Event, now: Instant) {
+        if let Some(age) = self.mirror.age(now) {
+            let confirmed = front::Event::Confirmed(now - age);
+            self.front.handle(now, confirmed, &mut Vec::new());
+        }
+        let mut actions = Vec::new();
+        self.front.handle(now, event, &mut actions);
+        self.act(actions, now);
+    }
+
+    fn act(&mut self, actions: Vec<front::Action>, now: Instant) {
+        for action in actions {
+            match action {
+                front::Action::Reset(reset) => self.reset(&reset),
+                front::Action::Probe(probe) => {
+                    let target = probe.target.clone();
+                    let probing = self.parts.ports.prober.probe(probe);
+                    let inputs = self.parts.inputs.clone();
+                    tokio::spawn(async move {
+                        let outcome = probing.await;
+                        // Only a task that has ended does not take it.
+                        let _ = inputs.send(Input::Probed(target, outcome)).await;
+                    });
+                }
+                front::Action::TellDoubt(target) => self.tell_doubt(&target),
+                front::Action::Note(note) => self.report.note(&note, now),
+            }
+        }
+    }
+
+    fn tell_doubt(&self, target: &target::Id) {
+        let doubt = Doubt { target: target.to_string() };
+        let tell_all = self.peers.len() <= TELL_ALL_MAX;
+        for (id, address) in &self.peers {
+            if tell_all || self.neighbours.contains(id) {
+                self.tell(id, *address, Priority::Control, DOUBT, &doubt);
+            }
+        }
+    }
+
+    fn tell(
+        &self,
+        to: &instance::Id,
+        address: SocketAddr,
+        priority: Priority,
+        kind: Kind,
+        message: &impl Message,
+    ) {
+        let peer = Peer { id: to.clone(), address };
+        let body = Bytes::from(message.encode_to_vec());
+        if let Err(error) = self.parts.mesh.send(&peer, priority, kind, body) {
+            slog::debug!(self.parts.logger, "a message was not sent";
+                "peer" => %to, "kind" => %kind, "error" => %error);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardway_front/src/lib.rs
@@ -0,0 +1,23 @@
+//! One instance of the packet front: the decisions joined to sockets and a clock.
+//!
+//! One thread does all of it. One task owns the decisions; it reads packets in
+//! batches, takes what peers, the platform and probes say, and ticks. Nothing of
+//! the platform's names or formats is known here: [`port`] says what an adapter
+//! has to bring.
+//!
+//! Modules:
+//! - [`port`]: what an adapter brings.
+//! - [`run`]: an instance from its start to its stop.
+//! - [`control`]: the task that owns the decisions.
+//! - [`peers`]: frames from and to other instances.
+//! - [`pause`]: notices that the process did not run.
+//! - [`report`]: what is logged.
+//! - [`signals`]: signals that stop the process or make it read its settings.
+
+pub mod control;
+pub mod pause;
+pub mod peers;
+pub mod port;
+pub mod report;
+pub mod run;
+pub mod signals;
--- /dev/null
+++ b/crates/mustardway_mirror/src/copy.rs
@@ -0,0 +1,133 @@
+//! The latest published state that is known here, and the changes that led to it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use mustardway_types::revision::Number;
+
+use crate::publication::{Change, Dated, Item, Key};
+
+/// Changes that are kept for peers that are behind; those further behind get
+/// the whole state.
+const HISTORY_MAX: usize = 512;
+
+/// The latest published state and the changes that led to it.
+#[derive(Debug, Default)]
+pub struct Copy {
+    number: Number,
+    items: BTreeMap<Key, (Number, Item)>,
+    history: VecDeque<Dated>,
+    /// The history has every change after this number.
+    since: Number,
+}
+
+impl Copy {
+    /// The platform's count of changes that this state includes; 0 before any.
+    pub fn number(&self) -> Number {
+        self.number
+    }
+
+    /// All items.
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.items.values().map(|(_, item)| item)
+    }
+
+    /// Whether a configuration is known.
+    pub fn is_configured(&self) -> bool {
+        self.items.contains_key(&Key::Configuration)
+    }
+
+    /// All items as changes, for a peer that knows nothing.
+    pub fn whole(&self) -> Vec<Dated> {
+        let put = |(number, item): &(Number, Item)| Dated {
+            number: *number,
+            change: Change::Put(item.clone()),
+        };
+        self.items.values().map(put).collect()
+    }
+
+    /// The changes after `number`, where all of them are still known.
+    pub fn after(&self, number: Number) -> Option<Vec<Dated>> {
+        if number < self.since || number.0 == 0 {
+            return None;
+        }
+        Some(self.history.iter().filter(|dated| dated.number > number).cloned().collect())
+    }
+
+    /// Takes changes up to `number` and returns those that were news.
+    pub fn advance(&mut self, number: Number, mut changes: Vec<Dated>) -> Vec<Change> {
+        // Older ones are in this copy, or were undone since.
+        changes.retain(|dated| dated.number > self.number);
+        self.merge(number, changes)
+    }
+
+    fn merge(&mut self, number: Number, changes: Vec<Dated>) -> Vec<Change> {
+        let mut news = Vec::new();
+        for dated in changes {
+            if self.take(&dated) {
+                news.push(dated.change);
+            }
+        }
+        self.number = self.number.max(number);
+        news
+    }
+
+    /// Takes the whole state as of `number`: what it lacks is gone.
+    pub fn replace(&mut self, number: Number, items: Vec<Dated>) -> Vec<Change> {
+        let mut absent: Vec<Key> = self.items.keys().cloned().collect();
+        let first = self.number.0 == 0;
+        for dated in &items {
+            let key = dated.change.key();
+            absent.retain(|other| *other != key);
+        }
+        let mut news = self.merge(number, items);
+        for key in absent {
+            // An item that is newer than the answer was published after it.
+            if self.items.get(&key).is_some_and(|(at, _)| *at > number) {
+                continue;
+            }
+            let change = Change::Removed(key);
+            if self.take(&Dated { number, change: change.clone() }) {
+                news.push(change);
+            }
+        }
+        if first {
+            self.history.clear();
+            self.since = number;
+        }
+        news
+    }
+
+    /// Takes one change; whether it was news.
+    fn take(&mut self, dated: &Dated) -> bool {
+        let key = dated.change.key();
+        let known = self.items.get(&key);
+        if known.is_some_and(|(number, _)| *number >= dated.number) {
+            return false;
+        }
+        match &dated.change {
+            Change::Put(item) => {
+                let same = known.is_some_and(|(_, old)| old == item);
+                self.items.insert(key, (dated.number, item.clone()));
+                if same {
+                    return false;
+                }
+            }
+            Change::Removed(_) => {
+                if self.items.remove(&key).is_none() {
+                    return false;
+                }
+            }
+        }
+        self.remember(dated.clone());
+        true
+    }
+
+    fn remember(&mut self, dated: Dated) {
+        if self.history.len() == HISTORY_MAX
+            && let Some(oldest) = self.history.pop_front()
+        {
+            self.since = self.since.max(oldest.number);
+        }
+        self.history.push_back(dated);
+    }
+}
--- /dev/null
+++ b/crates/mustardway_mirror/src/node.rs
@@ -0,0 +1,358 @@
+//! The decisions of one instance about its copy of the published state.
+
+use displaydoc::Display;
+use mustardway_types::instance;
+use mustardway_types::revision::Number;
+use mustardway_types::time::{Instant, Span};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::copy::Copy;
+use crate::message::{Body, Message, Pull, Push};
+use crate::place::Place;
+use crate::publication::{Change, Dated};
+
+/// Random addition to the patience, so that equal ranks do not read together.
+const JITTER: Span = Span::millis(150);
+/// Pause after the first failed read; doubled after each more.
+const BACKOFF_MIN: Span = Span::millis(150);
+/// Longest pause after a failed read: a platform that returns is noticed within
+/// a third of the shortest bound (3 s).
+const BACKOFF_MAX: Span = Span::millis(1_000);
+/// Time between two pulls while nothing is known.
+const PULL_INTERVAL: Span = Span::millis(100);
+/// Longest wait of the platform for a change, which spares a read its repeat.
+const WAIT: Span = Span::millis(300);
+
+/// What is asked of the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ask {
+    /// Everything that is published.
+    Whole,
+    /// The changes after a number.
+    Since {
+        /// The number.
+        after: Number,
+        /// How long to wait for the first one.
+        wait: Span,
+    },
+}
+
+/// What the platform answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// Everything that is published, as of a number.
+    Whole(Number, Vec<Dated>),
+    /// Changes up to a number.
+    Since(Number, Vec<Dated>),
+}
+
+/// Why the platform gave no answer.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Failure {
+    /// the platform cannot be reached
+    Unreachable,
+    /// the platform did not answer in time
+    Timeout,
+    /// the platform refused the call
+    Refused,
+    /// the platform no longer knows the changes that were asked for
+    Forgotten,
+    /// the platform's answer makes no sense
+    Nonsense,
+}
+
+impl std::error::Error for Failure {}
+
+/// What one instance is told.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Time has passed; given at least every 50 ms.
+    Tick,
+    /// The answer to the latest [`Action::Read`].
+    Answer(Result<Answer, Failure>),
+    /// A message of a peer.
+    Received {
+        /// The peer.
+        from: instance::Id,
+        /// What it says.
+        message: Message,
+    },
+    /// The place of this instance among the live ones.
+    Place(Place),
+    /// The process did not run for this long.
+    Paused(Span),
+}
+
+/// What one instance wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Read the platform; one read at a time.
+    Read(Ask),
+    /// Send a message to a peer; it may be lost.
+    Send {
+        /// The peer.
+        to: instance::Id,
+        /// What to say.
+        message: Message,
+    },
+    /// The published state has changed.
+    Changed(Vec<Change>),
+    /// The platform answers again, or no longer does.
+    Platform(Result<(), Failure>),
+    /// A peer sent changes that cannot be read.
+    Unread {
+        /// The peer.
+        from: instance::Id,
+        /// How many.
+        count: usize,
+    },
+}
+
+/// The decisions of one instance.
+#[derive(Debug)]
+pub struct Node {
+    copy: Copy,
+    place: Place,
+    /// When the platform confirmed the copy, to any instance.
+    confirmed: Option<Instant>,
+    /// When the read that is on its way was started.
+    reading: Option<Instant>,
+    next_read: Instant,
+    next_pull: Instant,
+    backoff: Span,
+    jitter: Span,
+    is_forgotten: bool,
+    has_failed: bool,
+    rng: Pcg32,
+}
+
+impl Node {
+    /// An instance that knows nothing yet.
+    pub fn new(seed: u64, now: Instant) -> Self {
+        Node {
+            copy: Copy::default(),
+            place: Place::default(),
+            confirmed: None,
+            reading: None,
+            next_read: now,
+            next_pull: now,
+            backoff: BACKOFF_MIN,
+            jitter: Span::ZERO,
+            is_forgotten: false,
+            has_failed: false,
+            rng: Pcg32::seed_from_u64(seed),
+        }
+    }
+
+    /// The published state as known here.
+    pub fn copy(&self) -> &Copy {
+        &self.copy
+    }
+
+    /// Time since the platform confirmed the copy; none before the first time.
+    pub fn age(&self, now: Instant) -> Option<Span> {
+        self.confirmed.map(|at| now.since(at))
+    }
+
+    /// Takes one event and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Tick => {}
+            Event::Answer(answer) => self.take_answer(answer, now, actions),
+            Event::Received { from, message } => self.receive(from, message, now, actions),
+            Event::Place(place) => self.place = place,
+            Event::Paused(span) => self.pause(span, now),
+        }
+        self.read(now, actions);
+        self.pull(now, actions);
+    }
+
+    /// What was believed before a pause is as old as the pause.
+    fn pause(&mut self, span: Span, now: Instant) {
+        self.confirmed = self.confirmed.map(|at| at - span);
+        self.reading = None;
+        self.next_read = now;
+        self.backoff = BACKOFF_MIN;
+    }
+
+    fn read(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.reading.is_some() || now < self.next_read {
+            return;
+        }
+        let patience = self.place.patience() + self.jitter;
+        if self.age(now).is_some_and(|age| age < patience) {
+            return;
+        }
+        let number = self.copy.number();
+        let ask = match number.0 == 0 || self.is_forgotten {
+            true => Ask::Whole,
+            false => Ask::Since { after: number, wait: WAIT },
+        };
+        self.reading = Some(now);
+        self.jitter = Span(self.rng.random_range(0..=JITTER.0));
+        actions.push(Action::Read(ask));
+    }
+
+    fn take_answer(
+        &mut self,
+        answer: Result<Answer, Failure>,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(since) = self.reading.take() else { return };
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(failure) => return self.fail(failure, now, actions),
+        };
+        self.backoff = BACKOFF_MIN;
+        self.is_forgotten = false;
+        if self.has_failed {
+            self.has_failed = false;
+            actions.push(Action::Platform(Ok(())));
+        }
+        let from = self.copy.number();
+        let to = match &answer {
+            Answer::Whole(number, _) | Answer::Since(number, _) => *number,
+        };
+        if to < from {
+            return;
+        }
+        let news = match answer {
+            Answer::Whole(number, items) => self.copy.replace(number, items),
+            Answer::Since(number, changes) => self.copy.advance(number, changes),
+        };
+        // The answer may have been given at any time since the call.
+        self.confirm(since);
+        if !news.is_empty() {
+            actions.push(Action::Changed(news));
+        }
+        self.push(from, now, actions);
+    }
+
+    fn fail(&mut self, failure: Failure, now: Instant, actions: &mut Vec<Action>) {
+        if failure == Failure::Forgotten {
+            self.is_forgotten = true;
+            return;
+        }
+        let jitter = Span(self.rng.random_range(0..=self.backoff.0 / 2));
+        self.next_read = now + self.backoff + jitter;
+        self.backoff = Span(BACKOFF_MAX.0.min(self.backoff.0 * 2));
+        if !self.has_failed {
+            self.has_failed = true;
+            actions.push(Action::Platform(Err(failure)));
+        }
+        self.pull_from_any(actions);
+    }
+
+    fn confirm(&mut self, at: Instant) {
+        self.confirmed = Some(self.confirmed.map_or(at, |known| known.max(at)));
+    }
+
+    /// Tells peers what is newer than `from`.
+    fn push(&self, from: Number, now: Instant, actions: &mut Vec<Action>) {
+        let Some(age) = self.age(now) else { return };
+        let push = self.changes_after(from, age);
+        for (peers, relay) in [(&self.place.neighbours, false), (&self.place.relays, true)] {
+            for to in peers {
+                let message = Body::Push(Push { relay, ..push.clone() }).into();
+                actions.push(Action::Send { to: to.clone(), message });
+            }
+        }
+    }
+
+    fn changes_after(&self, from: Number, age: Span) -> Push {
+        let to = self.copy.number();
+        let millis = age.as_millis();
+        match self.copy.after(from) {
+            Some(changes) => Push::new(from, to, millis, &changes),
+            None => Push::new(Number(0), to, millis, &self.copy.whole()),
+        }
+    }
+
+    fn receive(
+        &mut self,
+        from: instance::Id,
+        message: Message,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        match message.body {
+            Some(Body::Push(push)) => self.take_push(from, push, now, actions),
+            Some(Body::Pull(pull)) => self.answer_pull(from, pull, now, actions),
+            None => {}
+        }
+    }
+
+    fn answer_pull(&self, from: instance::Id, pull: Pull, now: Instant, actions: &mut Vec<Action>) {
+        let have = Number(pull.have);
+        let Some(age) = self.age(now) else { return };
+        if have > self.copy.number() {
+            return;
+        }
+        let message = Body::Push(self.changes_after(have, age)).into();
+        actions.push(Action::Send { to: from, message });
+    }
+
+    fn take_push(
+        &mut self,
+        from: instance::Id,
+        push: Push,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let (first, last) = (Number(push.from), Number(push.to));
+        let own = self.copy.number();
+        if last < own {
+            return;
+        }
+        if first > own {
+            let message = Body::Pull(Pull { have: own.0 }).into();
+            actions.push(Action::Send { to: from, message });
+            return;
+        }
+        let (changes, unread) = push.decode();
+        if unread > 0 {
+            // A copy that lacks something must not pass for confirmed.
+            actions.push(Action::Unread { from, count: unread });
+            return;
+        }
+        let is_whole = first.0 == 0;
+        let news = match is_whole {
+            true => self.copy.replace(last, changes),
+            false => self.copy.advance(last, changes),
+        };
+        self.confirm(now - Span::millis(push.age_millis));
+        if !news.is_empty() {
+            actions.push(Action::Changed(news));
+        }
+        if !push.relay {
+            return;
+        }
+        for to in &self.place.neighbours {
+            let message = Body::Push(Push { relay: false, ..push.clone() }).into();
+            actions.push(Action::Send { to: to.clone(), message });
+        }
+    }
+
+    /// Asks peers while nothing is known.
+    fn pull(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.copy.number().0 > 0 || now < self.next_pull {
+            return;
+        }
+        self.next_pull = now + PULL_INTERVAL;
+        self.pull_from_any(actions);
+    }
+
+    fn pull_from_any(&mut self, actions: &mut Vec<Action>) {
+        let peers = self.place.neighbours.len() + self.place.relays.len();
+        if peers == 0 {
+            return;
+        }
+        let chosen = self.rng.random_range(0..peers);
+        let mut all = self.place.neighbours.iter().chain(&self.place.relays);
+        let Some(to) = all.nth(chosen) else { return };
+        let message = Body::Pull(Pull { have: self.copy.number().0 }).into();
+        actions.push(Action::Send { to: to.clone(), message });
+    }
+}
--- a/crates/mustardway_platform/tests/common/mod.rs
+++ b/crates/mustardway_reader/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 
-use mustardway_platform::client::{Client, Settings};
+use mustardway_reader::client::{Client, Settings};
 use mustardway_types::{rate, time};
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/mustardway_platform/tests/failures.rs
+++ b/crates/mustardway_reader/tests/failures.rs
@@ -7,11 +7,11 @@
 
 use assert_matches::assert_matches;
 use common::{Fake, Reply, client, closed, impatient, response};
-use mustardway_platform::answer;
-use mustardway_platform::client::{ANSWER_MAX, Client, Settings};
-use mustardway_platform::counters::Outcome;
-use mustardway_platform::failure::Failure;
-use mustardway_platform::platform::Platform;
+use mustardway_reader::answer;
+use mustardway_reader::client::{ANSWER_MAX, Client, Settings};
+use mustardway_reader::counters::Outcome;
+use mustardway_reader::failure::Failure;
+use mustardway_reader::platform::Platform;
 use mustardway_types::{rate, revision, time};
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/crates/mustardway_platform/tests/pace.rs
+++ b/crates/mustardway_reader/tests/pace.rs
@@ -1,6 +1,6 @@
 //! The bound on calls a second, with given points of time.
 
-use mustardway_platform::pace::{BACKOFF_MAX, BACKOFF_MIN, Pace};
+use mustardway_reader::pace::{BACKOFF_MAX, BACKOFF_MIN, Pace};
 use mustardway_types::rate::PerSecond;
 use mustardway_types::time::{Instant, Span};
 
--- a/crates/mustardway_platform/tests/reading.rs
+++ b/crates/mustardway_reader/tests/reading.rs
@@ -5,10 +5,10 @@
 
 use assert_matches::assert_matches;
 use common::{Fake, client, closed, response};
-use mustardway_platform::answer::{Answer, File, Folder, State};
-use mustardway_platform::client::{Client, Error, Settings};
-use mustardway_platform::counters::Outcome;
-use mustardway_platform::platform::Platform;
+use mustardway_reader::answer::{Answer, File, Folder, State};
+use mustardway_reader::client::{Client, Error, Settings};
+use mustardway_reader::counters::Outcome;
+use mustardway_reader::platform::Platform;
 use mustardway_types::{revision, time};
 
 const PUBLISHED: &[u8] =
--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -22,7 +22,7 @@
 use mustardway_membership::{action, event, member, message, node as membership};
 use mustardway_peer::link::Peer;
 use mustardway_peer::send::Priority;
-use mustardway_platform::platform::Platform;
+use mustardway_reader::platform::Platform;
 use mustardway_routing::snapshot::{Plan, Snapshot};
 use mustardway_spread::{
     action as spread_action, event as spread_event, message as spread_message, readers, replica,
--- a/crates/mustardway_runtime/src/control/reading.rs
+++ b/crates/mustardway_runtime/src/control/reading.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use mustardway_membership::roster;
-use mustardway_platform::answer::{Answer, Listed, State as ListedState};
-use mustardway_platform::failure::Failure;
-use mustardway_platform::platform::Platform;
+use mustardway_reader::answer::{Answer, Listed, State as ListedState};
+use mustardway_reader::failure::Failure;
+use mustardway_reader::platform::Platform;
 use mustardway_spread::{platform, set};
 use mustardway_view::folder::Files;
 use tokio::sync::mpsc;
@@ -59,7 +59,7 @@
     let content = match answer.files {
         None => platform::Content::NotChanged,
         Some(folder) => {
-            let file = |file: mustardway_platform::answer::File| {
+            let file = |file: mustardway_reader::answer::File| {
                 (file.name, Arc::from(file.text.into_bytes()))
             };
             platform::Content::Whole(folder.files.into_iter().map(file).collect())
--- a/crates/mustardway_runtime/src/lib.rs
+++ b/crates/mustardway_runtime/src/lib.rs
@@ -6,7 +6,6 @@
 //! an await.
 //!
 //! Modules:
-//! - [`clock`]: the instance's clock.
 //! - [`control`]: membership, configuration and what follows from their changes.
 //! - [`custody`]: gates that are opened, handed over and closed.
 //! - [`desk`]: what operators are told and may order.
@@ -26,7 +25,6 @@
 //! - [`upstream`]: calls to targets.
 //! - [`verdict`]: promises, judged case by case.
 
-pub mod clock;
 pub mod control;
 pub mod custody;
 pub mod desk;
--- a/crates/mustardway_runtime/src/node.rs
+++ b/crates/mustardway_runtime/src/node.rs
@@ -22,13 +22,13 @@
 use parking_lot::{Mutex, RwLock};
 use prost::Message;
 
-use crate::clock::Clock;
 use crate::forwarded;
 use crate::message::{Kind, Outcome};
 use crate::owner;
 use crate::relay::Relay;
 use crate::ticket_table::{self, End};
 use crate::upstream;
+use mustardway_types::clock::Clock;
 
 /// Shards of the flow cache.
 const CACHE_SHARDS: usize = 16;
--- a/crates/mustardway_runtime/src/run.rs
+++ b/crates/mustardway_runtime/src/run.rs
@@ -14,7 +14,7 @@
 use mustardway_membership::{member, settings as membership};
 use mustardway_peer::mesh::Mesh;
 use mustardway_peer::settings as peer;
-use mustardway_platform::platform::Platform;
+use mustardway_reader::platform::Platform;
 use mustardway_telemetry::promise::Counters;
 use mustardway_types::size::Bytes;
 use mustardway_types::time::Span;
--- a/crates/mustardway_settings/src/fields.rs
+++ b/crates/mustardway_settings/src/fields.rs
@@ -6,26 +6,18 @@
 /// Name of the settings in problems.
 pub(crate) const FILE: &str = "settings";
 
-/// Names of all sections.
-const NAMES: Choices =
-    Choices(&["[instance]", "[platform]", "[limits]", "[log]", "[metrics]", "[timing]"]);
-
-/// Every section with its keys.
-const SECTIONS: [(&str, Choices); 6] = [
-    ("instance", Choices(&["name", "domain", "front", "peer", "admin", "token", "workers"])),
-    ("platform", Choices(&["addresses", "wait"])),
-    ("limits", Choices(&["packet", "flows", "audit"])),
-    ("log", Choices(&["level", "form"])),
-    ("metrics", Choices(&["statsd"])),
-    ("timing", Choices(&["heartbeat", "lease", "drain"])),
-];
-
-/// Reports every section and key that is not known.
-pub(crate) fn check_names(document: &Document, problems: &mut List) {
+/// Reports every section and key that is not among `sections`, whose names in
+/// brackets are `names`.
+pub(crate) fn check_names(
+    document: &Document,
+    sections: &[(&str, Choices)],
+    names: Choices,
+    problems: &mut List,
+) {
     for section in &document.sections {
-        let known = SECTIONS.iter().find(|(name, _)| section.name == *name);
+        let known = sections.iter().find(|(name, _)| section.name == *name);
         let Some((_, allowed)) = known else {
-            problems.push(place(section, Kind::UnknownSection { allowed: NAMES }));
+            problems.push(place(section, Kind::UnknownSection { allowed: names }));
             continue;
         };
         for entry in &section.entries {
--- a/crates/mustardway_settings/src/lib.rs
+++ b/crates/mustardway_settings/src/lib.rs
@@ -5,11 +5,13 @@
 //! `examples/instance.ini` has every key.
 //!
 //! Modules:
+//! - [`front`]: settings of an instance of the packet front.
 //! - [`settings`]: the settings as plain data.
 //! - [`parse`]: text to settings, with defaults and bounds.
 //! - [`token`]: the secret of the administration API.
 
 mod fields;
+pub mod front;
 pub mod parse;
 pub mod settings;
 pub mod token;
--- a/crates/mustardway_settings/src/parse.rs
+++ b/crates/mustardway_settings/src/parse.rs
@@ -6,7 +6,7 @@
 use mustardway_types::{size, time};
 use mustardway_view::history;
 use mustardway_view::ini::{self, Document};
-use mustardway_view::problem::{Kind, List, Problem};
+use mustardway_view::problem::{Choices, Kind, List, Problem};
 use mustardway_view::value;
 
 use crate::fields::{self, Fields};
@@ -58,6 +58,20 @@
 /// Fewest leases in a drain, so that the hand-over is seen by all.
 pub const LEASES_PER_DRAIN_MIN: u64 = 2;
 
+/// Names of all sections.
+const NAMES: Choices =
+    Choices(&["[instance]", "[platform]", "[limits]", "[log]", "[metrics]", "[timing]"]);
+
+/// Every section with its keys.
+const SECTIONS: [(&str, Choices); 6] = [
+    ("instance", Choices(&["name", "domain", "front", "peer", "admin", "token", "workers"])),
+    ("platform", Choices(&["addresses", "wait"])),
+    ("limits", Choices(&["packet", "flows", "audit"])),
+    ("log", Choices(&["level", "form"])),
+    ("metrics", Choices(&["statsd"])),
+    ("timing", Choices(&["heartbeat", "lease", "drain"])),
+];
+
 const LEVELS: [(&str, Level); 5] = [
     ("error", Level::Error),
     ("warning", Level::Warning),
@@ -76,7 +90,7 @@
             return Err(vec![Problem::new(kind).in_file(fields::FILE)]);
         }
         let document = ini::read(fields::FILE, text, &mut problems);
-        fields::check_names(&document, &mut problems);
+        fields::check_names(&document, &SECTIONS, NAMES, &mut problems);
         let settings = settings(&document, &mut problems);
         match settings {
             Some(settings) if problems.is_empty() => Ok(settings),
@@ -189,7 +203,7 @@
     Some(Limits { packet: packet?, flows: flows?, audit: audit? })
 }
 
-fn log(fields: &mut Fields<'_>) -> Option<Log> {
+pub(crate) fn log(fields: &mut Fields<'_>) -> Option<Log> {
     const LEVEL_WORDS: &[&str] = &["error", "warning", "info", "debug", "trace"];
     const FORM_WORDS: &[&str] = &["json", "terminal"];
     let level = |text: &str| value::choice(text, &LEVELS, LEVEL_WORDS);
--- a/crates/mustardway_settings/src/settings.rs
+++ b/crates/mustardway_settings/src/settings.rs
@@ -64,7 +64,7 @@
 }
 
 /// What is logged.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Log {
     /// Least severity.
     pub level: Level,
--- a/crates/mustardway_runtime/src/clock.rs
+++ b/crates/mustardway_types/src/clock.rs
@@ -1,6 +1,6 @@
 //! The clock of one instance.
 
-use mustardway_types::time::{Instant, Span};
+use crate::time::{Instant, Span};
 
 /// Where the clock stands at the start, so that ages before it have a place.
 const START: Span = Span::seconds(24 * 3_600);
--- a/crates/mustardway_types/src/lib.rs
+++ b/crates/mustardway_types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Modules:
 //! - [`address`]: service addresses that callers send to.
 //! - [`answer`]: the closed list of answers and the table from reason to answer.
+//! - [`clock`]: the clock of one instance.
 //! - [`domain`], [`flow`], [`instance`], [`request`], [`service`], [`target`]: ids.
 //! - [`hash`]: the one seeded hash that all instances share.
 //! - [`packet`]: the routing header of a packet.
@@ -12,6 +13,7 @@
 
 pub mod address;
 pub mod answer;
+pub mod clock;
 pub mod domain;
 pub mod flow;
 pub mod hash;
