--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -16,6 +16,7 @@
 
 use crate::directory::Directory;
 use crate::note::{Dropped, Note, Refused};
+use crate::opening::Openings;
 use crate::packet::{Flow, Packet, Reset};
 use crate::standing::Outcome;
 use crate::table::{Record, Stage, Table};
@@ -57,7 +58,12 @@
     /// What a probe found.
     Probed(target::Id, Outcome),
     /// A peer found that a target left something unanswered.
-    Doubted(target::Id),
+    Doubted {
+        /// The target.
+        target: target::Id,
+        /// It does not answer the peer's probe either.
+        is_lost: bool,
+    },
 }
 
 /// What one instance wants done, other than forwarding.
@@ -68,7 +74,12 @@
     /// Probe a target.
     Probe(Probe),
     /// Tell peers that a target left something unanswered.
-    TellDoubt(target::Id),
+    TellDoubt {
+        /// The target.
+        target: target::Id,
+        /// It does not answer a probe either.
+        is_lost: bool,
+    },
     /// Log a decision.
     Note(Note),
 }
@@ -95,6 +106,7 @@
     confirmed: Option<Instant>,
     /// When an unknown token was first seen in a flow.
     strangers: FxHashMap<Flow, Instant>,
+    openings: Openings,
     next_sweep: Instant,
     rng: Pcg32,
 }
@@ -110,6 +122,7 @@
             table: Table::default(),
             confirmed: None,
             strangers: FxHashMap::default(),
+            openings: Openings::default(),
             next_sweep: Instant::default(),
             rng: Pcg32::seed_from_u64(seed),
         }
@@ -149,7 +162,9 @@
             Event::Confirmed(at) => self.confirmed = Some(at),
             Event::Known(known) => self.known = known,
             Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
-            Event::Doubted(target) => self.hear_doubt(&target, now, actions),
+            Event::Doubted { target, is_lost } => {
+                self.hear_doubt(&target, is_lost, now, actions);
+            }
         }
     }
 
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -12,6 +12,7 @@
 use crate::cold;
 use crate::directory::{LAPSE, Target};
 use crate::note::{Dropped, Note, Refused};
+use crate::opening::Opening;
 use crate::packet::Packet;
 use crate::placement::{self, Candidate, Grade, WEIGHTS};
 use crate::standing::Trust;
@@ -38,8 +39,8 @@
         }
         let avoid = match self.copied(packet, now, actions) {
             Copied::Follow(verdict) => return verdict,
-            Copied::Avoid(slot) => Some(slot),
-            Copied::No => None,
+            Copied::Avoid(avoid) => Some(avoid),
+            Copied::No => self.repeated(packet, now),
         };
         match self.place(packet, avoid, now) {
             Some(slot) => self.start(packet, slot, now, actions),
@@ -68,7 +69,20 @@
         if !self.has_answered(record.target, record.placed) {
             self.doubt(record.target, Some(flow), now, actions);
         }
-        Copied::Avoid(record.target)
+        Copied::Avoid(Avoid { slot: record.target, since: record.placed })
+    }
+
+    /// The target of an opening packet that the caller seems to repeat from
+    /// another port.
+    fn repeated(&self, packet: &Packet, now: Instant) -> Option<Avoid> {
+        let opening = self.openings.repeated(*packet.source.ip(), now)?;
+        let record = self.table.get(&opening.flow)?;
+        let is_open = record.stage != Stage::Opening || record.placed != opening.placed;
+        let is_other = opening.flow.route != packet.destination;
+        if is_open || is_other {
+            return None;
+        }
+        Some(Avoid { slot: record.target, since: record.placed })
     }
 
     /// Whether a caller has heard a target since `at`.
@@ -91,6 +105,7 @@
         let mut record = Record::new(slot, Stage::Opening, now);
         record.opening = Some(packet.sequence);
         self.remember(flow, record);
+        self.openings.add(Opening { flow, placed: now });
         self.count_cold(slot, now);
         let age = self.age(now);
         if let Some(target) = self.directory.get(slot) {
@@ -106,13 +121,13 @@
     }
 
     /// The target of a new flow.
-    fn place(&mut self, packet: &Packet, avoid: Option<usize>, now: Instant) -> Option<usize> {
+    fn place(&mut self, packet: &Packet, avoid: Option<Avoid>, now: Instant) -> Option<usize> {
         let mut shares = self.directory.route(packet.destination)?.shares.clone();
         while !shares.is_empty() {
             let share = shares.swap_remove(self.draw(&shares));
             let mut candidates = self.candidates(&share.service, now);
-            if candidates.iter().any(|candidate| Some(candidate.slot) != avoid) {
-                candidates.retain(|candidate| Some(candidate.slot) != avoid);
+            if let Some(avoid) = avoid {
+                self.turn_from(avoid, &mut candidates);
             }
             if let Some(slot) = placement::choose(&candidates, &WEIGHTS, &mut self.rng) {
                 return Some(slot);
@@ -121,6 +136,23 @@
         None
     }
 
+    /// Leaves out a target that did not answer, where there are others, and
+    /// grades down its neighbours that were not heard since: a whole failure
+    /// domain may have been lost.
+    fn turn_from(&self, avoid: Avoid, candidates: &mut Vec<Candidate>) {
+        if candidates.len() > 1 {
+            candidates.retain(|candidate| candidate.slot != avoid.slot);
+        }
+        let domain_of = |slot: usize| self.directory.get(slot).map(|it| &it.registration.domain);
+        let domain = domain_of(avoid.slot);
+        for candidate in candidates {
+            let is_near = domain_of(candidate.slot) == domain;
+            if is_near && !self.has_answered(candidate.slot, avoid.since) {
+                candidate.grade = Grade::Doubtful;
+            }
+        }
+    }
+
     /// Draws one of `shares` by weight.
     fn draw(&mut self, shares: &[Share]) -> usize {
         let total: u64 = shares.iter().map(|share| u64::from(share.weight)).sum();
@@ -205,7 +237,15 @@
     /// This one goes the same way.
     Follow(Verdict),
     /// The target left it unanswered.
-    Avoid(usize),
+    Avoid(Avoid),
+}
+
+/// A target that left an opening packet unanswered.
+#[derive(Debug, Clone, Copy)]
+struct Avoid {
+    slot: usize,
+    /// When the packet was placed.
+    since: Instant,
 }
 
 /// Whether callers of a route may repeat a request that may have run.
--- a/crates/mustardway_flow/src/front/watch.rs
+++ b/crates/mustardway_flow/src/front/watch.rs
@@ -8,9 +8,14 @@
 use crate::note::{Note, Refused};
 use crate::packet::{Flow, Reset};
 use crate::standing::{Finding, Outcome};
+use crate::table::Stage;
 
 /// Time between two sweeps of old flows and targets.
 const SWEEP: Span = Span::seconds(1);
+/// Time in which a target that works is heard again and again.
+const HEARD_LATELY: Span = Span::millis(100);
+/// Targets of one failure domain that are doubted at a time, at most.
+const NEIGHBOURS_MAX: usize = 32;
 /// How long a flow with an unknown token is remembered.
 const STRANGER_MAX: Span = Span::seconds(10);
 
@@ -29,20 +34,26 @@
         }
         let id = target.registration.id.clone();
         if flow.is_some() {
-            actions.push(Action::TellDoubt(id.clone()));
+            actions.push(Action::TellDoubt { target: id.clone(), is_lost: false });
         }
         actions.push(Action::Note(Note::Doubted { target: id, flow }));
         self.probe(slot, now, actions);
     }
 
     /// A peer found that a target left something unanswered. An instance that
-    /// has no flows there, or has just heard it, has nothing to find out.
-    pub(super) fn hear_doubt(&mut self, id: &target::Id, now: Instant, actions: &mut Vec<Action>) {
-        const HEARD: Span = Span::millis(100);
+    /// has no flows there waits until the peer is sure, and one that has just
+    /// heard the target has nothing to find out.
+    pub(super) fn hear_doubt(
+        &mut self,
+        id: &target::Id,
+        is_lost: bool,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(slot) = self.directory.slot_of(id) else { return };
         let Some(target) = self.directory.get(slot) else { return };
-        let has_heard = target.signal.heard.is_some_and(|heard| now.since(heard) < HEARD);
-        if target.signal.flows == 0 || has_heard {
+        let has_heard = target.signal.heard.is_some_and(|heard| now.since(heard) < HEARD_LATELY);
+        if (target.signal.flows == 0 && !is_lost) || has_heard {
             return;
         }
         self.doubt(slot, None, now, actions);
@@ -88,6 +99,8 @@
     /// Resets the flows of a target that no longer answers, so that callers
     /// start again at another one.
     fn lose(&mut self, slot: usize, id: &target::Id, now: Instant, actions: &mut Vec<Action>) {
+        actions.push(Action::TellDoubt { target: id.clone(), is_lost: true });
+        self.doubt_neighbours(slot, now, actions);
         let age = self.age(now);
         let mut count = 0;
         for (flow, record) in self.table.flows_of(slot) {
@@ -106,6 +119,25 @@
         actions.push(Action::Note(Note::Lost { target: id.clone(), flows: count }));
     }
 
+    /// Doubts the other targets in the failure domain of a lost one that were not
+    /// heard lately: a whole domain may have been lost.
+    fn doubt_neighbours(&mut self, slot: usize, now: Instant, actions: &mut Vec<Action>) {
+        let Some(lost) = self.directory.get(slot) else { return };
+        let domain = lost.registration.domain.clone();
+        let mut count = 0;
+        for slot in self.directory.slots() {
+            let Some(target) = self.directory.get(slot) else { continue };
+            if target.registration.domain != domain || target.missing.is_some() {
+                continue;
+            }
+            if target.signal.heard_after(now - HEARD_LATELY) || count == NEIGHBOURS_MAX {
+                continue;
+            }
+            count += 1;
+            self.doubt(slot, None, now, actions);
+        }
+    }
+
     /// Takes changes of the published state.
     pub(super) fn publish(
         &mut self,
@@ -127,8 +159,24 @@
         }
     }
 
+    /// Doubts targets whose callers sent nothing after their opening packets.
+    fn follow_openings(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while let Some(opening) = self.openings.expire(now) {
+            let Some(record) = self.table.get(&opening.flow).copied() else { continue };
+            if record.stage != Stage::Opening || record.placed != opening.placed {
+                continue;
+            }
+            let target = self.directory.get(record.target);
+            if target.is_some_and(|target| target.signal.heard_after(record.placed)) {
+                continue;
+            }
+            self.doubt(record.target, Some(opening.flow), now, actions);
+        }
+    }
+
     /// Probes that are due, and sweeps.
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.follow_openings(now, actions);
         for slot in self.directory.slots() {
             let Some(target) = self.directory.get(slot) else { continue };
             if target.missing.is_some() && target.signal.flows == 0 {
--- a/crates/mustardway_flow/src/lib.rs
+++ b/crates/mustardway_flow/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`signal`]: what is noticed of a target without asking it.
 //! - [`standing`]: whether a target is used, and when it is probed.
 //! - [`cold`]: new flows that a cold target bears.
+//! - [`opening`]: opening packets that wait for the caller's next packet.
 //! - [`placement`]: the target of a new flow.
 //! - [`table`]: flows seen here.
 //! - [`front`]: the decisions joined.
@@ -25,6 +26,7 @@
 pub mod directory;
 pub mod front;
 pub mod note;
+pub mod opening;
 pub mod packet;
 pub mod placement;
 pub mod signal;
--- a/crates/mustardway_flow/src/standing.rs
+++ b/crates/mustardway_flow/src/standing.rs
@@ -21,7 +21,7 @@
     Alive,
     /// Another target answers at its address.
     Replaced,
-    /// Nothing listens at its address.
+    /// The connection was refused: nothing listens there, or a broken link says so.
     Refused,
     /// No answer.
     Silent,
@@ -69,7 +69,7 @@
         self.trust
     }
 
-    /// Whether its process is known to have ended; one that is only silent may
+    /// Whether its process is known to have ended; one that cannot be reached may
     /// still be at work behind a broken link.
     pub fn is_gone(&self) -> bool {
         self.trust == Trust::Lost && self.is_gone
@@ -118,7 +118,7 @@
         self.pause = if first { PROBE_MIN } else { Span(PROBE_MAX.0.min(self.pause.0 * 2)) };
         self.next_probe = now + self.pause;
         self.trust = Trust::Lost;
-        self.is_gone = matches!(outcome, Outcome::Replaced | Outcome::Refused);
+        self.is_gone = outcome == Outcome::Replaced;
         if first { Finding::Lost } else { Finding::Unchanged }
     }
 }
--- a/crates/mustardway_front/src/control.rs
+++ b/crates/mustardway_front/src/control.rs
@@ -246,7 +246,10 @@
 
     fn take_doubt(&mut self, doubt: &Doubt, now: Instant) {
         match doubt.target.parse() {
-            Ok(target) => self.tell_front(front::Event::Doubted(target), now),
+            Ok(target) => {
+                let is_lost = doubt.is_lost;
+                self.tell_front(front::Event::Doubted { target, is_lost }, now);
+            }
             Err(error) => {
                 slog::warn!(self.parts.logger, "skipped a doubt"; "error" => %error);
             }
@@ -293,7 +296,7 @@
             }
         }
         let place = place::Place::new(&self.parts.me, &self.parts.home, live);
-        slog::info!(self.parts.logger, "live list changed"; "live" => self.peers.len() + 1,
+        slog::debug!(self.parts.logger, "live list changed"; "live" => self.peers.len() + 1,
             "known" => known.len(), "rank" => place.fleet);
         self.neighbours.clone_from(&place.neighbours);
         self.tell_mirror(mirror::Event::Place(place), now);
@@ -361,14 +364,16 @@
                         let _ = inputs.send(Input::Probed(target, outcome)).await;
                     });
                 }
-                front::Action::TellDoubt(target) => self.tell_doubt(&target),
+                front::Action::TellDoubt { target, is_lost } => {
+                    self.tell_doubt(&target, is_lost);
+                }
                 front::Action::Note(note) => self.report.note(&note, now),
             }
         }
     }
 
-    fn tell_doubt(&self, target: &target::Id) {
-        let doubt = Doubt { target: target.to_string() };
+    fn tell_doubt(&self, target: &target::Id, is_lost: bool) {
+        let doubt = Doubt { target: target.to_string(), is_lost };
         let tell_all = self.peers.len() <= TELL_ALL_MAX;
         for (id, address) in &self.peers {
             if tell_all || self.neighbours.contains(id) {
--- a/crates/mustardway_front/src/peers.rs
+++ b/crates/mustardway_front/src/peers.rs
@@ -24,6 +24,9 @@
     /// Name of the target.
     #[prost(string, tag = "1")]
     pub target: String,
+    /// It does not answer a probe either.
+    #[prost(bool, tag = "2")]
+    pub is_lost: bool,
 }
 
 /// Takes frames to the control task.
