--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
+use crate::demand::Demand;
 use crate::directory::Directory;
 use crate::note::{Dropped, Note, Refused};
 use crate::opening::Openings;
@@ -107,6 +108,9 @@
     /// When an unknown token was first seen in a flow.
     strangers: FxHashMap<Flow, Instant>,
     openings: Openings,
+    demand: Demand,
+    /// At least half of what callers ask can be placed.
+    is_useful: bool,
     next_sweep: Instant,
     rng: Pcg32,
 }
@@ -123,6 +127,8 @@
             confirmed: None,
             strangers: FxHashMap::default(),
             openings: Openings::default(),
+            demand: Demand::default(),
+            is_useful: true,
             next_sweep: Instant::default(),
             rng: Pcg32::seed_from_u64(seed),
         }
@@ -138,14 +144,19 @@
         &self.table
     }
 
-    /// Whether packets can be placed.
-    pub fn is_ready(&self) -> bool {
+    /// Whether packets can be taken.
+    pub fn is_configured(&self) -> bool {
         self.directory.is_configured()
     }
 
+    /// Whether the routers do well to send new flows here.
+    pub fn is_ready(&self) -> bool {
+        self.is_configured() && self.is_useful
+    }
+
     /// Decides what becomes of a caller's packet.
     pub fn packet(&mut self, packet: &Packet, now: Instant, actions: &mut Vec<Action>) -> Verdict {
-        if !self.is_ready() {
+        if !self.is_configured() {
             return Verdict::Drop(Dropped::Unconfigured);
         }
         if packet.flags.opens {
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -125,6 +125,7 @@
         let mut shares = self.directory.route(packet.destination)?.shares.clone();
         while !shares.is_empty() {
             let share = shares.swap_remove(self.draw(&shares));
+            self.demand.count(&share.service, now);
             let mut candidates = self.candidates(&share.service, now);
             if let Some(avoid) = avoid {
                 self.turn_from(avoid, &mut candidates);
@@ -194,7 +195,22 @@
         candidates
     }
 
+    /// Whether any target of a service may take a new flow, be it now or as soon
+    /// as its cold start allows.
+    pub(super) fn can_place(&self, service: &service::Name, now: Instant) -> bool {
+        let mut targets = self.directory.slots_of(service).iter();
+        targets.any(|slot| self.directory.get(*slot).is_some_and(|it| self.is_usable(it, now)))
+    }
+
     fn may_take(&self, target: &Target, now: Instant) -> bool {
+        self.is_usable(target, now)
+            && (now >= target.cold_until
+                || self
+                    .cold_share(target)
+                    .is_none_or(|rate| rate > 0.0 && target.pacer.is_open(now)))
+    }
+
+    fn is_usable(&self, target: &Target, now: Instant) -> bool {
         let registration = &target.registration;
         if registration.leaving || target.is_shadowed {
             return false;
@@ -205,11 +221,7 @@
         if target.missing.is_some_and(|since| now.since(since) >= LAPSE) {
             return false;
         }
-        if target.standing.trust() == Trust::Lost {
-            return false;
-        }
-        now >= target.cold_until
-            || self.cold_share(target).is_none_or(|rate| rate > 0.0 && target.pacer.is_open(now))
+        target.standing.trust() != Trust::Lost
     }
 
     /// Flows a second that this instance may send to a cold target, where limited.
--- a/crates/mustardway_flow/src/front/watch.rs
+++ b/crates/mustardway_flow/src/front/watch.rs
@@ -177,6 +177,11 @@
     /// Probes that are due, and sweeps.
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.follow_openings(now, actions);
+        let is_useful = self.demand.is_met(|service| self.can_place(service, now));
+        if is_useful != self.is_useful {
+            self.is_useful = is_useful;
+            actions.push(Action::Note(Note::Useful { is_useful }));
+        }
         for slot in self.directory.slots() {
             let Some(target) = self.directory.get(slot) else { continue };
             if target.missing.is_some() && target.signal.flows == 0 {
--- a/crates/mustardway_flow/src/lib.rs
+++ b/crates/mustardway_flow/src/lib.rs
@@ -12,6 +12,7 @@
 //! Modules:
 //! - [`packet`]: the parts of a packet that decide where it goes.
 //! - [`token`]: the name of a target inside packets.
+//! - [`demand`]: how much of what callers ask can be placed.
 //! - [`directory`]: routes and targets as published.
 //! - [`signal`]: what is noticed of a target without asking it.
 //! - [`standing`]: whether a target is used, and when it is probed.
@@ -23,6 +24,7 @@
 //! - [`note`]: decisions worth a log line, and why packets are dropped.
 
 pub mod cold;
+pub mod demand;
 pub mod directory;
 pub mod front;
 pub mod note;
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -123,6 +123,11 @@
         /// The target.
         target: target::Id,
     },
+    /// Less than half of what callers ask can be placed, or that is over.
+    Useful {
+        /// At least half can be placed.
+        is_useful: bool,
+    },
     /// A failure domain gets nothing, or is taken back.
     Evacuated {
         /// The failure domain.
--- a/crates/mustardway_front/src/control.rs
+++ b/crates/mustardway_front/src/control.rs
@@ -119,7 +119,12 @@
         self.parts.clock.now()
     }
 
-    /// Whether packets can be placed.
+    /// Whether packets can be taken.
+    pub fn is_configured(&self) -> bool {
+        self.front.is_configured()
+    }
+
+    /// Whether the routers do well to send new flows here.
     pub fn is_ready(&self) -> bool {
         self.front.is_ready()
     }
--- a/crates/mustardway_front/src/report.rs
+++ b/crates/mustardway_front/src/report.rs
@@ -106,6 +106,9 @@
                 slog::info!(log, "target unregistered"; "target" => %target,
                     "skipped" => skipped);
             }
+            Note::Useful { is_useful } => {
+                slog::warn!(log, "demand against what can be placed"; "is_met" => is_useful);
+            }
             Note::Evacuated { domain, out } => {
                 slog::info!(log, "failure domain evacuated"; "domain" => %domain, "out" => out);
             }
@@ -127,6 +130,7 @@
         Note::Configured { .. } => "configured",
         Note::Registered { .. } => "registered",
         Note::Unregistered { .. } => "unregistered",
+        Note::Useful { .. } => "useful",
         Note::Evacuated { .. } => "evacuated",
     }
 }
--- a/crates/mustardway_front/src/run.rs
+++ b/crates/mustardway_front/src/run.rs
@@ -89,7 +89,7 @@
     let mut stopping: Option<Instant> = None;
     while !stopping.is_some_and(|since| is_done(&control, since, settings.grace)) {
         tokio::select! {
-            readable = control.readable(), if control.is_ready() => {
+            readable = control.readable(), if control.is_configured() => {
                 readable?;
                 control.receive();
             }
