--- /dev/null
+++ b/crates/mustardway_mirror/tests/copy_order.rs
@@ -0,0 +1,168 @@
+//! A copy never goes back, whatever comes in whatever order.
+
+mod common;
+
+use assert_matches::assert_matches;
+use common::{Platform, configuration, instance, put, target};
+use mustardway_mirror::copy::Copy;
+use mustardway_mirror::message::{Body, Push};
+use mustardway_mirror::node::{Action, Answer, Ask, Event, Failure, Node};
+use mustardway_mirror::publication::{Change, Dated, Key};
+use mustardway_types::revision::Number;
+use mustardway_types::time::{Instant, Span};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const SEED: [u8; 32] = [7; 32];
+
+fn start() -> Instant {
+    Instant::default() + Span::seconds(100)
+}
+
+fn handle(node: &mut Node, now: Instant, event: Event) -> Vec<Action> {
+    let mut actions = Vec::new();
+    node.handle(now, event, &mut actions);
+    actions
+}
+
+/// A node that has read everything published so far.
+fn reader(platform: &mut Platform) -> Node {
+    let mut node = Node::new(1, start());
+    let actions = handle(&mut node, start(), Event::Tick);
+    assert_matches!(actions[..], [Action::Read(Ask::Whole)]);
+    let answer = platform.answer(Ask::Whole);
+    handle(&mut node, start(), Event::Answer(answer));
+    node
+}
+
+#[test]
+fn removed_stays_removed() {
+    let mut platform = Platform::default();
+    platform.publish(configuration(1));
+    platform.publish(put(1, false));
+    let old = platform.answer(Ask::Since { after: Number(1), wait: Span::ZERO });
+    platform.publish(Change::Removed(Key::Target(target(1))));
+    let mut node = reader(&mut platform);
+    let Ok(Answer::Since(to, changes)) = old else { panic!("answered") };
+    let push = Push::new(Number(1), Number(to.0 + 1), 0, &changes);
+    let message = Body::Push(push).into();
+    handle(&mut node, start(), Event::Received { from: instance(2), message });
+    assert_eq!(node.copy().items().count(), 1, "only the configuration");
+}
+
+#[test]
+fn stale_answer_is_ignored() {
+    let mut platform = Platform::default();
+    platform.publish(configuration(1));
+    let stale = platform.answer(Ask::Whole);
+    platform.publish(configuration(2));
+    let mut node = reader(&mut platform);
+    let later = start() + Span::seconds(2);
+    assert_matches!(handle(&mut node, later, Event::Tick)[..], [Action::Read(_)]);
+    let actions = handle(&mut node, later, Event::Answer(stale));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Changed(_))));
+    assert_eq!(node.age(later), Some(Span::seconds(2)), "not confirmed either");
+}
+
+#[test]
+fn forgotten_history_reads_whole() {
+    let mut platform = Platform::default();
+    platform.publish(configuration(1));
+    platform.publish(put(1, false));
+    let mut node = reader(&mut platform);
+    let later = start() + Span::seconds(2);
+    handle(&mut node, later, Event::Tick);
+    let actions = handle(&mut node, later, Event::Answer(Err(Failure::Forgotten)));
+    assert_matches!(actions[..], [Action::Read(Ask::Whole)]);
+    assert_eq!(node.copy().items().count(), 2, "what was known is kept meanwhile");
+    platform.publish(Change::Removed(Key::Target(target(1))));
+    let whole = platform.answer(Ask::Whole);
+    let actions = handle(&mut node, later, Event::Answer(whole));
+    assert!(actions.contains(&Action::Changed(vec![Change::Removed(Key::Target(target(1)))])));
+}
+
+#[test]
+fn gap_is_pulled() {
+    let mut platform = Platform::default();
+    platform.publish(configuration(1));
+    let mut node = reader(&mut platform);
+    let changes = [Dated { number: Number(9), change: put(1, false) }];
+    let message = Body::Push(Push::new(Number(8), Number(9), 0, &changes)).into();
+    let actions = handle(&mut node, start(), Event::Received { from: instance(2), message });
+    assert_matches!(&actions[..], [Action::Send { to, message }]
+        if *to == instance(2) && matches!(message.body, Some(Body::Pull(_))));
+    assert_eq!(node.copy().number(), Number(1));
+}
+
+#[test]
+fn unreadable_push_is_refused() {
+    let mut platform = Platform::default();
+    platform.publish(configuration(1));
+    let mut node = reader(&mut platform);
+    let mut push = Push::new(Number(1), Number(2), 0, &[]);
+    push.changes.push(vec![0xff; 9]);
+    let message = Body::Push(push).into();
+    let actions = handle(&mut node, start(), Event::Received { from: instance(2), message });
+    assert_matches!(&actions[..], [Action::Unread { count: 1, .. }]);
+    assert_eq!(node.copy().number(), Number(1));
+}
+
+#[test]
+fn pause_ages_copy() {
+    let mut platform = Platform::default();
+    platform.publish(configuration(1));
+    let mut node = reader(&mut platform);
+    let actions = handle(&mut node, start(), Event::Paused(Span::seconds(4)));
+    assert_eq!(node.age(start()), Some(Span::seconds(4)));
+    assert_matches!(actions[..], [Action::Read(_)]);
+}
+
+/// Any mix of answers and pushes, old and new, ends at the newest state that
+/// was told, and on the way no item and no number goes back.
+#[test]
+fn never_goes_back() {
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = vec((0u64..6, any::<bool>(), any::<bool>()), 1..40);
+    let tellings = vec((0usize..60, 0usize..60, any::<bool>()), 1..60);
+    let run = runner.run(&(steps, tellings), |(steps, tellings)| {
+        let mut platform = Platform::default();
+        platform.publish(configuration(1));
+        let mut states = Vec::new();
+        for (number, leaving, removed) in steps {
+            let key = Key::Target(target(number));
+            let change = match removed && platform.items.contains_key(&key) {
+                true => Change::Removed(key),
+                false => put(number, leaving),
+            };
+            platform.publish(change);
+            states.push(platform.items.clone());
+        }
+        let mut copy = Copy::default();
+        let mut newest = 0;
+        for (from, to, whole) in tellings {
+            let to = to % states.len();
+            let from = from % (to + 1);
+            let last = Number(to as u64 + 2);
+            if last < copy.number() {
+                continue;
+            }
+            if whole {
+                copy.replace(last, states[to].values().cloned().collect());
+            } else if from as u64 + 2 <= copy.number().0 {
+                let log = platform.log[from + 2..to + 2].to_vec();
+                copy.advance(last, log);
+            } else {
+                continue;
+            }
+            newest = newest.max(to);
+            let known: Vec<_> = copy.whole().into_iter().map(|dated| dated.change).collect();
+            let wanted = states[newest].values().map(|dated| dated.change.clone());
+            prop_assert_eq!(known, wanted.collect::<Vec<_>>());
+        }
+        Ok(())
+    });
+    run.expect("holds for every case");
+}
--- /dev/null
+++ b/crates/mustardway_mirror/tests/reading_rate.rs
@@ -0,0 +1,110 @@
+//! Few calls keep all copies fresh, whoever fails.
+
+mod common;
+
+use common::{Fleet, put};
+use mustardway_mirror::publication::{Change, Key};
+use mustardway_types::time::Span;
+
+/// The shortest bound in which a change has to be in force, less the time that a
+/// server's report and a new flow take.
+const FRESH: Span = Span::millis(2_500);
+
+#[test]
+fn calm_fleet_calls_rarely() {
+    for (count, domains) in [(7, 3), (9, 3), (90, 4)] {
+        let mut fleet = Fleet::new(count, domains);
+        fleet.run(2_000);
+        let before = fleet.platform.calls;
+        fleet.run(60_000);
+        let calls = fleet.platform.calls - before;
+        assert!(calls <= 60, "{calls} calls of {count} instances in a minute");
+        assert!(fleet.oldest() < FRESH);
+    }
+}
+
+#[test]
+fn change_reaches_all() {
+    let mut fleet = Fleet::new(9, 3);
+    fleet.run(1_000);
+    fleet.platform.publish(put(1, false));
+    fleet.run(1_200);
+    for number in 0..9 {
+        assert!(fleet.is_current(number), "instance {number}");
+    }
+}
+
+#[test]
+fn dead_reader_is_replaced() {
+    let mut fleet = Fleet::new(9, 3);
+    fleet.run(1_500);
+    let reader = fleet.reader();
+    fleet.hosts[reader].running = false;
+    // Before anybody has noticed that it is dead.
+    fleet.platform.publish(put(1, true));
+    fleet.run(2_500);
+    for number in (0..9).filter(|number| *number != reader) {
+        assert!(fleet.is_current(number), "instance {number}");
+    }
+}
+
+#[test]
+fn refused_reader_is_replaced() {
+    let mut fleet = Fleet::new(9, 3);
+    fleet.run(1_500);
+    let reader = fleet.reader();
+    fleet.refused.insert(reader);
+    for round in 0..20 {
+        fleet.platform.publish(put(round, true));
+        fleet.run(2_500);
+        assert!(fleet.is_current(reader), "round {round}");
+        assert!(fleet.oldest() < FRESH);
+    }
+}
+
+#[test]
+fn platform_down_is_not_stormed() {
+    let mut fleet = Fleet::new(90, 4);
+    fleet.run(2_000);
+    fleet.refused = (0..90).collect();
+    let before = fleet.platform.calls;
+    fleet.run(10_000);
+    let calls = fleet.platform.calls - before;
+    // Each may try once a second, and a little more often at first.
+    assert!(calls <= 90 * 13, "{calls} calls");
+    fleet.refused.clear();
+    fleet.platform.publish(put(1, false));
+    fleet.run(1_800);
+    for number in 0..90 {
+        assert!(fleet.is_current(number), "instance {number}");
+    }
+}
+
+#[test]
+fn cut_domain_comes_back() {
+    let mut fleet = Fleet::new(9, 3);
+    fleet.platform.publish(put(1, false));
+    fleet.run(1_500);
+    fleet.cut.insert(1);
+    fleet.settle();
+    fleet.platform.publish(Change::Removed(Key::Target(common::target(1))));
+    fleet.platform.publish(put(2, false));
+    fleet.run(5_000);
+    assert!(!fleet.is_current(1));
+    fleet.cut.clear();
+    fleet.run(1_500);
+    for number in 0..9 {
+        assert!(fleet.is_current(number), "instance {number}");
+    }
+}
+
+#[test]
+fn restart_learns_from_peers() {
+    let mut fleet = Fleet::new(9, 3);
+    fleet.platform.publish(put(1, false));
+    fleet.run(1_500);
+    fleet.refused = (0..9).collect();
+    fleet.restart(4);
+    fleet.run(300);
+    assert!(fleet.is_current(4), "the platform is down, its peers are not");
+}
