--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -63,11 +63,11 @@
     },
     /// What a probe found.
     Probed(target::Id, Outcome),
-    /// A peer found that a target left something unanswered.
-    Doubted {
+    /// What a peer in the same failure domain found of a target.
+    Rumour {
         /// The target.
         target: target::Id,
-        /// It does not answer the peer's probe either.
+        /// It does not answer; else it answers again.
         is_lost: bool,
     },
 }
@@ -79,11 +79,11 @@
     Reset(Reset),
     /// Probe a target.
     Probe(Probe),
-    /// Tell peers that a target left something unanswered.
-    TellDoubt {
+    /// Tell peers in the same failure domain what was found of a target.
+    Tell {
         /// The target.
         target: target::Id,
-        /// It does not answer a probe either.
+        /// It does not answer; else it answers again.
         is_lost: bool,
     },
     /// Log a decision.
@@ -115,6 +115,8 @@
     /// When an unknown token was first seen in a flow.
     strangers: FxHashMap<Flow, Instant>,
     openings: Openings,
+    /// Probes that are on their way.
+    probing: usize,
     demand: Demand,
     /// At least half of what callers ask can be placed.
     is_useful: bool,
@@ -135,6 +137,7 @@
             confirmed: None,
             strangers: FxHashMap::default(),
             openings: Openings::default(),
+            probing: 0,
             demand: Demand::default(),
             is_useful: true,
             next_sweep: Instant::default(),
@@ -184,9 +187,7 @@
                 self.sharers = sharers;
             }
             Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
-            Event::Doubted { target, is_lost } => {
-                self.hear_doubt(&target, is_lost, now, actions);
-            }
+            Event::Rumour { target, is_lost } => self.hear_rumour(&target, is_lost, now, actions),
         }
     }
 
--- a/crates/mustardway_flow/src/front/carry.rs
+++ b/crates/mustardway_flow/src/front/carry.rs
@@ -5,7 +5,6 @@
 use super::{Action, FRESH, Front, Verdict};
 use crate::note::{Dropped, Refused};
 use crate::packet::{Flow, Packet, is_after};
-use crate::standing::Trust;
 use crate::table::{Record, Stage};
 use crate::token::Token;
 
@@ -50,7 +49,7 @@
     /// at most is left alone while its target may still be at work on it.
     pub(super) fn is_over(&self, slot: usize, is_repeatable: bool) -> bool {
         let Some(target) = self.directory.get(slot) else { return false };
-        target.standing.trust() == Trust::Lost && (is_repeatable || target.standing.is_gone())
+        target.standing.is_lost() && (is_repeatable || target.standing.is_gone())
     }
 
     /// A token that names no known target: of one that was registered just now,
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -55,8 +55,7 @@
         if record.opening != Some(packet.sequence) {
             return Copied::No;
         }
-        let trust = self.directory.get(record.target).map(|target| target.standing.trust());
-        let is_lost = trust == Some(Trust::Lost);
+        let is_lost = self.directory.get(record.target).is_some_and(|it| it.standing.is_lost());
         let is_early = now.since(record.placed) < UNANSWERED && !is_lost;
         if (record.stage != Stage::Opening || is_early)
             && let Some(verdict) = self.forward(record.target)
@@ -179,7 +178,7 @@
             if !self.may_take(target, now) {
                 continue;
             }
-            let doubtful = target.standing.trust() != Trust::Trusted
+            let doubtful = target.standing.trust(now) != Trust::Trusted
                 || target.missing.is_some()
                 || target.signal.is_passed_over(now);
             candidates.push(Candidate {
@@ -221,7 +220,7 @@
         if target.missing.is_some_and(|since| now.since(since) >= LAPSE) {
             return false;
         }
-        target.standing.trust() != Trust::Lost
+        !target.standing.is_lost()
     }
 
     /// Flows a second that this instance may send to a cold target, where limited.
--- a/crates/mustardway_flow/tests/common/mod.rs
+++ b/crates/mustardway_flow/tests/common/mod.rs
@@ -134,6 +134,20 @@
         self.tell(Event::Probed(id(number), outcome));
     }
 
+    /// Lets callers find a target silent, and probes find `outcome`.
+    pub fn lose(&mut self, number: u64, outcome: Outcome) {
+        let from = 60_000 + u16::try_from(number).expect("small");
+        let route = if target_of(self.send(&packet(from, 1, number))).is_some() { 1 } else { 3 };
+        self.send(&packet(from, route, number));
+        self.send(&request(from, route, number));
+        self.wait(200);
+        self.send(&request(from, route, number));
+        for _ in 0..2 {
+            self.probed(number, outcome);
+            self.wait(100);
+        }
+    }
+
     /// Lets time pass, with the platform confirming all the while.
     pub fn wait(&mut self, millis: u64) {
         self.now = self.now + Span::millis(millis);
--- a/crates/mustardway_front/src/control.rs
+++ b/crates/mustardway_front/src/control.rs
@@ -23,7 +23,7 @@
 use tokio::sync::mpsc;
 
 use crate::pause::Watch;
-use crate::peers::{DOUBT, Doubt, MEMBERSHIP, MIRROR};
+use crate::peers::{MEMBERSHIP, MIRROR, RUMOUR, Rumour};
 use crate::port::Ports;
 use crate::report::Report;
 
@@ -31,9 +31,6 @@
 const BATCH: usize = 64;
 /// Room for one datagram: envelope, head and 1,200 bytes of data, with a margin.
 const DATAGRAM_MAX: usize = 2_048;
-/// Live instances up to which a doubt is told to all of them; beyond, only to
-/// those of the own failure domain, which send to the same targets.
-const TELL_ALL_MAX: usize = 16;
 
 /// What the task is told.
 #[derive(Debug)]
@@ -241,7 +238,7 @@
             MIRROR => mirror_message::Message::decode(body).map(|message| {
                 self.tell_mirror(mirror::Event::Received { from: from.clone(), message }, now);
             }),
-            _ => Doubt::decode(body).map(|doubt| self.take_doubt(&doubt, now)),
+            _ => Rumour::decode(body).map(|rumour| self.take_rumour(&rumour, now)),
         };
         if let Err(error) = result {
             slog::warn!(self.parts.logger, "skipped a malformed message";
@@ -249,14 +246,14 @@
         }
     }
 
-    fn take_doubt(&mut self, doubt: &Doubt, now: Instant) {
-        match doubt.target.parse() {
+    fn take_rumour(&mut self, rumour: &Rumour, now: Instant) {
+        match rumour.target.parse() {
             Ok(target) => {
-                let is_lost = doubt.is_lost;
-                self.tell_front(front::Event::Doubted { target, is_lost }, now);
+                let is_lost = rumour.is_lost;
+                self.tell_front(front::Event::Rumour { target, is_lost }, now);
             }
             Err(error) => {
-                slog::warn!(self.parts.logger, "skipped a doubt"; "error" => %error);
+                slog::warn!(self.parts.logger, "skipped a rumour"; "error" => %error);
             }
         }
     }
@@ -370,21 +367,17 @@
                         let _ = inputs.send(Input::Probed(target, outcome)).await;
                     });
                 }
-                front::Action::TellDoubt { target, is_lost } => {
-                    self.tell_doubt(&target, is_lost);
-                }
+                front::Action::Tell { target, is_lost } => self.tell_rumour(&target, is_lost),
                 front::Action::Note(note) => self.report.note(&note, now),
             }
         }
     }
 
-    fn tell_doubt(&self, target: &target::Id, is_lost: bool) {
-        let doubt = Doubt { target: target.to_string(), is_lost };
-        let tell_all = self.peers.len() <= TELL_ALL_MAX;
-        for (id, address) in &self.peers {
-            if tell_all || self.neighbours.contains(id) {
-                self.tell(id, *address, Priority::Control, DOUBT, &doubt);
-            }
+    fn tell_rumour(&self, target: &target::Id, is_lost: bool) {
+        let rumour = Rumour { target: target.to_string(), is_lost };
+        for id in &self.neighbours {
+            let Some(address) = self.peers.get(id) else { continue };
+            self.tell(id, *address, Priority::Control, RUMOUR, &rumour);
         }
     }
 
--- a/crates/mustardway_front/src/peers.rs
+++ b/crates/mustardway_front/src/peers.rs
@@ -13,18 +13,18 @@
 pub const MEMBERSHIP: Kind = Kind(16);
 /// A message about the published state.
 pub const MIRROR: Kind = Kind(17);
-/// [`Doubt`].
-pub const DOUBT: Kind = Kind(18);
+/// [`Rumour`].
+pub const RUMOUR: Kind = Kind(18);
 /// Every kind that this instance knows.
-pub const KINDS: [Kind; 3] = [MEMBERSHIP, MIRROR, DOUBT];
+pub const KINDS: [Kind; 3] = [MEMBERSHIP, MIRROR, RUMOUR];
 
-/// The sender found that a target left something unanswered.
+/// What the sender found of a target.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Doubt {
+pub struct Rumour {
     /// Name of the target.
     #[prost(string, tag = "1")]
     pub target: String,
-    /// It does not answer a probe either.
+    /// It does not answer; else it answers again.
     #[prost(bool, tag = "2")]
     pub is_lost: bool,
 }
