--- a/crates/mustardway_front/src/control.rs
+++ b/crates/mustardway_front/src/control.rs
@@ -87,6 +87,7 @@
     version: Option<u64>,
     /// Live peers and where they listen.
     peers: BTreeMap<instance::Id, SocketAddr>,
+    /// Live instances in the same failure domain, this one among them.
     neighbours: Vec<instance::Id>,
     /// When the latest packet came in.
     packet_at: Instant,
@@ -302,7 +303,7 @@
             "known" => known.len(), "rank" => place.fleet);
         self.neighbours.clone_from(&place.neighbours);
         self.tell_mirror(mirror::Event::Place(place), now);
-        let sharers = self.neighbours.len() + 1;
+        let sharers = self.neighbours.len();
         self.tell_front(front::Event::Peers { known, sharers }, now);
     }
 
@@ -376,6 +377,7 @@
     fn tell_rumour(&self, target: &target::Id, is_lost: bool) {
         let rumour = Rumour { target: target.to_string(), is_lost };
         for id in &self.neighbours {
+            // This instance is not among its peers.
             let Some(address) = self.peers.get(id) else { continue };
             self.tell(id, *address, Priority::Control, RUMOUR, &rumour);
         }
--- a/crates/mustardway_mirror/src/message.rs
+++ b/crates/mustardway_mirror/src/message.rs
@@ -38,8 +38,12 @@
     /// Milliseconds since the platform confirmed that number.
     #[prost(uint64, tag = "3")]
     pub age_millis: u64,
-    /// The receiver passes it on inside its failure domain.
-    #[prost(bool, tag = "4")]
+    /// The instance that brought it into the receiver's failure domain; empty
+    /// where the receiver is the one, or where it is not to be passed on.
+    #[prost(string, tag = "4")]
+    pub root: String,
+    /// It is to be passed on inside the receiver's failure domain.
+    #[prost(bool, tag = "6")]
     pub relay: bool,
     /// The changes, each encoded by itself.
     #[prost(bytes = "vec", repeated, tag = "5")]
@@ -62,7 +66,14 @@
             // Plain data of these types always encodes.
             encoded.extend(postcard::to_allocvec(dated));
         }
-        Push { from: from.0, to: to.0, age_millis, relay: false, changes: encoded }
+        Push {
+            from: from.0,
+            to: to.0,
+            age_millis,
+            root: String::new(),
+            relay: false,
+            changes: encoded,
+        }
     }
 
     /// The changes, and how many could not be read.
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -253,11 +253,20 @@
     fn push(&self, from: Number, now: Instant, actions: &mut Vec<Action>) {
         let Some(age) = self.age(now) else { return };
         let push = self.changes_after(from, age);
-        for (peers, relay) in [(&self.place.neighbours, false), (&self.place.relays, true)] {
-            for to in peers {
-                let message = Body::Push(Push { relay, ..push.clone() }).into();
-                actions.push(Action::Send { to: to.clone(), message });
-            }
+        for to in &self.place.relays {
+            let message = Body::Push(Push { relay: true, ..push.clone() }).into();
+            actions.push(Action::Send { to: to.clone(), message });
+        }
+        if let Some(me) = &self.place.me {
+            self.pass_on(&push, me, actions);
+        }
+    }
+
+    /// Sends what `root` brought into this failure domain down its tree.
+    fn pass_on(&self, push: &Push, root: &instance::Id, actions: &mut Vec<Action>) {
+        for to in self.place.children(root) {
+            let push = Push { relay: true, root: root.to_string(), ..push.clone() };
+            actions.push(Action::Send { to: to.clone(), message: Body::Push(push).into() });
         }
     }
 
@@ -329,9 +338,13 @@
         if !push.relay {
             return;
         }
-        for to in &self.place.neighbours {
-            let message = Body::Push(Push { relay: false, ..push.clone() }).into();
-            actions.push(Action::Send { to: to.clone(), message });
+        let root = match push.root.is_empty() {
+            true => self.place.me.clone(),
+            false => push.root.parse().ok(),
+        };
+        // A name that is none comes from a peer of another version.
+        if let Some(root) = root {
+            self.pass_on(&push, &root, actions);
         }
     }
 
@@ -345,13 +358,11 @@
     }
 
     fn pull_from_any(&mut self, actions: &mut Vec<Action>) {
-        let peers = self.place.neighbours.len() + self.place.relays.len();
-        if peers == 0 {
+        let peers = self.place.peers();
+        if peers.is_empty() {
             return;
         }
-        let chosen = self.rng.random_range(0..peers);
-        let mut all = self.place.neighbours.iter().chain(&self.place.relays);
-        let Some(to) = all.nth(chosen) else { return };
+        let to = peers[self.rng.random_range(0..peers.len())];
         let message = Body::Pull(Pull { have: self.copy.number().0 }).into();
         actions.push(Action::Send { to: to.clone(), message });
     }
--- a/crates/mustardway_mirror/src/place.rs
+++ b/crates/mustardway_mirror/src/place.rs
@@ -1,4 +1,8 @@
 //! Who is pushed to, and how patient an instance is before it reads for itself.
+//!
+//! Inside a failure domain changes go down a tree over the live instances, so
+//! that no instance sends more than a few copies of a large change: on a narrow
+//! link more would hold up callers' packets.
 
 use std::collections::BTreeMap;
 
@@ -12,6 +16,8 @@
 pub const INTERVAL: Span = Span::millis(1_000);
 /// Step of patience from one rank to the next.
 pub const STEP: Span = Span::millis(450);
+/// Copies of a change that one instance sends inside its failure domain, at most.
+const FANOUT: usize = 4;
 /// Ranks beyond this have the same patience, so that it stays under the bound.
 const STEPS_MAX: u64 = 3;
 
@@ -22,7 +28,10 @@
     pub fleet: usize,
     /// Rank in its own failure domain.
     pub domain: usize,
-    /// Live peers in its own failure domain.
+    /// This instance.
+    pub me: Option<instance::Id>,
+    /// Live instances in its own failure domain, this one among them, best rank
+    /// first.
     pub neighbours: Vec<instance::Id>,
     /// One live instance in each other failure domain.
     pub relays: Vec<instance::Id>,
@@ -35,7 +44,8 @@
         home: &domain::Name,
         live: impl IntoIterator<Item = (&'a instance::Id, &'a domain::Name)>,
     ) -> Self {
-        let mut place = Place::default();
+        let mut place = Place { me: Some(me.clone()), ..Place::default() };
+        let mut neighbours = vec![(rank(me), me)];
         let mut relays: BTreeMap<&domain::Name, (u64, &instance::Id)> = BTreeMap::new();
         let own = rank(me);
         for (id, domain) in live {
@@ -47,16 +57,39 @@
             place.fleet += usize::from(ahead);
             if domain == home {
                 place.domain += usize::from(ahead);
-                place.neighbours.push(id.clone());
+                neighbours.push(ranked);
                 continue;
             }
             let relay = relays.entry(domain).or_insert(ranked);
             *relay = (*relay).max(ranked);
         }
+        neighbours.sort_unstable_by(|first, second| second.cmp(first));
+        place.neighbours = neighbours.into_iter().map(|(_, id)| id.clone()).collect();
         place.relays = relays.into_values().map(|(_, id)| id.clone()).collect();
         place
     }
 
+    /// Instances that this one passes a change on to, which `root` brought into
+    /// the failure domain.
+    pub fn children(&self, root: &instance::Id) -> Vec<&instance::Id> {
+        let mut others = self.neighbours.iter().filter(|id| *id != root);
+        let first = match &self.me {
+            Some(me) if me == root => 0,
+            Some(me) => match others.clone().position(|id| id == me) {
+                Some(position) => (position + 1) * FANOUT,
+                None => return Vec::new(),
+            },
+            None => return Vec::new(),
+        };
+        others.by_ref().skip(first).take(FANOUT).collect()
+    }
+
+    /// Every other live instance in its failure domain, and a relay in each other.
+    pub fn peers(&self) -> Vec<&instance::Id> {
+        let others = self.neighbours.iter().filter(|id| Some(*id) != self.me.as_ref());
+        others.chain(&self.relays).collect()
+    }
+
     /// Age of the copy at which this instance reads for itself.
     pub fn patience(&self) -> Span {
         if self.fleet == 0 {
--- a/crates/mustardway_mirror/tests/common/mod.rs
+++ b/crates/mustardway_mirror/tests/common/mod.rs
@@ -112,7 +112,8 @@
     pub refused: BTreeSet<usize>,
     /// Failure domains that are cut off from the others and the platform.
     pub cut: BTreeSet<usize>,
-    pub bytes: usize,
+    /// Bytes sent by each instance.
+    pub sent: BTreeMap<usize, usize>,
     parcels: Vec<(Instant, usize, Parcel)>,
 }
 
@@ -131,7 +132,7 @@
             hosts,
             refused: BTreeSet::new(),
             cut: BTreeSet::new(),
-            bytes: 0,
+            sent: BTreeMap::new(),
             parcels: Vec::new(),
         };
         fleet.platform.publish(configuration(1));
@@ -187,7 +188,8 @@
             match action {
                 Action::Read(ask) => self.parcels.push((at, number, Parcel::Call(ask))),
                 Action::Send { to, message } => {
-                    self.bytes += prost::Message::encoded_len(&message);
+                    let bytes = prost::Message::encoded_len(&message);
+                    *self.sent.entry(number).or_default() += bytes;
                     let names = (0..self.hosts.len()).find(|other| instance(*other) == to);
                     let to = names.expect("a known instance");
                     self.parcels.push((at, to, Parcel::Message { from: number, message }));
--- a/crates/mustardway_mirror/tests/reading_rate.rs
+++ b/crates/mustardway_mirror/tests/reading_rate.rs
@@ -34,6 +34,26 @@
     }
 }
 
+/// A change of 60 KB, as of a configuration with many new routes, is sent a few
+/// times by any one instance, and reaches all.
+#[test]
+fn large_change_is_spread_evenly() {
+    let mut fleet = Fleet::new(104, 4);
+    fleet.run(3_000);
+    fleet.sent.clear();
+    for number in 0..500 {
+        fleet.platform.publish(put(number, false));
+    }
+    fleet.run(1_500);
+    for number in 0..104 {
+        assert!(fleet.is_current(number), "instance {number}");
+    }
+    let change = 500 * 60;
+    let most = fleet.sent.values().max().expect("something was sent");
+    // Three relays and four children, and a margin for what is small.
+    assert!(*most <= change * 9, "{most} bytes by one instance");
+}
+
 #[test]
 fn dead_reader_is_replaced() {
     let mut fleet = Fleet::new(9, 3);
