--- a/crates/mustardway_flow/src/placement.rs
+++ b/crates/mustardway_flow/src/placement.rs
@@ -51,7 +51,7 @@
 }
 
 /// Measured on both users' standard days.
-pub const WEIGHTS: Weights = Weights { distance: 0.6, cold: 0.5, flow: 0.1, noise: 0.3 };
+pub const WEIGHTS: Weights = Weights { distance: 1.0, cold: 0.5, flow: 0.05, noise: 0.2 };
 
 /// The best candidate, if there is any.
 pub fn choose(candidates: &[Candidate], weights: &Weights, rng: &mut Pcg32) -> Option<usize> {
