--- /dev/null
+++ b/crates/mustardway_emulator/src/platform.rs
@@ -0,0 +1,82 @@
+//! The platform's store: what is published, and when it does not answer.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mustardway_mirror::node::{Answer, Ask, Failure};
+use mustardway_mirror::publication::{Change, Dated, Item, Key};
+use mustardway_types::revision::Number;
+use mustardway_types::time::Instant;
+
+/// The platform's store.
+#[derive(Debug, Default)]
+pub(crate) struct Platform {
+    number: u64,
+    log: Vec<Dated>,
+    items: BTreeMap<Key, Dated>,
+    /// Changes up to this number are no longer known.
+    forgotten: u64,
+    /// It answers nobody.
+    pub(crate) is_down: bool,
+    /// Instances that it does not answer.
+    pub(crate) refused: BTreeSet<usize>,
+    /// When targets last registered.
+    beats: BTreeMap<Key, Instant>,
+}
+
+impl Platform {
+    /// Publishes an item; an equal one only counts as a sign of life.
+    pub(crate) fn put(&mut self, item: Item, now: Instant) {
+        let key = item.key();
+        self.beats.insert(key.clone(), now);
+        let same =
+            self.items.get(&key).is_some_and(|dated| dated.change == Change::Put(item.clone()));
+        if !same {
+            let dated = self.log(Change::Put(item));
+            self.items.insert(key, dated);
+        }
+    }
+
+    /// Removes an item.
+    pub(crate) fn remove(&mut self, key: &Key) {
+        if self.items.remove(key).is_some() {
+            self.log(Change::Removed(key.clone()));
+        }
+    }
+
+    /// Removes registrations that were not renewed since `since`.
+    pub(crate) fn expire(&mut self, since: Instant) {
+        let is_old = |key: &Key| self.beats.get(key).is_some_and(|beat| *beat < since);
+        let targets = self.items.keys().filter(|key| matches!(key, Key::Target(_)));
+        let old: Vec<Key> = targets.filter(|key| is_old(key)).cloned().collect();
+        for key in old {
+            self.remove(&key);
+        }
+    }
+
+    /// Forgets every change so far.
+    pub(crate) fn forget(&mut self) {
+        self.forgotten = self.number;
+    }
+
+    pub(crate) fn answer(&self, instance: usize, ask: Ask) -> Result<Answer, Failure> {
+        if self.is_down || self.refused.contains(&instance) {
+            return Err(Failure::Timeout);
+        }
+        let number = Number(self.number);
+        match ask {
+            Ask::Whole => Ok(Answer::Whole(number, self.items.values().cloned().collect())),
+            Ask::Since { after, .. } if after.0 < self.forgotten => Err(Failure::Forgotten),
+            Ask::Since { after, .. } => {
+                let first = self.log.partition_point(|dated| dated.number <= after);
+                Ok(Answer::Since(number, self.log[first..].to_vec()))
+            }
+        }
+    }
+
+    fn log(&mut self, change: Change) -> Dated {
+        self.number += 1;
+        let dated = Dated { number: Number(self.number), change };
+        self.log.push(dated.clone());
+        dated
+    }
+}
--- /dev/null
+++ b/crates/mustardway_emulator/src/report.rs
@@ -0,0 +1,163 @@
+//! What became of the requests, and the rules that were broken.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use compact_str::CompactString;
+use displaydoc::Display;
+use mustardway_types::time::Span;
+
+/// Length of the windows in which requests are counted.
+pub const WINDOW: Span = Span::seconds(2);
+
+/// A rule.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// a flow was reset while its target lived and could be reached
+    FalseReset,
+    /// a request that may run once ran again
+    RanTwice,
+    /// a request was run by a service that its route never led to
+    WrongService,
+    /// a new flow reached a target long after it was to leave
+    Leaving,
+    /// a new flow reached an evacuated failure domain
+    Evacuated,
+    /// a cold target got more than it bears
+    Cold,
+    /// a new flow was handled as an outdated configuration says
+    Outdated,
+}
+
+/// One broken rule.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken {
+    /// The rule.
+    pub rule: Rule,
+    /// Time from the start of traffic.
+    pub at: Span,
+    /// What was seen.
+    pub what: CompactString,
+}
+
+/// Requests by what became of them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Asked.
+    pub asked: u32,
+    /// Answered in time for their full worth.
+    pub in_time: u32,
+    /// Answered later.
+    pub late: u32,
+    /// Not answered.
+    pub failed: u32,
+}
+
+impl Counts {
+    /// Share of the requests that were answered in time.
+    pub fn in_time_share(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.asked.max(1))
+    }
+
+    /// Share of the requests that were not answered.
+    pub fn failed_share(&self) -> f64 {
+        f64::from(self.failed) / f64::from(self.asked.max(1))
+    }
+
+    fn add(&mut self, other: &Counts) {
+        self.asked += other.asked;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.failed += other.failed;
+    }
+}
+
+/// What became of a day.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    /// Counts by window and kind of request.
+    pub windows: BTreeMap<(u64, usize), Counts>,
+    /// Rules that were broken.
+    pub broken: Vec<Broken>,
+    /// Calls to the platform.
+    pub calls: u32,
+    /// Probes of targets.
+    pub probes: u32,
+    /// Bytes sent between instances.
+    pub bytes: u64,
+    /// Opening packets that went to another failure domain.
+    pub across: u32,
+    /// Opening packets that were sent on.
+    pub placed: u32,
+    /// Time from each request to its whole answer, in milliseconds.
+    pub times: Vec<u32>,
+}
+
+impl Report {
+    /// Counts of the whole day.
+    pub fn total(&self) -> Counts {
+        self.between(Span::ZERO, Span(u64::MAX))
+    }
+
+    /// Counts of the requests asked from `first` until `last`, in whole windows.
+    pub fn between(&self, first: Span, last: Span) -> Counts {
+        let mut counts = Counts::default();
+        for ((window, _), other) in &self.windows {
+            let start = window * WINDOW.0;
+            if start >= first.0 && start < last.0 {
+                counts.add(other);
+            }
+        }
+        counts
+    }
+
+    /// Counts of one kind of request.
+    pub fn class(&self, class: usize) -> Counts {
+        let mut counts = Counts::default();
+        for ((_, other), of_window) in &self.windows {
+            if *other == class {
+                counts.add(of_window);
+            }
+        }
+        counts
+    }
+
+    /// The time within which `share` of the answers came, in milliseconds.
+    pub fn quantile(&self, share: f64) -> u32 {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        let place = ((times.len() as f64 * share) as usize).min(times.len().saturating_sub(1));
+        times.get(place).copied().unwrap_or_default()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let total = self.total();
+        writeln!(
+            f,
+            "asked {} in time {} late {} failed {}; p50 {} ms, p99 {} ms",
+            total.asked,
+            total.in_time,
+            total.late,
+            total.failed,
+            self.quantile(0.5),
+            self.quantile(0.99)
+        )?;
+        writeln!(
+            f,
+            "platform calls {}, probes {}, bytes between instances {}, placed across {} of {}",
+            self.calls, self.probes, self.bytes, self.across, self.placed
+        )?;
+        for broken in &self.broken {
+            writeln!(
+                f,
+                "BROKEN at {:.3} s: {}: {}",
+                broken.at.as_seconds(),
+                broken.rule,
+                broken.what
+            )?;
+        }
+        Ok(())
+    }
+}
