--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -19,6 +19,7 @@
 use crate::note::{Dropped, Note, Refused};
 use crate::opening::Openings;
 use crate::packet::{Flow, Packet, Reset};
+use crate::pulse::Pulse;
 use crate::standing::Outcome;
 use crate::table::{Record, Stage, Table};
 use crate::token::Token;
@@ -117,6 +118,7 @@
     openings: Openings,
     /// Probes that are on their way.
     probing: usize,
+    pulse: Pulse,
     demand: Demand,
     /// At least half of what callers ask can be placed.
     is_useful: bool,
@@ -138,6 +140,7 @@
             strangers: FxHashMap::default(),
             openings: Openings::default(),
             probing: 0,
+            pulse: Pulse::default(),
             demand: Demand::default(),
             is_useful: true,
             next_sweep: Instant::default(),
--- a/crates/mustardway_flow/src/front/carry.rs
+++ b/crates/mustardway_flow/src/front/carry.rs
@@ -85,12 +85,17 @@
             record.stage = Stage::Open;
             record.acknowledged = packet.acknowledgement;
             heard = true;
+            self.pulse.note(record.placed, now);
         }
         if is_after(packet.acknowledgement, record.acknowledged) {
             record.acknowledged = packet.acknowledgement;
             heard = true;
         }
-        let answered = heard && record.waiting.take().is_some();
+        let waited = if heard { record.waiting.take() } else { None };
+        if let Some(since) = waited {
+            self.pulse.note(since, now);
+        }
+        let answered = waited.is_some();
         let mut silent_since = None;
         let mut asked = false;
         if packet.length > 0 {
--- a/crates/mustardway_flow/src/front/watch.rs
+++ b/crates/mustardway_flow/src/front/watch.rs
@@ -7,7 +7,7 @@
 use super::{Action, Front, Probe};
 use crate::note::{Note, Refused};
 use crate::packet::{Flow, Reset};
-use crate::standing::{Finding, Outcome};
+use crate::standing::{Context, Finding, Outcome};
 use crate::table::Stage;
 
 /// Time between two sweeps of old flows and targets.
@@ -84,12 +84,15 @@
         actions: &mut Vec<Action>,
     ) {
         self.probing = self.probing.saturating_sub(1);
-        let sharers = self.sharers;
         let Some(slot) = self.directory.slot_of(id) else { return };
         let Some(target) = self.directory.get_mut(slot) else { return };
         let was_lost = target.standing.is_lost();
+        if outcome != Outcome::Silent {
+            self.pulse.note(target.standing.probe_sent(), now);
+        }
         let heard = target.signal.heard;
-        match target.standing.probed(outcome, heard, sharers, now) {
+        let context = Context { heard, pulse: self.pulse, sharers: self.sharers };
+        match target.standing.probed(outcome, &context, now) {
             Finding::Unchanged => {}
             Finding::Trusted => {
                 if was_lost {
--- a/crates/mustardway_flow/src/lib.rs
+++ b/crates/mustardway_flow/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`token`]: the name of a target inside packets.
 //! - [`demand`]: how much of what callers ask can be placed.
 //! - [`directory`]: routes and targets as published.
+//! - [`pulse`]: whether this instance itself is quick.
 //! - [`signal`]: what is noticed of a target without asking it.
 //! - [`standing`]: whether a target is used, and when it is probed.
 //! - [`cold`]: new flows that a cold target bears.
@@ -31,6 +32,7 @@
 pub mod opening;
 pub mod packet;
 pub mod placement;
+pub mod pulse;
 pub mod signal;
 pub mod standing;
 pub mod table;
--- a/crates/mustardway_flow/src/standing.rs
+++ b/crates/mustardway_flow/src/standing.rs
@@ -4,9 +4,13 @@
 //! several signs agree and nothing was heard meanwhile: a reset of a flow whose
 //! target lives breaks a promise, a late one costs some requests. A probe by
 //! itself is one sign among others, since a busy target may drop connections.
+//! A probe that failed while this instance itself was slow is no sign, see
+//! [`crate::pulse`].
 
 use mustardway_types::time::{Instant, Span};
 
+use crate::pulse::Pulse;
+
 /// Signs that together make a target lost, probes that failed among them.
 const SIGNS: u32 = 3;
 /// How long a sign counts.
@@ -55,6 +59,17 @@
     Lost,
 }
 
+/// What else is known when a probe ends.
+#[derive(Debug, Clone, Copy)]
+pub struct Context {
+    /// When a caller last heard the target.
+    pub heard: Option<Instant>,
+    /// Whether this instance itself is quick.
+    pub pulse: Pulse,
+    /// Instances that probe a lost target in turn.
+    pub sharers: usize,
+}
+
 /// How far one target is relied on, and when it is probed.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Standing {
@@ -68,6 +83,8 @@
     /// When a peer said that it is lost, or a neighbour of it was lost.
     rumoured: Option<Instant>,
     is_probed: bool,
+    /// When the latest probe was sent.
+    probe_sent: Instant,
     next_probe: Instant,
     /// The last probe showed that its process has ended.
     is_gone: bool,
@@ -145,20 +162,19 @@
             return false;
         }
         self.is_probed = true;
+        self.probe_sent = now;
         true
     }
 
-    /// Takes what a probe found. `heard` is when a caller last heard the target;
-    /// `sharers` instances probe a lost one.
-    pub fn probed(
-        &mut self,
-        outcome: Outcome,
-        heard: Option<Instant>,
-        sharers: usize,
-        now: Instant,
-    ) -> Finding {
+    /// When the latest probe was sent.
+    pub fn probe_sent(&self) -> Instant {
+        self.probe_sent
+    }
+
+    /// Takes what a probe found.
+    pub fn probed(&mut self, outcome: Outcome, context: &Context, now: Instant) -> Finding {
         self.is_probed = false;
-        let heard_since = heard.is_some_and(|heard| heard > self.since);
+        let heard_since = context.heard.is_some_and(|heard| heard > self.since);
         if outcome == Outcome::Alive || heard_since {
             let was_trusted = self.trust(now) == Trust::Trusted;
             self.clear();
@@ -167,7 +183,11 @@
         }
         self.is_gone = outcome == Outcome::Replaced;
         if self.is_lost {
-            self.next_probe = now + Span(PROBE_LOST.0 * sharers.max(1) as u64);
+            self.next_probe = now + Span(PROBE_LOST.0 * context.sharers.max(1) as u64);
+            return Finding::Unchanged;
+        }
+        if !context.pulse.is_sound(self.since, now) {
+            self.next_probe = now + PROBE_AGAIN;
             return Finding::Unchanged;
         }
         self.failed += 1;
--- a/crates/mustardway_flow/tests/common/mod.rs
+++ b/crates/mustardway_flow/tests/common/mod.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Route 1 may be repeated, route 2 may not, route 3 leads to another service.
+/// Route 1 may be repeated, route 2 may not, routes 3 and 4 lead to other services.
 pub fn configuration(version: u64) -> Configuration {
     let service = |name: &str| Service {
         name: name.parse().expect("well formed"),
@@ -65,6 +65,7 @@
             route(1, "orders", Repeat::Free),
             route(2, "orders", Repeat::Once),
             route(3, "files", Repeat::Free),
+            route(4, "pulse", Repeat::Free),
         ],
         services: vec![service("orders"), service("files")],
         idle: Span::seconds(15),
@@ -131,6 +132,22 @@
     }
 
     pub fn probed(&mut self, number: u64, outcome: Outcome) {
+        self.exchange();
+        self.probed_blindly(number, outcome);
+    }
+
+    /// Lets a caller of another service get a quick answer, so that the instance
+    /// knows that it is quick itself.
+    pub fn exchange(&mut self) {
+        self.publish(put(registration(99, "pulse", "elsewhere")));
+        let from = 50_000 + (self.now.0 / 1_000 % 9_000) as u16;
+        self.send(&opening(from, 4, 0));
+        self.now = self.now + Span::millis(2);
+        self.send(&packet(from, 4, 99));
+    }
+
+    /// The same without a sign that the instance is quick itself.
+    pub fn probed_blindly(&mut self, number: u64, outcome: Outcome) {
         self.tell(Event::Probed(id(number), outcome));
     }
 
--- a/crates/mustardway_flow/tests/lost_targets.rs
+++ b/crates/mustardway_flow/tests/lost_targets.rs
@@ -55,6 +55,36 @@
     }
 }
 
+/// An instance that gets no quick answer from anybody is slow itself: its link
+/// may be full.
+#[test]
+fn slow_instance_loses_nobody() {
+    let (mut host, target) = unanswered(1);
+    for _ in 0..6 {
+        host.probed_blindly(target, Outcome::Silent);
+        host.wait(100);
+    }
+    assert!(host.take_resets().is_empty());
+    host.exchange();
+    for _ in 0..2 {
+        host.probed(target, Outcome::Silent);
+        host.wait(100);
+    }
+    assert_eq!(host.take_resets().len(), 1);
+}
+
+/// Where nobody at all can be reached for long, the targets count as lost.
+#[test]
+fn isolated_instance_loses_all() {
+    let (mut host, target) = unanswered(1);
+    host.wait(1_500);
+    for _ in 0..3 {
+        host.probed_blindly(target, Outcome::Silent);
+        host.wait(100);
+    }
+    assert_eq!(host.take_resets().len(), 1);
+}
+
 /// Two callers that were left unanswered weigh more than one.
 #[test]
 fn two_callers_and_one_probe() {
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -19,8 +19,12 @@
 /// Longest pause after a failed read: a platform that returns is noticed within
 /// a third of the shortest bound (3 s).
 const BACKOFF_MAX: Span = Span::millis(1_000);
-/// Time between two pulls while nothing is known.
-const PULL_INTERVAL: Span = Span::millis(100);
+/// Time between two pulls while nothing is known. The first one comes as late:
+/// the platform answers sooner where it answers at all.
+const PULL_INTERVAL: Span = Span::millis(150);
+/// Bytes a second of whole states that are sent to peers. More would fill a
+/// narrow link (10 Mbit/s) and hold up callers' packets.
+const WHOLE_RATE: u64 = 128 * 1024;
 /// Longest wait of the platform for a change, which spares a read its repeat.
 const WAIT: Span = Span::millis(300);
 
@@ -120,6 +124,8 @@
     reading: Option<Instant>,
     next_read: Instant,
     next_pull: Instant,
+    /// When a whole state may be sent to a peer again.
+    next_whole: Instant,
     backoff: Span,
     jitter: Span,
     is_forgotten: bool,
@@ -136,7 +142,8 @@
             confirmed: None,
             reading: None,
             next_read: now,
-            next_pull: now,
+            next_pull: now + PULL_INTERVAL,
+            next_whole: now,
             backoff: BACKOFF_MIN,
             jitter: Span::ZERO,
             is_forgotten: false,
@@ -293,14 +300,29 @@
         }
     }
 
-    fn answer_pull(&self, from: instance::Id, pull: Pull, now: Instant, actions: &mut Vec<Action>) {
+    fn answer_pull(
+        &mut self,
+        from: instance::Id,
+        pull: Pull,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
         let have = Number(pull.have);
         let Some(age) = self.age(now) else { return };
         if have > self.copy.number() {
             return;
         }
-        let message = Body::Push(self.changes_after(have, age)).into();
-        actions.push(Action::Send { to: from, message });
+        let is_whole = self.copy.after(have).is_none();
+        if is_whole && now < self.next_whole {
+            // The peer asks another instance soon.
+            return;
+        }
+        let push = self.changes_after(have, age);
+        if is_whole {
+            let bytes: usize = push.changes.iter().map(Vec::len).sum();
+            self.next_whole = now + Span(bytes as u64 * 1_000_000 / WHOLE_RATE);
+        }
+        actions.push(Action::Send { to: from, message: Body::Push(push).into() });
     }
 
     fn take_push(
