--- a/crates/mustardway_emulator/src/judge.rs
+++ b/crates/mustardway_emulator/src/judge.rs
@@ -59,7 +59,7 @@
     pub(crate) fn judge_opening(&mut self, host: usize, target: usize) {
         let now = self.now;
         let is_known = self.hosts[host].changed + TOUCH < now && self.is_stable();
-        let is_cut = self.is_cut_from_platform(self.hosts[host].domain);
+        let is_cut = self.was_cut_from_platform(self.hosts[host].domain, now - TOUCH);
         let server = &self.servers[target];
         let (id, domain) = (server.id.clone(), server.domain);
         let left = server.leaving.is_some_and(|at| now.since(at) > LEAVING_MAX);
--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -6,11 +6,12 @@
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use mustardway_flow::note::Note;
 use mustardway_flow::packet::Packet;
 use mustardway_flow::standing::Outcome;
 use mustardway_mirror::node::{Answer, Ask, Failure};
 use mustardway_types::time::{Instant, Span};
-use mustardway_types::{domain, service, target};
+use mustardway_types::{domain, instance, service, target};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -57,7 +58,7 @@
     Retry { request: usize },
     GiveUp { request: usize },
     Timer { flow: u32, generation: u32 },
-    ToHost { host: usize, flow: u32, packet: Packet },
+    ToHost { host: usize, flow: u32, packet: Packet, is_held: bool },
     ToTarget { host: usize, target: usize, flow: u32, packet: Packet },
     ToCaller { flow: u32, reply: Reply },
     Done { target: usize, life: u32, flow: u32, request: usize },
@@ -98,8 +99,13 @@
     /// Open flows that wait for a request, by failure domain and class.
     pub(crate) idle: BTreeMap<(usize, usize), Vec<u32>>,
     pub(crate) report: Report,
+    pub(crate) listener: Option<Listener>,
 }
 
+/// Takes the decisions of instances: time from the start of traffic, instance,
+/// decision.
+pub type Listener = Box<dyn FnMut(Span, &instance::Id, &Note)>;
+
 /// Plays a day; equal arguments give equal reports.
 pub fn play(site: &Site, day: &Day, seed: u64) -> Report {
     let mut world = World::new(site.clone(), day.clone(), seed);
@@ -107,6 +113,14 @@
     world.report
 }
 
+/// Plays a day and tells `listener` every decision.
+pub fn play_aloud(site: &Site, day: &Day, seed: u64, listener: Listener) -> Report {
+    let mut world = World::new(site.clone(), day.clone(), seed);
+    world.listener = Some(listener);
+    world.run();
+    world.report
+}
+
 /// Address of a route.
 pub(crate) fn route_address(number: usize) -> SocketAddrV4 {
     let [.., third, fourth] = (number as u32).to_be_bytes();
@@ -139,6 +153,7 @@
             by_caller: BTreeMap::new(),
             idle: BTreeMap::new(),
             report: Report::default(),
+            listener: None,
             site,
             day,
         };
@@ -199,7 +214,9 @@
             Event::Retry { request } => self.send_request(request),
             Event::GiveUp { request } => self.give_up(request),
             Event::Timer { flow, generation } => self.timer(flow, generation),
-            Event::ToHost { host, flow, packet } => self.packet_to_host(host, flow, packet),
+            Event::ToHost { host, flow, packet, is_held } => {
+                self.packet_to_host(host, flow, packet, is_held);
+            }
             Event::ToTarget { host, target, flow, packet } => {
                 self.packet_to_target(host, target, flow, packet);
             }
@@ -239,9 +256,10 @@
         self.queue.add(self.now, Event::Tick { host, life });
     }
 
-    /// Whether a failure domain cannot reach the platform.
-    pub(crate) fn is_cut_from_platform(&self, domain: usize) -> bool {
-        self.network.barrier(domain, self.site.domains.len()).is_some()
+    /// Whether a failure domain could not reach the platform at some time after
+    /// `since`.
+    pub(crate) fn was_cut_from_platform(&self, domain: usize, since: Instant) -> bool {
+        self.network.was_harmed(domain, self.site.domains.len(), since)
     }
 
     /// Whether the platform's configuration has a route for an address.
--- a/crates/mustardway_emulator/src/world/exchange.rs
+++ b/crates/mustardway_emulator/src/world/exchange.rs
@@ -174,7 +174,12 @@
                         }
                     }
                 }
-                Action::Note(_) => {}
+                Action::Note(note) => {
+                    let at = self.now.since(self.traffic);
+                    if let Some(listener) = &mut self.listener {
+                        listener(at, &self.hosts[host].id, &note);
+                    }
+                }
             }
         }
     }
--- a/crates/mustardway_emulator/src/world/request.rs
+++ b/crates/mustardway_emulator/src/world/request.rs
@@ -1,6 +1,6 @@
 //! Requests from callers to targets and back.
 
-use mustardway_flow::front::Verdict;
+use mustardway_flow::front::{self, Verdict};
 use mustardway_flow::packet::Packet;
 use mustardway_flow::token::Token;
 use mustardway_mirror::publication::Repeat;
@@ -97,7 +97,7 @@
             return;
         }
         let at = self.now + self.site.to_callers;
-        self.queue.add(at, Event::ToHost { host, flow, packet });
+        self.queue.add(at, Event::ToHost { host, flow, packet, is_held: false });
     }
 
     pub(super) fn timer(&mut self, flow: u32, generation: u32) {
@@ -118,17 +118,23 @@
     }
 
     /// A caller's packet has reached an instance.
-    pub(super) fn packet_to_host(&mut self, host: usize, flow: u32, packet: Packet) {
+    pub(super) fn packet_to_host(&mut self, host: usize, flow: u32, packet: Packet, is_held: bool) {
         if !self.hosts[host].alive {
             return;
         }
         let frozen_until = self.hosts[host].frozen_until;
         if self.now < frozen_until {
-            self.queue.add(frozen_until, Event::ToHost { host, flow, packet });
+            self.queue.add(frozen_until, Event::ToHost { host, flow, packet, is_held: true });
             return;
         }
         let mut actions = Vec::new();
-        let verdict = self.hosts[host].front.packet(&packet, self.now, &mut actions);
+        let (front, now) = (&mut self.hosts[host].front, self.now);
+        front.handle(
+            now,
+            if is_held { front::Event::Paused } else { front::Event::Drained },
+            &mut actions,
+        );
+        let verdict = front.packet(&packet, now, &mut actions);
         match verdict {
             Verdict::Forward { key, token, .. } => {
                 self.forward(host, key as usize - 1, flow, Packet { token, ..packet });
@@ -303,7 +309,7 @@
             let host = router::route(&self.seats, own.domain, own.address, own.route);
             let Some(host) = host else { continue };
             let at = self.now + self.site.to_callers + Span(PART_GAP.0 * u64::from(part));
-            self.queue.add(at, Event::ToHost { host, flow, packet });
+            self.queue.add(at, Event::ToHost { host, flow, packet, is_held: false });
         }
     }
 
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -62,6 +62,10 @@
         /// Live instances in this one's failure domain, itself among them.
         sharers: usize,
     },
+    /// The process did not run for a while; packets that came in meanwhile follow.
+    Paused,
+    /// No packet is left that came in while the process did not run.
+    Drained,
     /// What a probe found.
     Probed(target::Id, Outcome),
     /// What a peer in the same failure domain found of a target.
@@ -119,6 +123,8 @@
     /// Probes that are on their way.
     probing: usize,
     pulse: Pulse,
+    /// Packets come in that have waited while the process did not run.
+    is_draining: bool,
     demand: Demand,
     /// At least half of what callers ask can be placed.
     is_useful: bool,
@@ -141,6 +147,7 @@
             openings: Openings::default(),
             probing: 0,
             pulse: Pulse::default(),
+            is_draining: false,
             demand: Demand::default(),
             is_useful: true,
             next_sweep: Instant::default(),
@@ -173,6 +180,11 @@
         if !self.is_configured() {
             return Verdict::Drop(Dropped::Unconfigured);
         }
+        // The caller has sent copies meanwhile: a second target that answers this
+        // one would draw the open flow's packets to itself.
+        if packet.flags.opens && self.is_draining {
+            return Verdict::Drop(Dropped::Stale);
+        }
         if packet.flags.opens {
             return self.open(packet, now, actions);
         }
@@ -189,6 +201,8 @@
                 self.known = known;
                 self.sharers = sharers;
             }
+            Event::Paused => self.is_draining = true,
+            Event::Drained => self.is_draining = false,
             Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
             Event::Rumour { target, is_lost } => self.hear_rumour(&target, is_lost, now, actions),
         }
--- a/crates/mustardway_flow/src/front/carry.rs
+++ b/crates/mustardway_flow/src/front/carry.rs
@@ -25,7 +25,7 @@
         if packet.token == Token::NONE {
             return Verdict::Drop(Dropped::NoToken);
         }
-        let Some(slot) = self.directory.slot_of_token(packet.token) else {
+        let Some(slot) = self.target_of(packet) else {
             return self.carry_stranger(packet, now, actions);
         };
         let Some(target) = self.directory.get(slot) else {
@@ -45,6 +45,16 @@
         self.forward(slot).unwrap_or(Verdict::Drop(Dropped::UnknownToken))
     }
 
+    /// Place of the target of an open flow. Two targets may have answered copies
+    /// of one opening packet, and the later answer changes the token that the
+    /// caller sends: where the flow was seen to be open, its target stays.
+    fn target_of(&self, packet: &Packet) -> Option<usize> {
+        let record = self.table.get(&packet.flow());
+        let open = record.filter(|record| record.stage != Stage::Opening);
+        let open = open.filter(|record| self.directory.get(record.target).is_some());
+        open.map(|record| record.target).or_else(|| self.directory.slot_of_token(packet.token))
+    }
+
     /// Whether the flows of a target cannot go on. A request that may run once
     /// at most is left alone while its target may still be at work on it.
     pub(super) fn is_over(&self, slot: usize, is_repeatable: bool) -> bool {
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -19,16 +19,19 @@
     ForeignToken,
     /// no flow to open and no token
     NoToken,
+    /// it would open a flow, but has waited while the process did not run
+    Stale,
 }
 
 impl Dropped {
     /// All of them.
-    pub const ALL: [Dropped; 5] = [
+    pub const ALL: [Dropped; 6] = [
         Dropped::Unconfigured,
         Dropped::NoRoute,
         Dropped::UnknownToken,
         Dropped::ForeignToken,
         Dropped::NoToken,
+        Dropped::Stale,
     ];
 }
 
--- a/crates/mustardway_flow/tests/opening_packets.rs
+++ b/crates/mustardway_flow/tests/opening_packets.rs
@@ -4,7 +4,8 @@
 
 use assert_matches::assert_matches;
 use common::{AWAY, HOME, Host, opening, packet, put, registration, target_of};
-use mustardway_flow::front::{Action, Verdict};
+use mustardway_flow::front::{Action, Event, Verdict};
+use mustardway_flow::note::Dropped;
 use mustardway_flow::packet::Packet;
 use mustardway_flow::standing::Outcome;
 use mustardway_mirror::publication::{Change, Item};
@@ -56,6 +57,29 @@
     assert_eq!(host.front.table().flows_of(0).len() + flows(&host), 1);
 }
 
+/// A second target may answer late; the caller then sends that one's token.
+#[test]
+fn open_flow_keeps_first_target() {
+    let mut host = Host::new(8, 0);
+    let target = host.establish(1, 1);
+    let other = target % 8 + 1;
+    assert_eq!(target_of(host.send(&packet(1, 1, other))), Some(target));
+    assert_eq!(target_of(host.send(&common::request(1, 1, other))), Some(target));
+}
+
+/// A caller sends copies while an instance stands still; the packets that waited
+/// there open no second flow.
+#[test]
+fn held_opening_is_dropped() {
+    let mut host = Host::new(8, 0);
+    let target = host.establish(1, 1);
+    host.tell(Event::Paused);
+    assert_eq!(host.send(&opening(2, 1, 0)), Verdict::Drop(Dropped::Stale));
+    assert_eq!(target_of(host.send(&packet(1, 1, target))), Some(target));
+    host.tell(Event::Drained);
+    assert!(host.open(3, 1).is_some());
+}
+
 /// Flows at all targets but the first in the directory.
 fn flows(host: &Host) -> usize {
     (1..8).map(|slot| host.front.table().flows_of(slot).len()).sum()
--- a/crates/mustardway_front/src/control.rs
+++ b/crates/mustardway_front/src/control.rs
@@ -147,6 +147,7 @@
             slog::warn!(self.parts.logger, "the process did not run";
                 "for" => %paused, "missed_by_clock" => %missed);
             self.tell_mirror(mirror::Event::Paused(missed), now);
+            self.tell_front(front::Event::Paused, now);
         }
         self.tell_membership(event::Event::Tick, now);
         self.tell_mirror(mirror::Event::Tick, now);
@@ -183,13 +184,20 @@
     /// Reads and forwards the packets that wait, up to a batch.
     pub fn receive(&mut self) {
         let now = self.now();
+        if self.watch.is_late(now) {
+            // Before any packet is read that came in meanwhile.
+            self.tick();
+        }
         let envelope = self.parts.ports.codec.envelope();
         let mut actions = Vec::new();
         for _ in 0..BATCH {
             let received = self.parts.socket.try_recv_from(&mut self.buffer[envelope..]);
             let length = match received {
                 Ok((length, _)) => length,
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                    self.front.handle(now, front::Event::Drained, &mut actions);
+                    break;
+                }
                 Err(error) => {
                     // An earlier datagram met a closed port.
                     slog::debug!(self.parts.logger, "reading a packet failed"; "error" => %error);
--- a/crates/mustardway_front/src/pause.rs
+++ b/crates/mustardway_front/src/pause.rs
@@ -23,6 +23,11 @@
         Watch { ticked: now, booted: since_boot() }
     }
 
+    /// Whether the process did not run since the last tick.
+    pub fn is_late(&self, now: Instant) -> bool {
+        now.since(self.ticked) >= GAP || since_boot().less(self.booted) >= GAP
+    }
+
     /// How long the process did not run since the last call, if that was long,
     /// and how much of it the monotonic clock has missed.
     pub fn tick(&mut self, now: Instant) -> Option<(Span, Span)> {
