--- /dev/null
+++ b/crates/mustardway_emulator/tests/found_faults.rs
@@ -0,0 +1,82 @@
+//! Faults that were found once, on the users' days or on drawn ones: each day
+//! failed before its cause was mended.
+
+use mustardway_emulator::day::{Day, Kind};
+use mustardway_emulator::report::{Counts, Report};
+use mustardway_emulator::site::Known;
+use mustardway_emulator::world::play;
+use mustardway_types::time::Span;
+
+fn between(report: &Report, first: u64, last: u64) -> Counts {
+    report.between(Span::seconds(first), Span::seconds(last))
+}
+
+/// The targets of a failure domain end together and refuse connections. Callers
+/// that repeat were sent to one after the other of them until they gave up.
+#[test]
+fn targets_of_a_domain_end() {
+    let lasts = Span::seconds(5);
+    let day = Day::quiet(20).with(8.0, Kind::DomainTargetsDown { domain: 2, lasts });
+    let report = play(&Known::SanJose.site(), &day, 2);
+    assert!(report.broken.is_empty(), "{report}");
+    // A request that may run once and was at work is lost with its target.
+    let alerts = report.class(0);
+    assert!(alerts.failed <= 5, "requests that may be repeated: {alerts:?}");
+    assert!(between(&report, 8, 10).failed_share() <= 0.05, "{report}");
+}
+
+/// A failure domain that is evacuated and then cut off can serve nothing itself.
+#[test]
+fn evacuated_domain_is_cut() {
+    let day = Day::quiet(24)
+        .with(4.0, Kind::Evacuate { domain: 2, lasts: Span::seconds(20) })
+        .with(8.0, Kind::Cut { domain: 2, lasts: Span::seconds(8), refuses: true });
+    let report = play(&Known::FrioAustral.site(), &day, 2);
+    assert!(report.broken.is_empty(), "{report}");
+    let late = between(&report, 10, 16);
+    assert!(late.failed_share() <= 0.01, "other instances serve its callers: {late:?}");
+}
+
+/// A large configuration passes over narrow links; packets that wait behind it
+/// make targets seem silent.
+#[test]
+fn large_change_on_narrow_links() {
+    let site = Known::SanJoseGrown.site();
+    let day = Day::quiet(6).with(2.0, Kind::Configure { routes: 2_000 });
+    let report = play(&site, &day, 2);
+    assert!(report.broken.is_empty(), "{report}");
+    assert!(report.total().in_time_share() >= 0.99, "{report}");
+}
+
+/// An instance wakes with opening packets whose copies other instances have
+/// placed long ago.
+#[test]
+fn frozen_instances_wake() {
+    let mut day = Day::quiet(24);
+    for at in [3.0, 7.0, 11.0, 15.0, 19.0] {
+        day = day.with(at, Kind::Freeze { share: 0.4, lasts: Span::millis(3_000) });
+        let lasts = Span::seconds(2);
+        day = day.with(at + 3.2, Kind::Crash { service: 0, share: 0.3, is_dark: true, lasts });
+    }
+    for seed in 1..=4 {
+        let report = play(&Known::SanJose.site(), &day, seed);
+        assert!(report.broken.is_empty(), "seed {seed}: {report}");
+    }
+}
+
+/// Days on which rules were broken before their causes were mended.
+#[test]
+fn drawn_days_of_old() {
+    let cases = [
+        (Known::SanJose, [71, 518, 715, 878].as_slice()),
+        (Known::FrioAustral, [318, 432, 491].as_slice()),
+    ];
+    for (known, seeds) in cases {
+        let site = known.site();
+        for seed in seeds {
+            let day = Day::drawn(*seed, site.domains.len(), site.services.len());
+            let report = play(&site, &day, *seed);
+            assert!(report.broken.is_empty(), "{known}, day {seed}: {report}");
+        }
+    }
+}
