--- a/crates/mustardway_front/src/control.rs
+++ b/crates/mustardway_front/src/control.rs
@@ -159,7 +159,7 @@
     pub fn take(&mut self, input: Input) {
         let now = self.now();
         match input {
-            Input::Frame { from, kind, body } => self.take_frame(from, kind, body, now),
+            Input::Frame { from, kind, body } => self.take_frame(&from, kind, body, now),
             Input::LinkDown(id) => self.tell_membership(event::Event::LinkDown(id), now),
             Input::Answer(answer) => self.tell_mirror(mirror::Event::Answer(answer), now),
             Input::Probed(target, outcome) => {
@@ -239,7 +239,7 @@
         }
     }
 
-    fn take_frame(&mut self, from: instance::Id, kind: Kind, body: Bytes, now: Instant) {
+    fn take_frame(&mut self, from: &instance::Id, kind: Kind, body: Bytes, now: Instant) {
         let result = match kind {
             MEMBERSHIP => membership_message::Message::decode(body).map(|message| {
                 self.tell_membership(event::Event::Received { from: from.clone(), message }, now);
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -294,8 +294,8 @@
         actions: &mut Vec<Action>,
     ) {
         match message.body {
-            Some(Body::Push(push)) => self.take_push(from, push, now, actions),
-            Some(Body::Pull(pull)) => self.answer_pull(from, pull, now, actions),
+            Some(Body::Push(push)) => self.take_push(from, &push, now, actions),
+            Some(Body::Pull(pull)) => self.answer_pull(from, &pull, now, actions),
             None => {}
         }
     }
@@ -303,7 +303,7 @@
     fn answer_pull(
         &mut self,
         from: instance::Id,
-        pull: Pull,
+        pull: &Pull,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
@@ -328,7 +328,7 @@
     fn take_push(
         &mut self,
         from: instance::Id,
-        push: Push,
+        push: &Push,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
@@ -366,7 +366,7 @@
         };
         // A name that is none comes from a peer of another version.
         if let Some(root) = root {
-            self.pass_on(&push, &root, actions);
+            self.pass_on(push, &root, actions);
         }
     }
 
