--- a/crates/mustardway_command/src/commands/front.rs
+++ b/crates/mustardway_command/src/commands/front.rs
@@ -26,7 +26,7 @@
     error_code(1, "it could not start; every problem of the settings is on stderr")
 )]
 pub struct Run {
-    /// the instance's settings file; without it the variable MUSTARDWAY_SETTINGS
+    /// the instance's settings file; without it the variable `MUSTARDWAY_SETTINGS`
     /// names the file
     #[argh(option)]
     settings: Option<PathBuf>,
--- a/crates/mustardway_emulator/src/trouble.rs
+++ b/crates/mustardway_emulator/src/trouble.rs
@@ -39,8 +39,8 @@
 }
 
 impl World {
-    pub(crate) fn begin(&mut self, kind: Kind) {
-        match kind {
+    pub(crate) fn begin(&mut self, kind: &Kind) {
+        match *kind {
             Kind::Crash { service, share, is_dark, lasts } => {
                 for target in self.some_targets(service, share) {
                     self.crash(target, is_dark, lasts);
--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -231,7 +231,7 @@
             Event::Beat { target, life } => self.beat(target, life),
             Event::Begin(number) => {
                 let kind = self.day.troubles[number].kind.clone();
-                self.begin(kind);
+                self.begin(&kind);
             }
             Event::Later(later) => self.go_on(later),
         }
