--- a/crates/mustardway_flow/src/directory.rs
+++ b/crates/mustardway_flow/src/directory.rs
@@ -63,13 +63,23 @@
     services: FxHashMap<service::Name, Service>,
     evacuated: BTreeSet<domain::Name>,
     targets: Vec<Option<Target>>,
+    /// Places that are free again.
+    free: Vec<usize>,
     ids: BTreeMap<target::Id, usize>,
     tokens: FxHashMap<Token, usize>,
+    /// The indexes by token and by service are out of date.
+    is_unsorted: bool,
 }
 
 impl Directory {
-    /// Takes one change of what is published.
-    pub fn apply(&mut self, change: Change, now: Instant) -> Option<Note> {
+    /// Takes changes of what is published.
+    pub fn apply(&mut self, changes: Vec<Change>, now: Instant) -> Vec<Note> {
+        let notes = changes.into_iter().filter_map(|change| self.take(change, now)).collect();
+        self.sort();
+        notes
+    }
+
+    fn take(&mut self, change: Change, now: Instant) -> Option<Note> {
         match change {
             Change::Put(Item::Configuration(configuration)) => Some(self.configure(configuration)),
             Change::Put(Item::Target(registration)) => self.register(registration, now),
@@ -148,9 +158,12 @@
         self.ids.get(id).copied()
     }
 
-    /// Places of all targets.
-    pub fn slots(&self) -> Vec<usize> {
-        self.ids.values().copied().collect()
+    /// Places of the targets of a failure domain.
+    pub fn slots_in(&self, domain: &domain::Name) -> Vec<usize> {
+        let is_in = |slot: &usize| {
+            self.get(*slot).is_some_and(|target| target.registration.domain == *domain)
+        };
+        self.ids.values().copied().filter(is_in).collect()
     }
 
     /// Forgets targets that left long ago and have no flows.
@@ -166,8 +179,10 @@
         for (id, slot) in old {
             self.ids.remove(&id);
             self.targets[slot] = None;
-            self.index();
+            self.free.push(slot);
+            self.is_unsorted = true;
         }
+        self.sort();
     }
 
     fn configure(&mut self, configuration: Arc<Configuration>) -> Note {
@@ -220,7 +235,7 @@
             known.signal.passed_over = None;
         }
         if was.service != known.registration.service {
-            self.index();
+            self.is_unsorted = true;
         }
         let is_news = reborn || was_missing || was.leaving != leaving;
         is_news.then_some(Note::Registered { target: id, leaving })
@@ -233,19 +248,21 @@
     }
 
     fn insert(&mut self, id: target::Id, target: Target) {
-        let free = self.targets.iter().position(Option::is_none);
-        let slot = free.unwrap_or(self.targets.len());
+        let slot = self.free.pop().unwrap_or(self.targets.len());
         if slot == self.targets.len() {
             self.targets.push(None);
         }
         self.targets[slot] = Some(target);
         self.ids.insert(id, slot);
-        self.index();
+        self.is_unsorted = true;
     }
 
     /// Makes the indexes by token and by service anew. Of targets with the same
     /// token the one with the least name keeps it, at every instance alike.
-    fn index(&mut self) {
+    fn sort(&mut self) {
+        if !std::mem::take(&mut self.is_unsorted) {
+            return;
+        }
         self.tokens.clear();
         for service in self.services.values_mut() {
             service.slots.clear();
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -4,6 +4,7 @@
 mod open;
 mod watch;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
 use compact_str::CompactString;
@@ -120,6 +121,8 @@
     /// When an unknown token was first seen in a flow.
     strangers: FxHashMap<Flow, Instant>,
     openings: Openings,
+    /// Places of targets that are not trusted.
+    watched: BTreeSet<usize>,
     /// Probes that are on their way.
     probing: usize,
     pulse: Pulse,
@@ -145,6 +148,7 @@
             confirmed: None,
             strangers: FxHashMap::default(),
             openings: Openings::default(),
+            watched: BTreeSet::new(),
             probing: 0,
             pulse: Pulse::default(),
             is_draining: false,
--- a/crates/mustardway_flow/src/front/watch.rs
+++ b/crates/mustardway_flow/src/front/watch.rs
@@ -7,7 +7,7 @@
 use super::{Action, Front, Probe};
 use crate::note::{Note, Refused};
 use crate::packet::{Flow, Reset};
-use crate::standing::{Context, Finding, Outcome};
+use crate::standing::{Context, Finding, Outcome, Trust};
 use crate::table::Stage;
 
 /// Time between two sweeps of old flows and targets.
@@ -30,6 +30,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(target) = self.directory.get_mut(slot) else { return };
+        self.watched.insert(slot);
         if target.standing.suspect(now) {
             let target = target.registration.id.clone();
             actions.push(Action::Note(Note::Doubted { target, flow }));
@@ -57,6 +58,20 @@
         }
         if !target.signal.heard_after(now - HEARD_LATELY) {
             target.standing.hear_rumour(now);
+            self.watched.insert(slot);
+        }
+    }
+
+    /// Probes a target that is not trusted, where that is due.
+    fn watch(&mut self, slot: usize, now: Instant, actions: &mut Vec<Action>) {
+        let target = self.directory.get(slot);
+        let target = target.filter(|target| target.standing.trust(now) != Trust::Trusted);
+        let Some(target) = target else {
+            self.watched.remove(&slot);
+            return;
+        };
+        if target.missing.is_none() || target.signal.flows > 0 {
+            self.probe(slot, now, actions);
         }
     }
 
@@ -132,14 +147,13 @@
     fn doubt_neighbours(&mut self, slot: usize, now: Instant) {
         let Some(lost) = self.directory.get(slot) else { return };
         let domain = lost.registration.domain.clone();
-        for slot in self.directory.slots() {
+        for slot in self.directory.slots_in(&domain) {
             let Some(target) = self.directory.get_mut(slot) else { continue };
-            if target.registration.domain != domain || target.missing.is_some() {
+            if target.missing.is_some() || target.signal.heard_after(now - HEARD_LATELY) {
                 continue;
             }
-            if !target.signal.heard_after(now - HEARD_LATELY) {
-                target.standing.hear_rumour(now);
-            }
+            target.standing.hear_rumour(now);
+            self.watched.insert(slot);
         }
     }
 
@@ -150,13 +164,16 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        for change in changes {
-            let removed = match &change {
-                Change::Removed(Key::Target(id)) => Some(id.clone()),
-                _ => None,
-            };
-            actions.extend(self.directory.apply(change, now).map(Action::Note));
-            let Some(slot) = removed.and_then(|id| self.directory.slot_of(&id)) else { continue };
+        let mut removed = Vec::new();
+        for change in &changes {
+            if let Change::Removed(Key::Target(id)) = change {
+                removed.push(id.clone());
+            }
+        }
+        let notes = self.directory.apply(changes, now);
+        actions.extend(notes.into_iter().map(Action::Note));
+        for id in removed {
+            let Some(slot) = self.directory.slot_of(&id) else { continue };
             let flows = self.directory.get(slot).map_or(0, |target| target.signal.flows);
             if flows > 0 {
                 self.doubt(slot, None, now, actions);
@@ -187,12 +204,8 @@
             self.is_useful = is_useful;
             actions.push(Action::Note(Note::Useful { is_useful }));
         }
-        for slot in self.directory.slots() {
-            let Some(target) = self.directory.get(slot) else { continue };
-            if target.missing.is_some() && target.signal.flows == 0 {
-                continue;
-            }
-            self.probe(slot, now, actions);
+        for slot in self.watched.clone() {
+            self.watch(slot, now, actions);
         }
         if now < self.next_sweep {
             return;
--- /dev/null
+++ b/crates/mustardway_settings/tests/front_settings.rs
@@ -0,0 +1,55 @@
+//! Settings of the packet front: the example, defaults and every kind of problem.
+
+use mustardway_settings::front::Front;
+use mustardway_types::time::Span;
+
+const LEAST: &str = "[instance]\nname = a-1\ndomain = a\npackets = 10.1.0.1:1\nready = 10.1.0.1:2\n\
+    peer = 10.1.0.1:3\n[platform]\naddress = 10.2.0.1:4\n";
+
+fn problems(text: &str) -> Vec<String> {
+    let problems = Front::parse(text).expect_err("a problem");
+    problems.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn example_is_accepted() {
+    let example = include_str!("../examples/front.ini");
+    let front = Front::parse(example).expect("the example");
+    assert_eq!(front.name.as_str(), "rosario-1");
+    assert!(front.seeds.is_empty());
+    // Every key that is commented out shows its default.
+    let shown = example.replace("# seeds =", "seeds =").replace("# grace", "grace");
+    let shown = shown.replace("# level", "level").replace("# form", "form");
+    assert_eq!(Front::parse(&shown).expect("the defaults"), front);
+}
+
+#[test]
+fn defaults_are_filled_in() {
+    let front = Front::parse(LEAST).expect("all that is needed");
+    assert_eq!(front.grace, Span::seconds(6));
+    assert!(front.seeds.is_empty());
+}
+
+#[test]
+fn seeds_are_a_list() {
+    let text = LEAST.replace("[platform]", "seeds = 10.1.0.1:3, 10.1.0.2:3\n[platform]");
+    assert_eq!(Front::parse(&text).expect("two seeds").seeds.len(), 2);
+    let empty = LEAST.replace("[platform]", "seeds =\n[platform]");
+    assert!(Front::parse(&empty).expect("no seeds").seeds.is_empty());
+}
+
+#[test]
+fn problems_are_listed_together() {
+    let text = LEAST.replace("name = a-1", "name = A 1").replace("address", "adress");
+    let found = problems(&format!("{text}[timing]\ngrace = 1ms\n[extra]\n"));
+    assert_eq!(found.len(), 5, "{found:?}");
+}
+
+#[test]
+fn missing_keys_are_named() {
+    for key in ["name", "domain", "packets", "ready", "peer", "address"] {
+        let kept: Vec<_> = LEAST.lines().filter(|line| !line.starts_with(key)).collect();
+        let found = problems(&kept.join("\n"));
+        assert!(found.iter().any(|problem| problem.contains(key)), "{key}: {found:?}");
+    }
+}
--- a/tests/command_line_pages.rs
+++ b/tests/command_line_pages.rs
@@ -25,7 +25,7 @@
 
 #[test]
 fn each_reason() {
-    let page = read("docs/OPERATORS.md");
+    let page = read("docs/OPERATIONS.md");
     for (reason, kind) in TABLE {
         let row = format!("\n| `{}` | {} | ", label::of(reason), word(kind));
         assert!(page.contains(&row), "{row}");
@@ -34,7 +34,7 @@
 
 #[test]
 fn each_setting() {
-    let page = read("docs/OPERATORS.md");
+    let page = read("docs/OPERATIONS.md");
     let example = read("crates/mustardway_settings/examples/instance.ini");
     let mut keys = 0;
     for line in example.lines() {
@@ -49,7 +49,7 @@
 
 #[test]
 fn each_subcommand() {
-    let page = read("docs/OPERATORS.md");
+    let page = read("docs/OPERATIONS.md");
     for name in [
         "run", "drain", "check", "diff", "status", "targets", "peers", "promises", "audit",
         "explain",
