--- a/crates/mustardway_command/src/commands/run.rs
+++ b/crates/mustardway_command/src/commands/run.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicBool;
 
 use mustardway_admin::server;
+use mustardway_front::signals::Signals;
 use mustardway_reader::client;
 use mustardway_runtime::desk::Counter;
 use mustardway_runtime::meter::{self, Meter};
@@ -23,7 +24,6 @@
 use super::patience::Patience;
 use super::{convert, start};
 use crate::exit::{FAILED, fail};
-use crate::signals::Signals;
 
 /// Exit codes of a process that a signal ended start here.
 const SIGNAL_BASE: i32 = 128;
@@ -108,7 +108,8 @@
     desk.stop();
     let code = tokio::select! {
         () = instance.stop() => ExitCode::SUCCESS,
-        number = signals.next() => {
+        signal = signals.next() => {
+            let number = signal.number();
             slog::warn!(logger, "a second signal ends the stop at once"; "signal" => number);
             ExitCode::from(u8::try_from(SIGNAL_BASE + number).unwrap_or(FAILED))
         }
--- a/crates/mustardway_command/src/lib.rs
+++ b/crates/mustardway_command/src/lib.rs
@@ -10,7 +10,6 @@
 //! - [`failure`]: why the command line did not do what it was told.
 //! - [`output`]: what is printed.
 //! - [`queries`]: what tells something.
-//! - [`signals`]: signals that stop the process.
 
 #[cfg(feature = "requests")]
 pub mod access;
@@ -22,8 +21,6 @@
 pub mod output;
 #[cfg(feature = "requests")]
 pub mod queries;
-#[cfg(feature = "requests")]
-pub mod signals;
 
 use std::process::ExitCode;
 
--- a/crates/mustardway_front/src/run.rs
+++ b/crates/mustardway_front/src/run.rs
@@ -20,7 +20,7 @@
 use crate::control::{Control, Input, Parts};
 use crate::peers::{Inlet, KINDS};
 use crate::port::Ports;
-use crate::signals::{Order, Signals};
+use crate::signals::{Received, Signals};
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(50);
@@ -95,13 +95,13 @@
             }
             Some(input) = inbox.recv() => control.take(input),
             _ = ticks.tick() => control.tick(),
-            order = signals.next() => match order {
-                Order::Stop => {
+            signal = signals.next() => match signal {
+                Received::Hangup => reload(),
+                Received::Terminate | Received::Interrupt => {
                     slog::info!(logger, "stopping");
                     stopping = stopping.or(Some(control.now()));
                     control.leave();
                 }
-                Order::Reload => reload(),
             },
         }
         ready.store(control.is_ready() && stopping.is_none(), Ordering::Relaxed);
--- a/crates/mustardway_front/src/signals.rs
+++ b/crates/mustardway_front/src/signals.rs
@@ -1,19 +1,36 @@
-//! Signals that stop the process or make it read its settings again.
+//! Signals that stop a process or make it read its settings again.
+//!
+//! Each signal has one stream, registered once at the start, so that no signal
+//! is lost between the wait for the first and the wait for the second.
 
 use std::io;
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// What a signal asks for.
+/// A signal that has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Order {
-    /// Stop as planned.
-    Stop,
-    /// Read the settings again.
-    Reload,
+pub enum Received {
+    /// TERM.
+    Terminate,
+    /// INT.
+    Interrupt,
+    /// HUP.
+    Hangup,
 }
 
-/// Streams of signals, registered once at the start.
+impl Received {
+    /// The signal's number.
+    pub fn number(self) -> i32 {
+        let kind = match self {
+            Received::Terminate => SignalKind::terminate(),
+            Received::Interrupt => SignalKind::interrupt(),
+            Received::Hangup => SignalKind::hangup(),
+        };
+        kind.as_raw_value()
+    }
+}
+
+/// Streams of signals.
 pub struct Signals {
     terminate: Signal,
     interrupt: Signal,
@@ -34,11 +51,11 @@
     }
 
     /// Waits for the next signal.
-    pub async fn next(&mut self) -> Order {
+    pub async fn next(&mut self) -> Received {
         tokio::select! {
-            _ = self.terminate.recv() => Order::Stop,
-            _ = self.interrupt.recv() => Order::Stop,
-            _ = self.hangup.recv() => Order::Reload,
+            _ = self.terminate.recv() => Received::Terminate,
+            _ = self.interrupt.recv() => Received::Interrupt,
+            _ = self.hangup.recv() => Received::Hangup,
         }
     }
 }
