--- a/crates/mustardway_flow/tests/flow_affinity.rs
+++ b/crates/mustardway_flow/tests/flow_affinity.rs
@@ -99,6 +99,18 @@
     }
 }
 
+/// At the size to design for (17,000 targets) equal tokens are rare: 17,000 names
+/// drawn over 32 bits make 0.03 pairs on average.
+#[test]
+fn tokens_at_size() {
+    let mut tokens = std::collections::BTreeSet::new();
+    for number in 0..17_000 {
+        tokens.insert(Token::of(&id(number)));
+    }
+    assert!(tokens.len() >= 16_999, "{} tokens", tokens.len());
+    assert!(!tokens.contains(&Token::NONE));
+}
+
 /// Two names with the same token, the lesser one first.
 fn colliding() -> (target::Id, target::Id) {
     let mut seen = std::collections::BTreeMap::new();
