--- a/crates/mustardway_flow/src/front/carry.rs
+++ b/crates/mustardway_flow/src/front/carry.rs
@@ -1,16 +1,14 @@
 //! Packets of open flows: each goes to the target that its token names.
 
-use mustardway_types::time::{Instant, Span};
+use mustardway_types::time::Instant;
 
 use super::{Action, FRESH, Front, Verdict};
-use crate::note::{Dropped, Refused};
+use crate::note::{Dropped, Note, Refused};
 use crate::packet::{Flow, Packet, is_after};
+use crate::signal::UNANSWERED;
 use crate::table::{Record, Stage};
 use crate::token::Token;
 
-/// Time without an answer after which bytes that are sent again count against
-/// the target. Callers send them again after 200 ms.
-const UNANSWERED: Span = Span::millis(150);
 /// Flows with unknown tokens that are remembered, at most.
 const STRANGERS_MAX: usize = 4_096;
 
@@ -37,7 +35,7 @@
         let Some(route) = self.directory.route(packet.destination) else {
             return self.refuse(packet, Refused::RouteRemoved, now, actions);
         };
-        let is_repeatable = super::open::is_repeatable(route);
+        let is_repeatable = route.is_repeatable();
         self.observe(packet, slot, now, actions);
         if self.is_over(slot, is_repeatable) && !packet.flags.resets {
             return self.refuse(packet, Refused::TargetLost, now, actions);
@@ -105,22 +103,21 @@
         if let Some(since) = waited {
             self.pulse.note(since, now);
         }
-        let answered = waited.is_some();
+        let mut told = Told { heard, answered: waited.is_some(), asked: false };
         let mut silent_since = None;
-        let mut asked = false;
         if packet.length > 0 {
             let end = packet.sequence.wrapping_add(u32::from(packet.length));
             let is_new = record.sent.is_none_or(|sent| is_after(end, sent));
             if is_new {
                 record.sent = Some(end);
-                asked = record.waiting.is_none();
+                told.asked = record.waiting.is_none();
                 record.waiting = record.waiting.or(Some(now));
             } else {
                 silent_since = record.waiting;
             }
         }
         let ended = packet.flags.finishes || packet.flags.resets;
-        self.count(slot, heard, answered, asked, now, actions);
+        self.count(slot, &told, now, actions);
         if let Some(since) = silent_since {
             self.hear_silence(slot, flow, since, now, actions);
         }
@@ -145,30 +142,22 @@
     }
 
     /// Counts at a target what one packet told.
-    fn count(
-        &mut self,
-        slot: usize,
-        heard: bool,
-        answered: bool,
-        asked: bool,
-        now: Instant,
-        actions: &mut Vec<Action>,
-    ) {
+    fn count(&mut self, slot: usize, told: &Told, now: Instant, actions: &mut Vec<Action>) {
         let Some(target) = self.directory.get_mut(slot) else { return };
         let signal = &mut target.signal;
-        if answered {
+        if told.answered {
             signal.settle(now);
         }
-        if asked {
+        if told.asked {
             signal.ask(now);
         }
-        if !heard {
+        if !told.heard {
             return;
         }
         signal.hear(now);
         if target.standing.hear() {
             let id = target.registration.id.clone();
-            actions.push(Action::Note(crate::note::Note::Trusted { target: id }));
+            actions.push(Action::Note(Note::Trusted { target: id }));
         }
     }
 
@@ -196,3 +185,14 @@
         self.table.insert(*flow, record);
     }
 }
+
+/// What one packet of a caller tells of the flow's target.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    /// The caller has heard it.
+    heard: bool,
+    /// It has begun to answer a request.
+    answered: bool,
+    /// It is asked for something new.
+    asked: bool,
+}
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -3,9 +3,9 @@
 //! Copies of an opening packet follow the first one, unless that went unanswered
 //! for as long as a caller waits before it sends a copy.
 
-use mustardway_mirror::publication::{Route, Share};
+use mustardway_mirror::publication::Share;
 use mustardway_types::service;
-use mustardway_types::time::{Instant, Span};
+use mustardway_types::time::Instant;
 use rand::RngExt;
 
 use super::{Action, Front, Verdict};
@@ -15,14 +15,10 @@
 use crate::opening::Opening;
 use crate::packet::Packet;
 use crate::placement::{self, Candidate, Grade, WEIGHTS};
+use crate::signal::UNANSWERED;
 use crate::standing::Trust;
 use crate::table::{Record, Stage};
 
-/// Time without an answer after which a copy of an opening packet may go to
-/// another target. Callers send the first copy after 200 ms; copies that come
-/// sooner were held up together, so they tell nothing of the target.
-const UNANSWERED: Span = Span::millis(150);
-
 impl Front {
     /// Decides what becomes of an opening packet.
     pub(super) fn open(
@@ -258,9 +254,3 @@
     /// When the packet was placed.
     since: Instant,
 }
-
-/// Whether callers of a route may repeat a request that may have run.
-pub(super) fn is_repeatable(route: &Route) -> bool {
-    use mustardway_mirror::publication::Repeat;
-    route.repeat == Repeat::Free
-}
--- a/crates/mustardway_flow/src/front/watch.rs
+++ b/crates/mustardway_flow/src/front/watch.rs
@@ -1,6 +1,6 @@
 //! Doubts, probes and the published state.
 
-use mustardway_mirror::publication::{Change, Key};
+use mustardway_mirror::publication::{Change, Key, Route};
 use mustardway_types::target;
 use mustardway_types::time::{Instant, Span};
 
@@ -39,8 +39,7 @@
     }
 
     /// A peer in the same failure domain says what it found of a target. One that
-    /// is lost there gets no new flows here for a while; its flows here go on
-    /// until a caller is left unanswered.
+    /// is lost there is probed here too, and gets no new flows meanwhile.
     pub(super) fn hear_rumour(
         &mut self,
         id: &target::Id,
@@ -51,7 +50,7 @@
         let Some(slot) = self.directory.slot_of(id) else { return };
         let Some(target) = self.directory.get_mut(slot) else { return };
         if !is_lost {
-            if target.standing.hear_alive() {
+            if target.standing.hear() {
                 actions.push(Action::Note(Note::Trusted { target: id.clone() }));
             }
             return;
@@ -128,7 +127,7 @@
         let mut count = 0;
         for (flow, record) in self.table.flows_of(slot) {
             let route = self.directory.route(flow.route);
-            let is_repeatable = route.is_some_and(super::open::is_repeatable);
+            let is_repeatable = route.is_some_and(Route::is_repeatable);
             if !self.is_over(slot, is_repeatable) {
                 continue;
             }
--- a/crates/mustardway_flow/src/signal.rs
+++ b/crates/mustardway_flow/src/signal.rs
@@ -7,6 +7,10 @@
 
 use mustardway_types::time::{Instant, Span};
 
+/// Time without an answer after which a copy of an opening packet, or bytes that
+/// are sent again, count against the target. Callers send them after 200 ms; those
+/// that come sooner were held up together and tell nothing.
+pub const UNANSWERED: Span = Span::millis(150);
 /// Time for which a target that left an opening packet unanswered is passed
 /// over: one retransmission interval of a caller beyond its last copy.
 pub const PASSED_OVER: Span = Span::millis(1_500);
--- a/crates/mustardway_flow/src/standing.rs
+++ b/crates/mustardway_flow/src/standing.rs
@@ -143,18 +143,14 @@
         self.rumoured = Some(now);
     }
 
-    /// A caller has heard the target; whether it was lost until now.
+    /// A caller, or a peer that shares its callers, has heard the target; whether
+    /// it was lost until now.
     pub fn hear(&mut self) -> bool {
         let was_lost = self.is_lost;
         self.clear();
         was_lost
     }
 
-    /// A peer that shares its callers says that it answers; whether that is news.
-    pub fn hear_alive(&mut self) -> bool {
-        self.hear()
-    }
-
     /// Whether to probe it now; the probe is then taken to be on its way.
     pub fn start_probe(&mut self, now: Instant) -> bool {
         let is_due = !self.is_probed && now >= self.next_probe;
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -225,6 +225,8 @@
             Answer::Whole(number, _) | Answer::Since(number, _) => *number,
         };
         if to < from {
+            // Older than what is known: it is asked again a little later.
+            self.next_read = now + BACKOFF_MIN;
             return;
         }
         let news = match answer {
--- a/crates/mustardway_mirror/src/publication.rs
+++ b/crates/mustardway_mirror/src/publication.rs
@@ -73,6 +73,13 @@
     pub limit: Span,
 }
 
+impl Route {
+    /// Whether callers may repeat a request that may have run.
+    pub fn is_repeatable(&self) -> bool {
+        self.repeat == Repeat::Free
+    }
+}
+
 /// How a service is checked and warmed up.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
