Follow a platform that comes back from an older copy

Cause: the version of the published state was a number alone.

Change: versions are (era, number). A new era is entered by a full read of one instance, which pushes the difference to peers with the same state; others pull. Late answers and pushes of an earlier era are ignored. Until the operator and the targets have published again (5 s): the configuration in force is never replaced by an older one; an evacuation that the copy lacks stays in force, since traffic to it breaks a guarantee; one that was ended, a target that left or leaves, and the earlier owner of an address do not come back. Older builds send no era, which reads as 0.

Span::millis overflowed on a peer's message with an age above 2^54 ms: a panic in debug builds, a wrapped time in release ones. It saturates; arbitrary_messages no longer limits ages. Tests that published configuration versions in falling order now publish rising ones, as the platform does.

--- a/crates/mustardway_emulator/src/disruption.rs
+++ b/crates/mustardway_emulator/src/disruption.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use mustardway_mirror::publication::{Configuration, Item, Key, Repeat, Route, Service, Share};
-use mustardway_types::time::Span;
+use mustardway_types::time::{Instant, Span};
 use rand::RngExt;
 
 use crate::network::Partition;
@@ -22,6 +22,9 @@
 /// Number of missed heartbeats after which a registration expires.
 const EXPIRY_HEARTBEATS: u64 = 3;
 
+/// Time within which targets register again with a restored platform.
+const TARGET_REWRITE_TIME: Span = Span::seconds(2);
+
 /// A later step of a disruption. Targets, hosts and failure domains are given by
 /// index.
 #[derive(Debug, Clone)]
@@ -55,6 +58,10 @@
     RestorePlatformAccess(Vec<usize>),
     /// End the evacuation of a failure domain.
     EndEvacuation(usize),
+    /// Let the platform answer again, from the copy that was taken at `copied`.
+    RestoreCopy { copied: Instant, rewrite: Span },
+    /// Let the operator publish again what the platform's copy lacks.
+    Republish,
 }
 
 impl World {
@@ -136,6 +143,14 @@
                 self.platform_impaired_until = self.platform_impaired_until.max(self.now + lasts);
                 self.schedule(lasts, FollowUp::RestorePlatformSpeed);
             }
+            Kind::PlatformRestored { lost, lasts, rewrite } => {
+                self.platform.is_down = true;
+                // Rules with a time bound hold again once everything is published again.
+                let rewritten = self.now + lasts + rewrite.max(TARGET_REWRITE_TIME);
+                self.platform_impaired_until = self.platform_impaired_until.max(rewritten);
+                let copied = self.now - lost;
+                self.schedule(lasts, FollowUp::RestoreCopy { copied, rewrite });
+            }
             Kind::PlatformForgets => self.platform.forget(),
             Kind::Evacuate { domain, lasts } => {
                 let item = Item::Evacuated(self.domain_names[domain].clone());
@@ -171,7 +186,7 @@
             }
             FollowUp::TerminateTarget(target) => {
                 self.servers[target].crash(false, self.now);
-                self.platform.remove(&Key::Target(self.servers[target].id.clone()));
+                self.platform.remove(&Key::Target(self.servers[target].id.clone()), self.now);
             }
             FollowUp::RestoreTarget(target) => {
                 let server = &mut self.servers[target];
@@ -206,7 +221,7 @@
             FollowUp::RestorePlatform { lapsed } => {
                 self.platform.is_down = false;
                 if lapsed {
-                    self.platform.expire(self.now);
+                    self.platform.expire(self.now, self.now);
                 }
             }
             FollowUp::RestorePlatformAccess(hosts) => {
@@ -216,9 +231,32 @@
             }
             FollowUp::EndEvacuation(domain) => {
                 let name = self.domain_names[domain].clone();
-                self.platform.remove(&Key::Evacuated(name));
+                self.platform.remove(&Key::Evacuated(name), self.now);
                 self.evacuated.remove(&domain);
             }
+            FollowUp::RestoreCopy { copied, rewrite } => {
+                self.platform.is_down = false;
+                self.platform.restore(copied, self.now);
+                self.schedule(rewrite, FollowUp::Republish);
+            }
+            FollowUp::Republish => self.republish(),
+        }
+    }
+
+    /// Publishes the current configuration and evacuations again, and removes the
+    /// evacuations that have ended.
+    fn republish(&mut self) {
+        self.platform.put(self.configuration.clone(), self.now);
+        let mut current = Vec::new();
+        for domain in self.evacuated.keys() {
+            let item = Item::Evacuated(self.domain_names[*domain].clone());
+            current.push(item.key());
+            self.platform.put(item, self.now);
+        }
+        for key in self.platform.evacuated() {
+            if !current.contains(&key) {
+                self.platform.remove(&key, self.now);
+            }
         }
     }
 
@@ -340,7 +378,8 @@
         }
         let (version, idle) = (self.configuration_version, Span::seconds(15));
         let configuration = Configuration { version, routes, services, idle };
-        self.platform.put(Item::Configuration(Arc::new(configuration)), self.now);
+        self.configuration = Item::Configuration(Arc::new(configuration));
+        self.platform.put(self.configuration.clone(), self.now);
     }
 
     /// Renews a target's registration and schedules the next heartbeat.
@@ -377,6 +416,6 @@
         if self.now < self.platform_impaired_until + silence {
             return;
         }
-        self.platform.expire(self.now - silence);
+        self.platform.expire(self.now - silence, self.now);
     }
 }
--- a/crates/mustardway_emulator/src/main.rs
+++ b/crates/mustardway_emulator/src/main.rs
@@ -47,6 +47,9 @@
     /// troubles of every kind
     #[argh(switch)]
     mixed: bool,
+    /// troubles of every kind, and a platform that is restored from a copy
+    #[argh(switch)]
+    restored: bool,
     /// print the decisions of this instance, such as i-0003, or of all
     #[argh(option)]
     log: Option<String>,
@@ -110,6 +113,9 @@
             let scenario = match (self.quiet, self.mixed) {
                 (true, _) => Scenario::quiet(30),
                 (false, true) => Scenario::mixed(seed, site.domains.len(), site.services.len()),
+                (false, false) if self.restored => {
+                    Scenario::restored(seed, site.domains.len(), site.services.len())
+                }
                 (false, false) => random_scenario(site, seed),
             };
             let report = match &self.log {
--- a/crates/mustardway_emulator/src/scenario.rs
+++ b/crates/mustardway_emulator/src/scenario.rs
@@ -144,6 +144,16 @@
         /// Duration of the fault.
         lasts: Span,
     },
+    /// The platform is unavailable and comes back from an older copy of its state.
+    /// The operator and the targets then publish again what the copy lacks.
+    PlatformRestored {
+        /// Age of the copy at the beginning of the outage.
+        lost: Span,
+        /// Duration of the outage.
+        lasts: Span,
+        /// Time after which the operator publishes again.
+        rewrite: Span,
+    },
     /// The platform discards its change history, so that instances have to read
     /// everything that is published.
     PlatformForgets,
@@ -211,6 +221,35 @@
         scenario
     }
 
+    /// Creates a random scenario like [`Scenario::mixed`], in which the platform is also
+    /// restored from a copy once or twice, shortly after changes.
+    pub fn restored(seed: u64, domains: usize, services: usize) -> Self {
+        let mut scenario = Scenario::mixed(seed, domains, services);
+        let mut rng = Pcg32::new(seed, 2);
+        for _ in 0..rng.random_range(1..3) {
+            let at = rng.random_range(4.0..22.0);
+            let lost = Span::millis(rng.random_range(500..5_000));
+            let lasts = Span::millis(rng.random_range(100..2_000));
+            let rewrite = Span::millis(rng.random_range(50..1_500));
+            let before = at - rng.random_range(0.0..3.0);
+            let change = match rng.random_range(0..3) {
+                0 => Kind::Configure { routes: rng.random_range(0..50) },
+                1 => {
+                    let domain = rng.random_range(0..domains);
+                    Kind::Evacuate { domain, lasts: Span::millis(rng.random_range(1_000..9_000)) }
+                }
+                _ => {
+                    let service = rng.random_range(0..services);
+                    Kind::Release { service, share: 0.3, gap: Span::millis(700) }
+                }
+            };
+            scenario = scenario.with(before, change);
+            scenario = scenario.with(at, Kind::PlatformRestored { lost, lasts, rewrite });
+        }
+        scenario.name = format_compact!("restored-{seed}");
+        scenario
+    }
+
     /// Creates a random scenario without the kinds that only [`Scenario::mixed`]
     /// draws.
     pub fn random(seed: u64, domains: usize, services: usize) -> Self {
--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -5,12 +5,14 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
 
 use mustardway_flow::health::Outcome;
 use mustardway_flow::note::Note;
 use mustardway_flow::packet::Packet;
 use mustardway_flow::token::Token;
 use mustardway_mirror::node::{Answer, Failure, Query};
+use mustardway_mirror::publication::Item;
 use mustardway_types::time::{Instant, Span};
 use mustardway_types::{domain, instance, service, target};
 use rand::{RngExt, SeedableRng};
@@ -118,6 +120,8 @@
     pub(crate) evacuated: BTreeMap<usize, Instant>,
     /// Version of the published configuration.
     pub(crate) configuration_version: u64,
+    /// The configuration that was published last.
+    pub(crate) configuration: Item,
     /// Number of published routes beyond those of the site, and the time at which it
     /// was published.
     pub(crate) extra_routes: (usize, Instant),
@@ -203,6 +207,7 @@
             platform_impaired_until: Instant::default(),
             evacuated: BTreeMap::new(),
             configuration_version: 0,
+            configuration: Item::Configuration(Arc::default()),
             extra_routes: (0, start),
             domain_names: site.domains.iter().map(name).collect(),
             service_names: service_names.collect(),
--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -167,7 +167,10 @@
                     self.deliver_to_front(host, front::Event::Departed(departures));
                 }
                 // The production process only logs these actions.
-                mirror::Action::Platform(_) | mirror::Action::Undecodable { .. } => {}
+                mirror::Action::Platform(_)
+                | mirror::Action::Undecodable { .. }
+                | mirror::Action::Restored(_)
+                | mirror::Action::OlderConfiguration(_) => {}
             }
         }
     }
--- /dev/null
+++ b/crates/mustardway_emulator/tests/restored_platform.rs
@@ -0,0 +1,57 @@
+//! Days on which the platform comes back from an older copy of its state.
+
+use mustardway_emulator::scenario::{Kind, Scenario};
+use mustardway_emulator::site::Preset;
+use mustardway_emulator::world::simulate;
+use mustardway_types::time::Span;
+
+fn restored() -> Kind {
+    Kind::PlatformRestored {
+        lost: Span::seconds(4),
+        lasts: Span::millis(500),
+        rewrite: Span::millis(800),
+    }
+}
+
+/// Changes of every kind are lost and published again.
+#[test]
+fn lost_changes_are_published_again() {
+    let changes = [
+        Kind::Configure { routes: 40 },
+        Kind::Evacuate { domain: 1, lasts: Span::seconds(12) },
+        Kind::Evacuate { domain: 1, lasts: Span::seconds(2) },
+        Kind::Release { service: 0, share: 0.4, gap: Span::millis(700) },
+    ];
+    for change in changes {
+        for preset in [Preset::FrioAustral, Preset::SanJose] {
+            let scenario = Scenario::quiet(24).with(6.0, change.clone()).with(9.0, restored());
+            let report = simulate(&preset.site(), &scenario, 3);
+            assert!(report.violations.is_empty(), "{preset}, {change:?}: {report}");
+            let total = report.total();
+            assert!(total.failed_share() <= 0.002, "{preset}, {change:?}: {report}");
+        }
+    }
+}
+
+#[test]
+fn random_scenarios_violate_no_rule() {
+    for preset in [Preset::FrioAustral, Preset::SanJose] {
+        let site = preset.site();
+        for seed in 1..=15 {
+            let scenario = Scenario::restored(seed, site.domains.len(), site.services.len());
+            let report = simulate(&site, &scenario, seed);
+            assert!(report.violations.is_empty(), "{preset}, seed {seed}: {report}");
+        }
+    }
+}
+
+/// An instance that had missed a configuration started from the copy. The next reader
+/// had kept that configuration over the restore, so its publication was no change to
+/// it and was not sent on.
+#[test]
+fn kept_configuration_reaches_instances_that_missed_it() {
+    let site = Preset::SanJose.site();
+    let scenario = Scenario::restored(111, site.domains.len(), site.services.len());
+    let report = simulate(&site, &scenario, 111);
+    assert!(report.violations.is_empty(), "{report}");
+}
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -151,6 +151,8 @@
         if let Some(age) = self.mirror.age(now) {
             metrics.published_age.set(age.as_seconds());
         }
+        let era = self.mirror.replica().version().era;
+        metrics.published_era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
     }
 
     /// Replaces the seeds, the peers whose addresses are configured.
@@ -369,6 +371,12 @@
                 slog::info!(logger, "targets departed before the start"; "count" => departures.len());
                 self.handle_front_event(front::Event::Departed(departures), now);
             }
+            mirror::Action::Restored(era) => {
+                slog::warn!(logger, "the platform was restored from a copy"; "era" => %era);
+            }
+            mirror::Action::OlderConfiguration(version) => {
+                slog::warn!(logger, "kept the configuration, since the published one is older"; "published_version" => version);
+            }
             mirror::Action::Platform(Ok(())) => slog::info!(logger, "the platform answers again"),
             mirror::Action::Platform(Err(failure)) => {
                 slog::warn!(logger, "the platform does not answer"; "failure" => %failure);
--- a/crates/mustardway_front/src/metrics.rs
+++ b/crates/mustardway_front/src/metrics.rs
@@ -62,6 +62,9 @@
     pub configuration_version: Gauge,
     /// Age of the published state: seconds since the platform confirmed it.
     pub published_age: Gauge<f64, AtomicU64>,
+    /// Era of the published state: the number of times that the platform was restored
+    /// from a copy.
+    pub published_era: Gauge,
     /// 1 if the routers should send new flows to this instance, else 0.
     pub ready: Gauge,
 }
@@ -89,6 +92,7 @@
             live_instances: Gauge::default(),
             configuration_version: Gauge::default(),
             published_age: Gauge::default(),
+            published_era: Gauge::default(),
             ready: Gauge::default(),
         };
         metrics.register_all()
@@ -172,6 +176,11 @@
             Unit::Seconds,
             self.published_age.clone(),
         );
+        registry.register(
+            "published_era",
+            "Times that the platform was restored from a copy",
+            self.published_era.clone(),
+        );
         registry.register(
             "configuration_version",
             "Configuration in force",
--- a/crates/mustardway_mirror/src/lib.rs
+++ b/crates/mustardway_mirror/src/lib.rs
@@ -15,6 +15,7 @@
 //! Modules:
 //! - [`publication`]: the published items and changes.
 //! - [`replica`]: the latest published state and the changes that led to it.
+//! - [`restoration`]: what is believed after the platform was restored from a copy.
 //! - [`departed`]: targets whose registrations were recently removed.
 //! - [`message`]: messages between instances.
 //! - [`topology`]: ranks, push peers and staleness limits.
@@ -25,4 +26,5 @@
 pub mod node;
 pub mod publication;
 pub mod replica;
+pub mod restoration;
 pub mod topology;
--- a/crates/mustardway_mirror/src/message.rs
+++ b/crates/mustardway_mirror/src/message.rs
@@ -3,7 +3,7 @@
 //! Each change is a separate `postcard` value inside a message, so that an item
 //! in an unknown format is skipped alone.
 
-use mustardway_types::revision::Number;
+use mustardway_types::revision::{Era, Number, Version};
 use mustardway_types::time::Span;
 
 use crate::publication::{Departure, Update};
@@ -101,6 +101,12 @@
     /// Changes, each encoded separately.
     #[prost(bytes = "vec", repeated, tag = "5")]
     pub changes: Vec<Vec<u8>>,
+    /// Era of the number in `to`. Senders of older builds know only era 0.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
+    /// Era of the number in `from`.
+    #[prost(uint64, tag = "8")]
+    pub from_era: u64,
 }
 
 /// Request for the changes that are newer than the sender's replica.
@@ -109,26 +115,59 @@
     /// Number of the sender's replica.
     #[prost(uint64, tag = "1")]
     pub have: u64,
+    /// Era of the number in `have`.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+}
+
+impl Pull {
+    /// Creates a request for the changes after `have`.
+    pub fn new(have: Version) -> Self {
+        Pull { have: have.number.0, era: have.era.0 }
+    }
+
+    /// Returns the version of the sender's replica.
+    pub fn version(&self) -> Version {
+        Version { era: Era(self.era), number: Number(self.have) }
+    }
 }
 
 impl Push {
-    /// Creates a push of `changes`, not to be forwarded.
-    pub fn new(from: Number, to: Number, age_millis: u64, changes: &[Update]) -> Self {
+    /// Creates a push of `changes`, not to be forwarded. An empty `from` marks the
+    /// full state.
+    pub fn new(from: Version, to: Version, age_millis: u64, changes: &[Update]) -> Self {
         let mut encoded = Vec::new();
         for update in changes {
             // Encoding cannot fail for these plain data types.
             encoded.extend(postcard::to_allocvec(update));
         }
         Push {
-            from: from.0,
-            to: to.0,
+            from: from.number.0,
+            to: to.number.0,
             age_millis,
             root: String::new(),
             relay: false,
             changes: encoded,
+            era: to.era.0,
+            from_era: from.era.0,
         }
     }
 
+    /// Returns the version that the changes start after.
+    pub fn first(&self) -> Version {
+        Version { era: Era(self.from_era), number: Number(self.from) }
+    }
+
+    /// Returns the version that the changes reach up to.
+    pub fn last(&self) -> Version {
+        Version { era: Era(self.era), number: Number(self.to) }
+    }
+
+    /// Returns whether the changes are the full state.
+    pub fn is_full(&self) -> bool {
+        self.from == 0
+    }
+
     /// Returns the changes and the number of entries that could not be decoded.
     pub fn decode(&self) -> (Vec<Update>, usize) {
         let mut changes = Vec::new();
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -6,7 +6,7 @@
 
 use displaydoc::Display;
 use mustardway_types::instance;
-use mustardway_types::revision::Number;
+use mustardway_types::revision::{Era, Number, Version};
 use mustardway_types::time::{Instant, Span};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -15,6 +15,7 @@
 use crate::message::{self, Body, DepartedRequest, Message, Pull, Push};
 use crate::publication::{Change, Departure, Update};
 use crate::replica::Replica;
+use crate::restoration::REWRITE_TIME;
 use crate::topology::Topology;
 
 /// Maximum random addition to the staleness limit, so that instances of equal
@@ -56,10 +57,10 @@
 /// The platform's answer to a [`Query`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
-    /// Everything that is published, as of the number.
-    Full(Number, Vec<Update>),
-    /// Changes up to the number.
-    Since(Number, Vec<Update>),
+    /// Everything that is published, as of the version.
+    Full(Version, Vec<Update>),
+    /// Changes up to the version.
+    Since(Version, Vec<Update>),
 }
 
 /// Reason why the platform gave no usable answer.
@@ -115,6 +116,11 @@
     Changed(Vec<Change>),
     /// A peer reported targets that departed before this instance started.
     Departed(Vec<Departure>),
+    /// The platform was restored from a copy, which began this era.
+    Restored(Era),
+    /// The published configuration has this version, which is older than the one in
+    /// force.
+    OlderConfiguration(u64),
     /// The platform has become available again, or unavailable.
     Platform(Result<(), Failure>),
     /// A peer sent entries that cannot be decoded.
@@ -145,6 +151,10 @@
     jitter: Span,
     /// Whether the platform no longer has the changes after the replica's number.
     needs_full_read: bool,
+    /// End of the time in which a restored platform is published to again.
+    restore_ends: Option<Instant>,
+    /// Version of the older configuration that was last reported.
+    older_configuration: Option<u64>,
     /// Whether reads have failed since the platform last answered.
     has_read_failed: bool,
     rng: Pcg32,
@@ -165,6 +175,8 @@
             backoff: BACKOFF_MIN,
             jitter: Span::ZERO,
             needs_full_read: false,
+            restore_ends: None,
+            older_configuration: None,
             has_read_failed: false,
             rng: Pcg32::seed_from_u64(seed),
         }
@@ -190,6 +202,7 @@
             Event::Topology(topology) => self.topology = topology,
             Event::Paused(span) => self.take_pause(span, now),
         }
+        self.finish_restore_if_due(now, actions);
         self.read_if_due(now, actions);
         self.pull_if_empty(now, actions);
         self.request_departed(now, actions);
@@ -213,10 +226,10 @@
         if self.age(now).is_some_and(|age| age < limit) {
             return;
         }
-        let number = self.replica.number();
-        let query = match number.0 == 0 || self.needs_full_read {
+        let version = self.replica.version();
+        let query = match version.is_empty() || self.needs_full_read {
             true => Query::Full,
-            false => Query::Since { after: number, wait: LONG_POLL_WAIT },
+            false => Query::Since { after: version.number, wait: LONG_POLL_WAIT },
         };
         self.read_started = Some(now);
         self.jitter = Span(self.rng.random_range(0..=JITTER_MAX.0));
@@ -240,25 +253,57 @@
             self.has_read_failed = false;
             actions.push(Action::Platform(Ok(())));
         }
-        let from = self.replica.number();
+        let from = self.replica.version();
         let to = match &answer {
-            Answer::Full(number, _) | Answer::Since(number, _) => *number,
+            Answer::Full(version, _) | Answer::Since(version, _) => *version,
         };
         if to < from {
             // The answer is older than the replica, so the read is repeated later.
             self.next_read = now + BACKOFF_MIN;
             return;
         }
-        let applied = match answer {
-            Answer::Full(number, items) => self.replica.apply_full_state(number, items),
-            Answer::Since(number, changes) => self.replica.apply_changes(number, changes),
+        let (applied, restored) = match answer {
+            Answer::Full(_, items) if to.era > from.era => {
+                let restored = self.replica.restore(to, items);
+                self.enter_era(from, now, actions);
+                (restored.effective, Some(restored.updates))
+            }
+            Answer::Since(..) if to.era > from.era => {
+                // Numbers of the new era do not continue those of the replica.
+                self.needs_full_read = true;
+                return;
+            }
+            Answer::Full(_, items) => (self.replica.apply_full_state(to.number, items), None),
+            Answer::Since(_, changes) => (self.replica.apply_changes(to.number, changes), None),
         };
         // The platform may have produced the answer at any time since the call.
         self.confirm(since);
         self.report_changes(applied, now, actions);
         // The first state of an instance that has just started is known to the others.
-        if from.0 > 0 {
-            self.push_changes(from, now, actions);
+        if from.is_empty() {
+            return;
+        }
+        let Some(age) = self.age(now) else { return };
+        let push = match restored {
+            Some(updates) => Push::new(from, to, age.as_millis(), &updates),
+            None => self.push_after(from, age),
+        };
+        self.push_changes(&push, actions);
+    }
+
+    /// Reports that the platform was restored since the version `from`.
+    fn enter_era(&mut self, from: Version, now: Instant, actions: &mut Vec<Action>) {
+        if !from.is_empty() {
+            self.restore_ends = Some(now + REWRITE_TIME);
+            actions.push(Action::Restored(self.replica.version().era));
+        }
+    }
+
+    fn finish_restore_if_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.restore_ends.is_some_and(|at| now >= at) {
+            self.restore_ends = None;
+            let changes = self.replica.finish_restore();
+            self.report_changes(changes, now, actions);
         }
     }
 
@@ -283,22 +328,25 @@
         if !changes.is_empty() {
             actions.push(Action::Changed(changes));
         }
+        let older = self.replica.older_configuration();
+        if self.older_configuration != older {
+            self.older_configuration = older;
+            actions.extend(older.map(Action::OlderConfiguration));
+        }
     }
 
     fn confirm(&mut self, at: Instant) {
         self.confirmed = Some(self.confirmed.map_or(at, |known| known.max(at)));
     }
 
-    /// Pushes the changes after `from` to the relays and the neighbours.
-    fn push_changes(&self, from: Number, now: Instant, actions: &mut Vec<Action>) {
-        let Some(age) = self.age(now) else { return };
-        let push = self.push_after(from, age);
+    /// Sends a push to the relays and the neighbours.
+    fn push_changes(&self, push: &Push, actions: &mut Vec<Action>) {
         for to in &self.topology.relays {
             let message = Body::Push(Push { relay: true, ..push.clone() }).into();
             actions.push(Action::Send { to: to.clone(), message });
         }
         if let Some(me) = &self.topology.me {
-            self.forward(&push, me, actions);
+            self.forward(push, me, actions);
         }
     }
 
@@ -312,12 +360,12 @@
 
     /// Creates a push of the changes after `from`, or of the full state if the
     /// history no longer holds all of them.
-    fn push_after(&self, from: Number, age: Span) -> Push {
-        let to = self.replica.number();
+    fn push_after(&self, from: Version, age: Span) -> Push {
+        let to = self.replica.version();
         let millis = age.as_millis();
         match self.replica.changes_after(from) {
             Some(changes) => Push::new(from, to, millis, &changes),
-            None => Push::new(Number(0), to, millis, &self.replica.full_state()),
+            None => Push::new(Version::default(), to, millis, &self.replica.full_state()),
         }
     }
 
@@ -344,9 +392,9 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        let have = Number(pull.have);
+        let have = pull.version();
         let Some(age) = self.age(now) else { return };
-        if have > self.replica.number() {
+        if have > self.replica.version() {
             return;
         }
         let is_full = self.replica.changes_after(have).is_none();
@@ -370,13 +418,17 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        let (first, last) = (Number(push.from), Number(push.to));
-        let own = self.replica.number();
+        let (first, last) = (push.first(), push.last());
+        let own = self.replica.version();
         if last < own {
             return;
         }
-        if first > own {
-            let message = Body::Pull(Pull { have: own.0 }).into();
+        let is_new_era = last.era > own.era;
+        // The difference between two eras applies only to the state that it starts from.
+        let is_difference = first.era < last.era;
+        let continues = push.is_full() || if is_difference { first == own } else { first <= own };
+        if !continues {
+            let message = Body::Pull(Pull::new(own)).into();
             actions.push(Action::Send { to: from, message });
             return;
         }
@@ -393,17 +445,22 @@
             actions.push(Action::Undecodable { from, count: undecodable });
             return;
         }
-        let is_full = first.0 == 0;
-        let applied = match is_full {
-            true => self.replica.apply_full_state(last, changes),
-            false => self.replica.apply_changes(last, changes),
+        let applied = match (is_new_era, push.is_full()) {
+            (true, true) => self.replica.restore(last, changes).effective,
+            (true, false) => self.replica.follow_restore(last, changes),
+            (false, true) => self.replica.apply_full_state(last.number, changes),
+            (false, false) => self.replica.apply_changes(last.number, changes),
         };
+        if is_new_era {
+            self.enter_era(own, now, actions);
+        }
         self.confirm(at);
         self.report_changes(applied, now, actions);
         if !push.relay {
             return;
         }
-        let confirmation = Push { from: push.to, changes: Vec::new(), ..push.clone() };
+        let confirmation =
+            Push { from: push.to, from_era: push.era, changes: Vec::new(), ..push.clone() };
         let push = if is_newer { push } else { &confirmation };
         let root = match push.root.is_empty() {
             true => self.topology.me.clone(),
@@ -417,7 +474,7 @@
 
     /// Pulls from a random peer while the replica is empty.
     fn pull_if_empty(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.replica.number().0 > 0 || now < self.next_pull {
+        if !self.replica.version().is_empty() || now < self.next_pull {
             return;
         }
         self.next_pull = now + PULL_INTERVAL;
@@ -463,7 +520,7 @@
             return;
         }
         let to = peers[self.rng.random_range(0..peers.len())];
-        let message = Body::Pull(Pull { have: self.replica.number().0 }).into();
+        let message = Body::Pull(Pull::new(self.replica.version())).into();
         actions.push(Action::Send { to: to.clone(), message });
     }
 }
--- a/crates/mustardway_mirror/src/publication.rs
+++ b/crates/mustardway_mirror/src/publication.rs
@@ -33,6 +33,14 @@
     pub born: Option<u64>,
 }
 
+impl Registration {
+    /// Returns whether `other` is a registration of the same process. A target that
+    /// restarts keeps its id and reports another start time.
+    pub fn is_same_process(&self, other: &Registration) -> bool {
+        self.id == other.id && self.born == other.born
+    }
+}
+
 /// Whether callers may send a request again after a failure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/mustardway_mirror/src/replica.rs
+++ b/crates/mustardway_mirror/src/replica.rs
@@ -2,20 +2,34 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use mustardway_types::revision::Number;
+use mustardway_types::revision::{Era, Number, Version};
 
 use crate::publication::{Change, Item, Key, Registration, Update};
+use crate::restoration::{self, Ended};
 
 /// Number of changes kept for peers that are behind. Peers that are further
 /// behind get the full state.
 const HISTORY_MAX: usize = 512;
+/// Number of an item that is kept from an earlier era, although the platform's copy
+/// lacks or contradicts it.
+const KEPT: Number = Number(0);
+/// Number of an item that is published in this era, if the exact one is not known.
+const FIRST_NUMBER: Number = Number(1);
 
 /// The latest published state known to this instance and the changes that led
 /// to it.
 #[derive(Debug, Default)]
 pub struct Replica {
+    era: Era,
     number: Number,
+    /// Items with the numbers under which they were published in this era, or
+    /// [`KEPT`].
     items: BTreeMap<Key, (Number, Item)>,
+    /// Items of the copy that the platform was restored from that are not used yet.
+    set_aside: BTreeMap<Key, (Number, Item)>,
+    ended: Ended,
+    /// Version of a published configuration that is older than the one in force.
+    older_configuration: Option<u64>,
     history: VecDeque<Update>,
     /// The history holds every change after this number.
     history_start: Number,
@@ -23,6 +37,16 @@
     removed: Vec<Registration>,
 }
 
+/// The effect of entering an era.
+#[derive(Debug)]
+pub struct Restored {
+    /// Changes that had an effect on this replica.
+    pub effective: Vec<Change>,
+    /// Updates for replicas that had the same state before: the changes and, with
+    /// number 0, the items that the copy lacks or contradicts and that are kept.
+    pub updates: Vec<Update>,
+}
+
 impl Replica {
     /// Returns the platform's change count that this state includes, or 0 before
     /// the first state arrives.
@@ -30,6 +54,17 @@
         self.number
     }
 
+    /// Returns the era and the number of this state.
+    pub fn version(&self) -> Version {
+        Version { era: self.era, number: self.number }
+    }
+
+    /// Returns the version of the published configuration if it is older than the one
+    /// in force.
+    pub fn older_configuration(&self) -> Option<u64> {
+        self.older_configuration
+    }
+
     /// Returns all published items in key order.
     pub fn items(&self) -> impl Iterator<Item = &Item> {
         self.items.values().map(|(_, item)| item)
@@ -54,10 +89,11 @@
         self.items.values().map(put).collect()
     }
 
-    /// Returns the changes after `number`, or `None` if the history no longer
+    /// Returns the changes after `version`, or `None` if the history no longer
     /// holds all of them.
-    pub fn changes_after(&self, number: Number) -> Option<Vec<Update>> {
-        if number < self.history_start || number.0 == 0 {
+    pub fn changes_after(&self, version: Version) -> Option<Vec<Update>> {
+        let number = version.number;
+        if version.era != self.era || number < self.history_start || version.is_empty() {
             return None;
         }
         let changes = self.history.iter().filter(|update| update.number > number);
@@ -85,7 +121,124 @@
     /// Applies the full state as of `number`, which removes every item that it
     /// lacks, and returns the changes that had an effect.
     pub fn apply_full_state(&mut self, number: Number, items: Vec<Update>) -> Vec<Change> {
+        let effective = self.replace_items(number, items, Vec::new());
+        // A full state does not show items that were published and removed in
+        // between, so peers that are behind `number` get the full state.
+        self.history.retain(|update| update.number > number);
+        self.history_start = self.history_start.max(number);
+        effective
+    }
+
+    /// Enters the era of `version` with the full state that the platform was restored
+    /// to.
+    pub fn restore(&mut self, version: Version, items: Vec<Update>) -> Restored {
+        let reconciled = restoration::reconcile(&self.items, &self.ended, items);
+        self.enter_era(version);
+        self.set_aside = reconciled.set_aside;
+        for update in &reconciled.used {
+            self.number_unchanged(update);
+        }
+        let (kept, listed): (Vec<_>, Vec<_>) =
+            reconciled.used.into_iter().partition(|update| update.number == KEPT);
+        let keys = kept.iter().map(|update| update.change.key()).collect();
+        let mut effective = self.replace_items(version.number, listed, keys);
+        let mut updates = Vec::new();
+        for change in &effective {
+            let number = self.items.get(&change.key()).map_or(version.number, |(at, _)| *at);
+            updates.push(Update { number, change: change.clone() });
+        }
+        for update in kept {
+            if self.keep(&update) {
+                effective.push(update.change.clone());
+            }
+            updates.push(update);
+        }
+        self.history.clear();
+        Restored { effective, updates }
+    }
+
+    /// Enters the era of `version` with the updates that [`Replica::restore`] returned
+    /// to an instance that had the same state before, and returns the changes that had
+    /// an effect.
+    pub fn follow_restore(&mut self, version: Version, updates: Vec<Update>) -> Vec<Change> {
+        self.enter_era(version);
+        for (number, _) in self.items.values_mut() {
+            *number = FIRST_NUMBER;
+        }
+        let (kept, changes): (Vec<_>, Vec<_>) =
+            updates.into_iter().partition(|update| update.number == KEPT);
+        let mut effective = self.merge(version.number, changes);
+        for update in kept {
+            if self.keep(&update) {
+                effective.push(update.change);
+            }
+        }
+        self.history.clear();
+        effective
+    }
+
+    /// Sets the number of an item that the platform's copy lists unchanged.
+    fn number_unchanged(&mut self, listed: &Update) {
+        let Change::Put(item) = &listed.change else { return };
+        if let Some((number, known)) = self.items.get_mut(&item.key())
+            && is_redundant(known, item)
+        {
+            *number = listed.number;
+        }
+    }
+
+    /// Keeps an item that is not published in this era. Returns whether that had an
+    /// effect.
+    fn keep(&mut self, update: &Update) -> bool {
+        let Change::Put(item) = &update.change else { return false };
+        let known = self.items.get(&item.key());
+        if known.is_some_and(|(_, known)| older_configuration(known, item).is_some()) {
+            return false;
+        }
+        let is_known = known.is_some_and(|(_, known)| is_redundant(known, item));
+        self.items.insert(item.key(), (KEPT, item.clone()));
+        !is_known
+    }
+
+    fn enter_era(&mut self, version: Version) {
+        self.era = version.era;
+        self.number = Number(0);
+        for (number, _) in self.items.values_mut() {
+            *number = KEPT;
+        }
+        self.history.clear();
+        self.history_start = version.number;
+        self.set_aside.clear();
+    }
+
+    /// Ends the time in which a restored platform is published to again: evacuations
+    /// that were not published again end, and items that were set aside are used.
+    pub fn finish_restore(&mut self) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for (key, (number, item)) in &self.items {
+            if *number == KEPT && matches!(item, Item::Evacuated(_)) {
+                changes.push(Change::Removed(key.clone()));
+            }
+        }
+        for change in &changes {
+            self.items.remove(&change.key());
+        }
+        for (key, (number, item)) in std::mem::take(&mut self.set_aside) {
+            changes.push(Change::Put(item.clone()));
+            self.items.insert(key, (number, item));
+        }
+        // These changes have no number of their own, so peers that are behind get the
+        // full state.
+        self.history.clear();
+        self.history_start = self.number;
+        changes
+    }
+
+    /// Replaces all items but those under `kept` keys by `items`, and returns the
+    /// changes that had an effect.
+    fn replace_items(&mut self, number: Number, items: Vec<Update>, kept: Vec<Key>) -> Vec<Change> {
         let mut absent: Vec<Key> = self.items.keys().cloned().collect();
+        absent.retain(|key| !kept.contains(key));
         for update in &items {
             let key = update.change.key();
             absent.retain(|other| *other != key);
@@ -101,30 +254,44 @@
                 effective.push(change);
             }
         }
-        // A full state does not show items that were published and removed in
-        // between, so peers that are behind `number` get the full state.
-        self.history.retain(|update| update.number > number);
-        self.history_start = self.history_start.max(number);
         effective
     }
 
     /// Applies one change and returns whether it had an effect.
     fn apply(&mut self, update: &Update) -> bool {
         let key = update.change.key();
+        if self.set_aside.get(&key).is_some_and(|(number, _)| *number >= update.number) {
+            return false;
+        }
+        self.set_aside.remove(&key);
         let known = self.items.get(&key);
+        if update.number == KEPT && known.is_some_and(|(_, old)| is_newer(old, &update.change)) {
+            return self.keep(update);
+        }
         if known.is_some_and(|(number, _)| *number >= update.number) {
             return false;
         }
         match &update.change {
             Change::Put(item) => {
-                let is_redundant = known.is_some_and(|(_, old)| is_redundant(old, item));
+                let older = known.and_then(|(_, old)| older_configuration(old, item));
+                if matches!(item, Item::Configuration(_)) {
+                    self.older_configuration = older;
+                }
+                if older.is_some() {
+                    return false;
+                }
+                // An item that was kept from an earlier era is news to instances that
+                // have started since.
+                let is_redundant =
+                    known.is_some_and(|(number, old)| *number != KEPT && is_redundant(old, item));
                 self.items.insert(key, (update.number, item.clone()));
                 if is_redundant {
                     return false;
                 }
             }
             Change::Removed(_) => {
-                let Some((_, item)) = self.items.remove(&key) else { return false };
+                let Some((number, item)) = self.items.remove(&key) else { return false };
+                self.ended.record(number, &item);
                 if let Item::Target(registration) = item {
                     self.removed.push(registration);
                 }
@@ -159,6 +326,22 @@
     changes
 }
 
+/// Returns the version of the configuration `new` if it is older than `old`.
+fn older_configuration(old: &Item, new: &Item) -> Option<u64> {
+    match (old, new) {
+        (Item::Configuration(old), Item::Configuration(new)) => {
+            (new.version < old.version).then_some(new.version)
+        }
+        _ => None,
+    }
+}
+
+/// Returns whether `change` publishes a later configuration than `old`.
+fn is_newer(old: &Item, change: &Change) -> bool {
+    let Change::Put(item) = change else { return false };
+    older_configuration(item, old).is_some()
+}
+
 /// Returns whether `new` equals `old` apart from a cold time that has run down.
 ///
 /// A target that warms up registers again with every heartbeat, and forwarding
--- a/crates/mustardway_mirror/tests/arbitrary_messages.rs
+++ b/crates/mustardway_mirror/tests/arbitrary_messages.rs
@@ -1,4 +1,4 @@
-//! Arbitrary messages from a peer cause no panic, and the replica's number never
+//! Arbitrary messages from a peer cause no panic, and the replica's version never
 //! goes back.
 
 mod common;
@@ -7,7 +7,7 @@
 use mustardway_mirror::message::{Body, Departed, DepartedRequest, Message, Pull, Push};
 use mustardway_mirror::node::{Action, Event, Node};
 use mustardway_mirror::publication::Update;
-use mustardway_types::revision::Number;
+use mustardway_types::revision::{Number, Version};
 use mustardway_types::time::{Instant, Span};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -36,36 +36,34 @@
 
 fn message() -> impl Strategy<Value = Message> {
     let changes = prop::collection::vec(change(), 0..6);
-    let push = (0_u64..30, 0_u64..30, any::<u64>(), "[a-z0-9-]{0,4}", any::<bool>(), changes);
-    let push = push.prop_map(|(from, to, age, root, relay, changes)| {
-        Body::Push(Push { from, to, age_millis: age % 100_000, root, relay, changes })
+    let eras = (0_u64..3, 0_u64..3);
+    let push = (0_u64..30, 0_u64..30, any::<u64>(), "[a-z0-9-]{0,4}", any::<bool>(), changes, eras);
+    let push = push.prop_map(|(from, to, age_millis, root, relay, changes, eras)| {
+        let (from_era, era) = eras;
+        Body::Push(Push { from, to, age_millis, root, relay, changes, era, from_era })
     });
     let departed = (any::<u64>(), prop::collection::vec(change(), 0..3), 0..4_usize);
     let departed = departed.prop_map(|(known, registrations, ages)| {
-        Body::Departed(Departed {
-            known_millis: known % 100_000,
-            registrations,
-            age_millis: vec![5; ages],
-        })
+        Body::Departed(Departed { known_millis: known, registrations, age_millis: vec![5; ages] })
     });
-    let pull = (0_u64..40).prop_map(|have| Body::Pull(Pull { have }));
+    let pull = (0_u64..40, 0_u64..3).prop_map(|(have, era)| Body::Pull(Pull { have, era }));
     prop_oneof![4 => push, 1 => departed, 1 => pull, 1 => Just(Body::DepartedRequest(DepartedRequest {}))]
         .prop_map(Message::from)
 }
 
 #[test]
-fn arbitrary_messages_never_lower_number() {
+fn arbitrary_messages_never_lower_version() {
     let messages = prop::collection::vec(message(), 1..20);
     let check = |messages: Vec<Message>| {
         let start = Instant::default() + Span::seconds(3_600);
         let mut node = Node::new(1, start);
-        let mut last = Number(0);
+        let mut last = Version::default();
         for (step, message) in messages.into_iter().enumerate() {
             let now = start + Span::millis(step as u64 * 10);
             let mut actions = Vec::new();
             node.handle(now, Event::Received { from: instance(1), message }, &mut actions);
-            prop_assert!(node.replica().number() >= last, "the number went back");
-            last = node.replica().number();
+            prop_assert!(node.replica().version() >= last, "the version went back");
+            last = node.replica().version();
             let reads = actions.iter().filter(|action| matches!(action, Action::Read(_))).count();
             prop_assert!(reads <= 1);
         }
--- a/crates/mustardway_mirror/tests/common/mod.rs
+++ b/crates/mustardway_mirror/tests/common/mod.rs
@@ -12,7 +12,7 @@
     Change, Configuration, Item, Key, Registration, Repeat, Route, Share, Update,
 };
 use mustardway_mirror::topology::Topology;
-use mustardway_types::revision::Number;
+use mustardway_types::revision::{Era, Number, Version};
 use mustardway_types::time::{Instant, Span};
 use mustardway_types::{domain, instance, target};
 
@@ -31,6 +31,10 @@
     format!("t-{number:08x}").parse().expect("well formed")
 }
 
+pub fn version(era: u64, number: u64) -> Version {
+    Version { era: Era(era), number: Number(number) }
+}
+
 pub fn put(number: u64, leaving: bool) -> Change {
     Change::Put(Item::Target(Registration {
         id: target(number),
@@ -78,6 +82,7 @@
 /// A simulated platform with its published items and their changes.
 #[derive(Default)]
 pub struct Platform {
+    pub era: u64,
     pub number: u64,
     pub log: Vec<Update>,
     pub items: BTreeMap<Key, Update>,
@@ -101,15 +106,27 @@
         self.log.push(update);
     }
 
+    /// Restores the state as of `number`, which begins a new era.
+    pub fn restore(&mut self, number: u64) {
+        let kept: Vec<_> =
+            self.log.iter().filter(|update| update.number.0 <= number).cloned().collect();
+        *self = Platform { era: self.era + 1, calls: self.calls, ..Platform::default() };
+        for update in kept {
+            self.publish(update.change);
+        }
+    }
+
     pub fn answer(&mut self, query: Query) -> Result<Answer, Failure> {
         self.calls += 1;
-        let number = Number(self.number);
+        let version = version(self.era, self.number);
         match query {
-            Query::Full => Ok(Answer::Full(number, self.items.values().cloned().collect())),
-            Query::Since { after, .. } if after.0 < self.compacted => Err(Failure::Forgotten),
+            Query::Full => Ok(Answer::Full(version, self.items.values().cloned().collect())),
+            Query::Since { after, .. } if after.0 < self.compacted || after.0 > self.number => {
+                Err(Failure::Forgotten)
+            }
             Query::Since { after, .. } => {
                 let changes = self.log.iter().filter(|update| update.number > after);
-                Ok(Answer::Since(number, changes.cloned().collect()))
+                Ok(Answer::Since(version, changes.cloned().collect()))
             }
         }
     }
@@ -124,6 +141,8 @@
     pub changes: Vec<Change>,
     /// Reported targets that departed before the instance started.
     pub departed: BTreeSet<target::Id>,
+    /// Reported eras of restored platforms.
+    pub eras: Vec<Era>,
 }
 
 enum Delivery {
@@ -160,6 +179,7 @@
                 running: true,
                 changes: Vec::new(),
                 departed: BTreeSet::new(),
+                eras: Vec::new(),
             });
         }
         let mut fleet = Fleet {
@@ -176,6 +196,17 @@
         fleet
     }
 
+    /// Publishes a configuration with `routes` routes, whose version follows the
+    /// published one.
+    pub fn publish_next_configuration(&mut self, routes: u16) {
+        let published = self.platform.items.get(&Key::Configuration);
+        let version = published.map_or(0, |update| match &update.change {
+            Change::Put(Item::Configuration(configuration)) => configuration.version,
+            _ => unreachable!("the item is a configuration"),
+        });
+        self.platform.publish(configuration_with(version + 1, routes));
+    }
+
     /// Updates the topology of every instance from the running and reachable ones.
     pub fn update_topologies(&mut self) {
         let names: Vec<_> = (0..self.hosts.len()).map(instance).collect();
@@ -237,7 +268,10 @@
                     let names = departures.into_iter().map(|it| it.registration.id);
                     self.hosts[number].departed.extend(names);
                 }
-                Action::Platform(_) | Action::Undecodable { .. } => {}
+                Action::Restored(era) => self.hosts[number].eras.push(era),
+                Action::Platform(_)
+                | Action::Undecodable { .. }
+                | Action::OlderConfiguration(_) => {}
             }
         }
     }
--- a/crates/mustardway_mirror/tests/reading_rate.rs
+++ b/crates/mustardway_mirror/tests/reading_rate.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Fleet, configuration_with, put, put_cold};
+use common::{Fleet, put, put_cold};
 use mustardway_mirror::publication::{Change, Key};
 use mustardway_types::time::Span;
 
@@ -175,8 +175,8 @@
     fleet.run(3_000);
     let once = most_sent(&mut fleet, 1);
     fleet.partitioned.insert(2);
-    for version in 0..50 {
-        fleet.platform.publish(configuration_with(version, 50));
+    for _ in 0..50 {
+        fleet.publish_next_configuration(50);
         fleet.run(100);
     }
     fleet.partitioned.clear();
@@ -188,8 +188,8 @@
 /// configurations.
 fn most_sent(fleet: &mut Fleet, count: u64) -> usize {
     fleet.sent.clear();
-    for version in 0..count {
-        fleet.platform.publish(configuration_with(version, 50));
+    for _ in 0..count {
+        fleet.publish_next_configuration(50);
     }
     fleet.run(2_000);
     fleet.sent.values().max().copied().unwrap_or_default()
--- a/crates/mustardway_mirror/tests/replica_order.rs
+++ b/crates/mustardway_mirror/tests/replica_order.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use assert_matches::assert_matches;
-use common::{Platform, configuration, instance, put, target};
+use common::{Platform, configuration, instance, put, target, version};
 use mustardway_mirror::message::{Body, Push};
 use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query};
 use mustardway_mirror::publication::{Change, Key, Update};
@@ -45,7 +45,7 @@
     platform.publish(Change::Removed(Key::Target(target(1))));
     let mut node = reader(&mut platform);
     let Ok(Answer::Since(to, changes)) = old else { panic!("not a change list") };
-    let push = Push::new(Number(1), Number(to.0 + 1), 0, &changes);
+    let push = Push::new(version(0, 1), version(0, to.number.0 + 1), 0, &changes);
     let message = Body::Push(push).into();
     handle(&mut node, start(), Event::Received { from: instance(2), message });
     assert_eq!(node.replica().items().count(), 1, "only the configuration");
@@ -92,7 +92,7 @@
     platform.publish(configuration(1));
     let mut node = reader(&mut platform);
     let changes = [Update { number: Number(9), change: put(1, false) }];
-    let message = Body::Push(Push::new(Number(8), Number(9), 0, &changes)).into();
+    let message = Body::Push(Push::new(version(0, 8), version(0, 9), 0, &changes)).into();
     let actions = handle(&mut node, start(), Event::Received { from: instance(2), message });
     assert_matches!(&actions[..], [Action::Send { to, message }]
         if *to == instance(2) && matches!(message.body, Some(Body::Pull(_))));
@@ -104,7 +104,7 @@
     let mut platform = Platform::default();
     platform.publish(configuration(1));
     let mut node = reader(&mut platform);
-    let mut push = Push::new(Number(1), Number(2), 0, &[]);
+    let mut push = Push::new(version(0, 1), version(0, 2), 0, &[]);
     push.changes.push(vec![0xff; 9]);
     let message = Body::Push(push).into();
     let actions = handle(&mut node, start(), Event::Received { from: instance(2), message });
@@ -181,7 +181,7 @@
     let mut replica = Replica::default();
     replica.apply_full_state(Number(1), vec![update(1, put(1, false))]);
     replica.apply_changes(Number(3), vec![update(2, gone), update(3, put(1, false))]);
-    let after = replica.changes_after(Number(2)).expect("known");
+    let after = replica.changes_after(version(0, 2)).expect("known");
     assert_eq!(after, [update(3, put(1, false))]);
 }
 
@@ -194,6 +194,10 @@
     replica.apply_full_state(Number(1), vec![update(1, put(1, false)), update(1, put(2, false))]);
     replica.apply_changes(Number(2), vec![update(2, put(2, true))]);
     replica.apply_full_state(Number(9), vec![update(8, put(1, false)), update(2, put(2, true))]);
-    assert_eq!(replica.changes_after(Number(6)), None, "peers that are behind get the full state");
-    assert_eq!(replica.changes_after(Number(9)), Some(Vec::new()));
+    assert_eq!(
+        replica.changes_after(version(0, 6)),
+        None,
+        "peers that are behind get the full state"
+    );
+    assert_eq!(replica.changes_after(version(0, 9)), Some(Vec::new()));
 }
--- a/crates/mustardway_types/src/revision.rs
+++ b/crates/mustardway_types/src/revision.rs
@@ -1,4 +1,4 @@
-//! Numbers and digests of published configurations.
+//! Numbers, eras and digests of what the platform publishes.
 
 use std::fmt;
 use std::str::FromStr;
@@ -30,6 +30,65 @@
     }
 }
 
+/// Count of the times that the platform was restored from a copy. Numbers of one era
+/// say nothing about those of another.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Era {
+    type Err = parse::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.parse().map_err(|_| parse::Error::value(text, "era number"))?;
+        Ok(Era(number))
+    }
+}
+
+/// Version of the published state: a number within an era, ordered by the era first.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub struct Version {
+    /// Era that the number belongs to.
+    pub era: Era,
+    /// Number of the latest change.
+    pub number: Number,
+}
+
+impl Version {
+    /// Returns whether no published state is known yet.
+    pub fn is_empty(self) -> bool {
+        self.number.0 == 0
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era, self.number)
+    }
+}
+
+impl FromStr for Version {
+    type Err = parse::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const WANTED: &str = "version such as 0/412";
+        let (era, number) =
+            text.split_once('/').ok_or_else(|| parse::Error::value(text, WANTED))?;
+        Ok(Version { era: era.parse()?, number: number.parse()? })
+    }
+}
+
 /// Digest of the files of a configuration.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/mustardway_types/src/time.rs
+++ b/crates/mustardway_types/src/time.rs
@@ -53,14 +53,14 @@
     /// The zero length.
     pub const ZERO: Span = Span(0);
 
-    /// Creates a length from milliseconds.
+    /// Creates a length from milliseconds, or the greatest one if it does not fit.
     pub const fn millis(millis: u64) -> Span {
-        Span(millis * 1_000)
+        Span(millis.saturating_mul(1_000))
     }
 
-    /// Creates a length from seconds.
+    /// Creates a length from seconds, or the greatest one if it does not fit.
     pub const fn seconds(seconds: u64) -> Span {
-        Span(seconds * 1_000_000)
+        Span(seconds.saturating_mul(1_000_000))
     }
 
     /// Returns the length in whole milliseconds, rounded down.
