Send on what was kept over a restore

Cause: instances with the same version do not hold the same items while the platform is published to again, since each keeps what it knew. A target that left was set aside although the copy listed it as leaving.

Change: a difference between eras names every kept item; an instance that follows it keeps its own marks; unnamed items are current as of the version.

--- a/crates/mustardway_emulator/tests/restored_platform.rs
+++ b/crates/mustardway_emulator/tests/restored_platform.rs
@@ -45,13 +45,21 @@
     }
 }
 
-/// An instance that had missed a configuration started from the copy. The next reader
-/// had kept that configuration over the restore, so its publication was no change to
-/// it and was not sent on.
+/// Days on which an instance kept an outdated configuration: it had started from the
+/// copy, and its peers sent the later one on as no change, or under a number that was
+/// lower than that of the copy.
 #[test]
-fn kept_configuration_reaches_instances_that_missed_it() {
-    let site = Preset::SanJose.site();
-    let scenario = Scenario::restored(111, site.domains.len(), site.services.len());
-    let report = simulate(&site, &scenario, 111);
-    assert!(report.violations.is_empty(), "{report}");
+fn later_configuration_reaches_instances_that_started_from_the_copy() {
+    let cases = [
+        (Preset::SanJose, [111, 5_082, 9_100].as_slice()),
+        (Preset::FrioAustral, [5_082].as_slice()),
+    ];
+    for (preset, seeds) in cases {
+        let site = preset.site();
+        for seed in seeds {
+            let scenario = Scenario::restored(*seed, site.domains.len(), site.services.len());
+            let report = simulate(&site, &scenario, *seed);
+            assert!(report.violations.is_empty(), "{preset}, seed {seed}: {report}");
+        }
+    }
 }
--- a/crates/mustardway_mirror/src/replica.rs
+++ b/crates/mustardway_mirror/src/replica.rs
@@ -1,6 +1,6 @@
 //! The local replica of the published state, with a bounded history of changes.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use mustardway_types::revision::{Era, Number, Version};
 
@@ -13,8 +13,6 @@
 /// Number of an item that is kept from an earlier era, although the platform's copy
 /// lacks or contradicts it.
 const KEPT: Number = Number(0);
-/// Number of an item that is published in this era, if the exact one is not known.
-const FIRST_NUMBER: Number = Number(1);
 
 /// The latest published state known to this instance and the changes that led
 /// to it.
@@ -135,6 +133,7 @@
         let reconciled = restoration::reconcile(&self.items, &self.ended, items);
         self.enter_era(version);
         self.set_aside = reconciled.set_aside;
+        self.older_configuration = reconciled.older_configuration;
         for update in &reconciled.used {
             self.number_unchanged(update);
         }
@@ -161,13 +160,20 @@
     /// to an instance that had the same state before, and returns the changes that had
     /// an effect.
     pub fn follow_restore(&mut self, version: Version, updates: Vec<Update>) -> Vec<Change> {
+        let is_kept =
+            |(key, (number, _)): (&Key, &(Number, Item))| (*number == KEPT).then(|| key.clone());
+        let kept_before: BTreeSet<Key> = self.items.iter().filter_map(is_kept).collect();
         self.enter_era(version);
-        for (number, _) in self.items.values_mut() {
-            *number = FIRST_NUMBER;
-        }
         let (kept, changes): (Vec<_>, Vec<_>) =
             updates.into_iter().partition(|update| update.number == KEPT);
         let mut effective = self.merge(version.number, changes);
+        // The exact numbers of the other items are not known here. They are current as
+        // of the version, unless only this instance kept them.
+        for (key, (number, _)) in &mut self.items {
+            if *number == KEPT && !kept_before.contains(key) {
+                *number = version.number;
+            }
+        }
         for update in kept {
             if self.keep(&update) {
                 effective.push(update.change);
--- a/crates/mustardway_mirror/src/restoration.rs
+++ b/crates/mustardway_mirror/src/restoration.rs
@@ -19,6 +19,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 use mustardway_types::revision::Number;
 use mustardway_types::time::Span;
@@ -75,6 +76,8 @@
     pub(crate) used: Vec<Update>,
     /// Items of the copy to set aside.
     pub(crate) set_aside: BTreeMap<Key, (Number, Item)>,
+    /// Version of the copy's configuration if it is older than the known one.
+    pub(crate) older_configuration: Option<u64>,
 }
 
 /// Compares the `items` of a copy with the `known` items.
@@ -98,6 +101,14 @@
     }
     for (key, (number, item)) in listed {
         let known = known.get(&key).map(|(_, item)| item);
+        if let (Item::Configuration(listed), Some(Item::Configuration(latest))) = (&item, known)
+            && listed.version < latest.version
+        {
+            result.older_configuration = Some(listed.version);
+            let change = Change::Put(Item::Configuration(Arc::clone(latest)));
+            result.used.push(Update { number: Number(0), change });
+            continue;
+        }
         let is_outdated = match (&item, known) {
             (Item::Target(listed), Some(Item::Target(known))) => {
                 let left_since = known.leaving && !listed.leaving;
@@ -105,7 +116,8 @@
             }
             (Item::Target(listed), _) => {
                 let owner = owners.get(&listed.address);
-                ended.has_left(listed) || owner.is_some_and(|owner| started_before(listed, owner))
+                let has_left = ended.has_left(listed) && !listed.leaving;
+                has_left || owner.is_some_and(|owner| started_before(listed, owner))
             }
             (Item::Evacuated(domain), None) => ended.has_ended(domain, number),
             (Item::Evacuated(_) | Item::Configuration(_), _) => false,
--- a/crates/mustardway_mirror/tests/restored_platform.rs
+++ b/crates/mustardway_mirror/tests/restored_platform.rs
@@ -463,6 +463,7 @@
 fn item_that_stays_listed_is_used() {
     let mut platform = Platform::default();
     platform.publish(configuration(1));
+    platform.publish(process(1, 5, false));
     platform.publish(process(1, 5, true));
     let mut node = reader(&mut platform);
     platform.publish(removed(1));
