Leave a failure domain that cannot be reached as a whole

Its instances found the 100 targets of the other domains lost one by one, four probes at a time: the first at 35.0 s, after 1.5 s in which nothing answered, the last at 38.3 s. Only then did they report unready, 0.5 s before the cut healed: 1,289 requests of that domain failed. Ruled out: routers (they chose other instances once all were unready) and the store (down, but all state was known).

Change: a failure domain is unreachable once three of its targets were lost without a sign of life since; new flows go elsewhere. It is silent once three left callers unanswered for 400 ms; a silent domain does not count for readiness. Any answer ends both. A reported target is avoided for 10 s, and probed by three instances of the domain chosen by rendezvous and by those with flows there. While routers turn away, opening packets that cannot be placed are dropped if the caller's copy can reach another domain in time; resets had used up all retries within milliseconds.

--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -137,9 +137,9 @@
         }
         let topology = Topology::new(&instance.id, &self.domain_names[instance.domain], live);
         instance.neighbours.clone_from(&topology.neighbours);
-        let domain_instances = instance.neighbours.len();
+        let neighbours = instance.neighbours.clone();
         self.deliver_to_mirror(host, mirror::Event::Topology(topology));
-        self.deliver_to_front(host, front::Event::Peers { known, domain_instances });
+        self.deliver_to_front(host, front::Event::Peers { known, neighbours });
     }
 
     /// Passes an event to the mirror of an instance and executes the actions that it
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -23,6 +23,7 @@
 use crate::opening::Queue;
 use crate::packet::{Flow, Packet, Reset};
 use crate::placement::{Policy, Score, WEIGHTS};
+use crate::reachability::Reachability;
 use crate::responsiveness::Responsiveness;
 use crate::table::{Record, Stage, Table};
 use crate::token::Token;
@@ -65,8 +66,8 @@
     Peers {
         /// All known instances, live or not, including this one.
         known: Vec<instance::Id>,
-        /// Number of live instances in this one's failure domain, including this one.
-        domain_instances: usize,
+        /// Live instances in this one's failure domain, including this one.
+        neighbours: Vec<instance::Id>,
     },
     /// The process did not run for a while. Packets that were received meanwhile
     /// follow.
@@ -124,15 +125,19 @@
     directory: Directory,
     table: Table,
     known: Vec<instance::Id>,
-    /// Live instances in this one's failure domain. They receive packets of the same
-    /// callers.
-    domain_instances: usize,
+    /// Live instances in this one's failure domain, including this one. They receive
+    /// packets of the same callers.
+    neighbours: Vec<instance::Id>,
     confirmed: Option<Instant>,
     /// Time at which a flow's packets first carried an unknown token.
     unknown_tokens: FxHashMap<Flow, Instant>,
     openings: Queue,
-    /// Directory indexes of targets that are suspected or lost.
+    /// Directory indexes of targets that are suspected or lost and that this instance
+    /// probes.
     unhealthy: BTreeSet<usize>,
+    /// Directory indexes of targets that a peer reported lost.
+    reported: BTreeSet<usize>,
+    reachability: Reachability,
     /// Number of probes whose outcome is pending.
     probes_in_flight: usize,
     responsiveness: Responsiveness,
@@ -141,8 +146,8 @@
     /// Whether the packets being handled were received while the process did not run.
     is_clearing_backlog: bool,
     demand: Demand,
-    /// Whether at least half of the demand can be placed.
-    meets_demand: bool,
+    /// Time since which less than half of the demand can be placed.
+    unmet_since: Option<Instant>,
     next_sweep: Instant,
     policy: Box<dyn Policy>,
     rng: Pcg32,
@@ -153,7 +158,7 @@
     pub fn new(me: instance::Id, home: domain::Name, seed: u64) -> Self {
         Front {
             known: vec![me.clone()],
-            domain_instances: 1,
+            neighbours: vec![me.clone()],
             me,
             home,
             directory: Directory::default(),
@@ -162,12 +167,14 @@
             unknown_tokens: FxHashMap::default(),
             openings: Queue::default(),
             unhealthy: BTreeSet::new(),
+            reported: BTreeSet::new(),
+            reachability: Reachability::default(),
             probes_in_flight: 0,
             responsiveness: Responsiveness::default(),
             next_reference_probe: Instant::default(),
             is_clearing_backlog: false,
             demand: Demand::default(),
-            meets_demand: true,
+            unmet_since: None,
             next_sweep: Instant::default(),
             policy: Box::new(Score(WEIGHTS)),
             rng: Pcg32::seed_from_u64(seed),
@@ -199,7 +206,7 @@
 
     /// Returns whether the routers should send new flows to this instance.
     pub fn is_ready(&self) -> bool {
-        self.is_configured() && self.meets_demand
+        self.is_configured() && self.unmet_since.is_none()
     }
 
     /// Decides what to do with a caller's packet.
@@ -226,9 +233,9 @@
             Event::Published(changes) => self.apply_changes(changes, now, actions),
             Event::Departed(departures) => self.directory.restore_departed(departures, now),
             Event::Confirmed(at) => self.confirmed = Some(at),
-            Event::Peers { known, domain_instances } => {
+            Event::Peers { known, neighbours } => {
                 self.known = known;
-                self.domain_instances = domain_instances;
+                self.neighbours = neighbours;
             }
             Event::Paused => self.is_clearing_backlog = true,
             Event::BacklogCleared => self.is_clearing_backlog = false,
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -6,7 +6,7 @@
 
 use mustardway_mirror::publication::Share;
 use mustardway_types::service;
-use mustardway_types::time::Instant;
+use mustardway_types::time::{Instant, Span};
 use rand::RngExt;
 
 use super::{Action, Front, Verdict};
@@ -20,6 +20,10 @@
 use crate::slow_start;
 use crate::table::{Record, Stage};
 
+/// Time within which the routers notice that an instance is not ready: two checks,
+/// each every 500 ms, and a margin for instances that notice later.
+const ROUTER_NOTICE_MAX: Span = Span::millis(1_500);
+
 impl Front {
     /// Decides what to do with an opening packet.
     pub(super) fn open_flow(
@@ -41,10 +45,22 @@
         };
         match self.place(packet, avoid, now) {
             Some(index) => self.send_to(packet, index, now, actions),
+            None if self.is_withdrawing(packet, now) => Verdict::Drop(DropReason::Withdrawing),
             None => self.reset(packet, ResetReason::NoTarget, now, actions),
         }
     }
 
+    /// Returns whether the routers are about to send the caller's copies of an opening
+    /// packet to instances in other failure domains, in time for an answer. A reset
+    /// would make the caller use up its retries here.
+    fn is_withdrawing(&self, packet: &Packet, now: Instant) -> bool {
+        let route = self.directory.route(packet.destination);
+        let is_timely = route.is_some_and(|route| route.limit > ROUTER_NOTICE_MAX);
+        let has_others = self.known.len() > self.neighbours.len();
+        let is_recent = self.unmet_since.is_some_and(|since| now.since(since) < ROUTER_NOTICE_MAX);
+        is_timely && has_others && is_recent
+    }
+
     /// Looks up an earlier copy of an opening packet.
     fn earlier_copy(
         &mut self,
@@ -198,19 +214,24 @@
                 grade: if is_degraded { Grade::Degraded } else { Grade::Good },
                 is_local: target.registration.domain == self.home,
                 is_cold: now < target.cold_until,
-                waiting: target.observation.estimate_outstanding(self.domain_instances, now),
-                idle: f64::from(target.observation.idle_flows()) * self.domain_instances as f64,
+                waiting: target.observation.estimate_outstanding(self.neighbours.len(), now),
+                idle: f64::from(target.observation.idle_flows()) * self.neighbours.len() as f64,
                 slots: target.registration.slots,
             });
         }
         candidates
     }
 
-    /// Returns whether any target of a service accepts new flows, either now or as
-    /// soon as the limits of its slow start allow it.
+    /// Returns whether any target of a service outside of silent failure domains
+    /// accepts new flows, either now or as soon as the limits of its slow start allow
+    /// it.
     pub(super) fn can_place(&self, service: &service::Name, now: Instant) -> bool {
+        let can_take = |target: &Target| {
+            self.is_eligible(target, now)
+                && !self.reachability.silent.contains(&target.registration.domain)
+        };
         let mut targets = self.directory.indexes_of_service(service).iter();
-        targets.any(|index| self.directory.get(*index).is_some_and(|it| self.is_eligible(it, now)))
+        targets.any(|index| self.directory.get(*index).is_some_and(can_take))
     }
 
     fn accepts_now(&self, target: &Target, now: Instant) -> bool {
@@ -226,7 +247,9 @@
         if registration.leaving || target.is_shadowed {
             return false;
         }
-        if self.directory.is_evacuated(&registration.domain) {
+        if self.directory.is_evacuated(&registration.domain)
+            || self.reachability.unreachable.contains(&registration.domain)
+        {
             return false;
         }
         if target.unregistered_at.is_some_and(|since| now.since(since) >= REGISTRATION_GRACE) {
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -10,6 +10,8 @@
 use crate::health::{Context, Outcome, Status, Transition};
 use crate::note::{Note, ResetReason};
 use crate::packet::{Flow, Reset};
+use crate::rank;
+use crate::reachability::Reachability;
 use crate::table::Stage;
 
 /// Interval between two sweeps of expired flows and targets.
@@ -39,6 +41,12 @@
 /// peer's report. If all of them probed at once, they would fill the queue of a
 /// target that works.
 const PEER_PROBE_SPACING: Span = Span::millis(20);
+/// Number of instances of a failure domain that probe a target which a peer reported
+/// lost although they have no flows there. The probes of a lost failure domain would
+/// otherwise grow with the square of the instances.
+const WATCHERS_MAX: usize = 3;
+/// Seed of the rank that chooses the watchers. It must be the same at all instances.
+const WATCHER_SEED: u64 = 0x7761_7463_6800_0001;
 
 impl Front {
     /// Suspects a target that has left a caller's packet unanswered, and probes it.
@@ -68,26 +76,60 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(index) = self.directory.index_of(id) else { return };
-        let delay = self.random_probe_delay();
+        let is_watcher = self.is_watcher(id);
+        let delay = self.random_probe_delay(self.probers(is_watcher));
         let Some(target) = self.directory.get_mut(index) else { return };
         if !is_lost {
-            if target.health.record_response() {
+            if target.health.record_peer_answer(now) {
                 actions.push(Action::Note(Note::Trusted { target: id.clone() }));
             }
             return;
         }
-        if !target.observation.has_responded_after(now - RECENT_RESPONSE_MAX) {
-            target.health.record_report(delay, now);
+        if target.observation.has_responded_after(now - RECENT_RESPONSE_MAX) {
+            return;
+        }
+        let has_flows = target.observation.flows > 0 || target.health.has_own_evidence(now);
+        target.health.record_report(delay, now);
+        self.reported.insert(index);
+        if is_watcher || has_flows {
             self.unhealthy.insert(index);
         }
     }
 
-    /// Returns a random delay before a probe that peers may send as well.
-    fn random_probe_delay(&mut self) -> Span {
-        let longest = PEER_PROBE_SPACING.0 * self.domain_instances.saturating_sub(1) as u64;
+    /// Returns whether this instance is one of the few of its failure domain that probe
+    /// a target although they have no flows there.
+    fn is_watcher(&self, id: &target::Id) -> bool {
+        rank::is_among_first(WATCHER_SEED, &self.me, &self.neighbours, id, WATCHERS_MAX)
+    }
+
+    /// Returns the number of instances that a watcher or another instance shares the
+    /// probes of a target with.
+    fn probers(&self, is_watcher: bool) -> usize {
+        let all = self.neighbours.len().max(1);
+        if is_watcher { all.min(WATCHERS_MAX) } else { all }
+    }
+
+    /// Returns a random delay before a probe that `probers` instances send.
+    fn random_probe_delay(&mut self, probers: usize) -> Span {
+        let longest = PEER_PROBE_SPACING.0 * probers.saturating_sub(1) as u64;
         Span(self.rng.random_range(0..=longest))
     }
 
+    /// Updates the failure domains that cannot be reached.
+    fn update_reachability(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let directory = &self.directory;
+        self.reported.retain(|index| {
+            directory.get(*index).is_some_and(|it| it.health.is_reported_lost(now))
+        });
+        let unhealthy = &self.unhealthy | &self.reported;
+        let reachability = Reachability::assess(directory, &unhealthy, now);
+        for domain in &self.reachability.unreachable ^ &reachability.unreachable {
+            let is_reachable = !reachability.unreachable.contains(&domain);
+            actions.push(Action::Note(Note::Reachable { domain, is_reachable }));
+        }
+        self.reachability = reachability;
+    }
+
     /// Probes a target that is suspected or lost, if a probe is due.
     fn probe_if_unhealthy(&mut self, index: usize, now: Instant, actions: &mut Vec<Action>) {
         let target = self.directory.get(index);
@@ -173,17 +215,14 @@
     ) {
         self.probes_in_flight = self.probes_in_flight.saturating_sub(1);
         let Some(index) = self.directory.index_of(id) else { return };
+        let probers = self.probers(self.is_watcher(id));
         let Some(target) = self.directory.get_mut(index) else { return };
-        let was_lost = target.health.is_lost();
+        let was_lost = target.health.is_lost() || target.health.is_reported_lost(now);
         if outcome != Outcome::Silent {
             self.responsiveness.record_probe(target.health.probe_sent(), now);
         }
         let last_response = target.observation.last_response;
-        let context = Context {
-            last_response,
-            responsiveness: self.responsiveness,
-            domain_instances: self.domain_instances,
-        };
+        let context = Context { last_response, responsiveness: self.responsiveness, probers };
         match target.health.record_outcome(outcome, &context, now) {
             Transition::Unchanged => {}
             Transition::Recovered => {
@@ -205,7 +244,10 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        actions.push(Action::TellPeers { target: id.clone(), is_lost: true });
+        let target = self.directory.get(index);
+        if !target.is_some_and(|target| target.health.is_reported_lost(now)) {
+            actions.push(Action::TellPeers { target: id.clone(), is_lost: true });
+        }
         self.suspect_neighbours(index, now);
         let age = self.age(now);
         let mut count = 0;
@@ -248,9 +290,9 @@
         for _ in 0..NEIGHBOUR_PROBES_MAX.min(silent.len()) {
             let drawn = self.rng.random_range(0..silent.len());
             let index = silent.swap_remove(drawn);
-            let delay = self.random_probe_delay();
+            let delay = self.random_probe_delay(self.probers(false));
             let Some(target) = self.directory.get_mut(index) else { continue };
-            target.health.record_report(delay, now);
+            target.health.record_suspicion(delay, now);
             self.unhealthy.insert(index);
         }
     }
@@ -298,9 +340,10 @@
     /// entries.
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.check_openings(now, actions);
+        self.update_reachability(now, actions);
         let is_useful = self.demand.is_met(|service| self.can_place(service, now));
-        if is_useful != self.meets_demand {
-            self.meets_demand = is_useful;
+        if is_useful != self.unmet_since.is_none() {
+            self.unmet_since = (!is_useful).then_some(now);
             actions.push(Action::Note(Note::Useful { is_useful }));
         }
         for index in self.unhealthy.clone() {
--- a/crates/mustardway_flow/src/health.rs
+++ b/crates/mustardway_flow/src/health.rs
@@ -17,6 +17,9 @@
 const EVIDENCE_MIN: u32 = 3;
 /// Time for which evidence counts.
 const EVIDENCE_LIFETIME: Span = Span::seconds(3);
+/// Time for which a peer's report of a lost target counts, unless a peer reports that
+/// the target answers again. Most instances do not probe a reported target.
+const REPORT_LIFETIME: Span = Span::seconds(10);
 /// Delay before a failed probe is retried.
 const RETRY_DELAY: Span = Span::millis(60);
 /// Minimum pause after a probe that the target answered.
@@ -86,14 +89,14 @@
     /// Whether this instance itself responds in time.
     pub responsiveness: Responsiveness,
     /// Number of instances that take turns to probe the target.
-    pub domain_instances: usize,
+    pub probers: usize,
 }
 
 impl Context {
     /// Returns the pause between the probes of one instance for which the probes of
     /// all instances together have the mean pause `pause`.
     fn pause_per_instance(&self, pause: Span) -> Span {
-        Span(pause.0 * self.domain_instances.max(1) as u64)
+        Span(pause.0 * self.probers.max(1) as u64)
     }
 }
 
@@ -109,6 +112,12 @@
     first_evidence: Instant,
     /// Time at which a peer reported the target lost, or a neighbour of it was lost.
     reported: Option<Instant>,
+    /// Time at which a peer last reported the target lost.
+    reported_lost: Option<Instant>,
+    /// Time at which the target was found lost here.
+    lost_at: Option<Instant>,
+    /// Time at which the target last answered a probe of this instance or a peer.
+    answered: Option<Instant>,
     is_probing: bool,
     /// Whether the probe in flight is a reference probe, which only tells whether
     /// this instance itself is slow.
@@ -126,12 +135,39 @@
         if self.is_lost {
             return Status::Lost;
         }
-        match self.is_suspected(now) {
+        match self.is_suspected(now) || self.is_reported_lost(now) {
             true => Status::Suspected,
             false => Status::Healthy,
         }
     }
 
+    /// Returns whether a peer's report that the target is lost counts.
+    pub fn is_reported_lost(&self, now: Instant) -> bool {
+        self.reported_lost.is_some_and(|at| now.since(at) < REPORT_LIFETIME)
+    }
+
+    /// Returns the time since which the target is lost, as found here or by a peer.
+    pub fn lost_since(&self, now: Instant) -> Option<Instant> {
+        let reported = self.reported_lost.filter(|_| self.is_reported_lost(now));
+        if self.is_lost { self.lost_at } else { reported }
+    }
+
+    /// Returns the time since which callers' packets were left unanswered here.
+    pub fn unanswered_since(&self, now: Instant) -> Option<Instant> {
+        self.has_own_evidence(now).then_some(self.first_evidence)
+    }
+
+    /// Returns the time at which the target last answered a probe of this instance or
+    /// a peer.
+    pub fn last_answer(&self) -> Option<Instant> {
+        self.answered
+    }
+
+    /// Returns whether a caller's packet was left unanswered here recently.
+    pub fn has_own_evidence(&self, now: Instant) -> bool {
+        self.is_lost || self.unanswered > 0 && self.is_suspected(now)
+    }
+
     fn is_suspected(&self, now: Instant) -> bool {
         let has_evidence =
             self.unanswered > 0 && now.since(self.first_evidence) < EVIDENCE_LIFETIME;
@@ -165,9 +201,16 @@
         is_first
     }
 
-    /// Records that peers report the target lost, or that it may be lost together
-    /// with a neighbour. It is then probed after `delay`.
+    /// Records that a peer reports the target lost. If this instance is to probe it,
+    /// it does so after `delay`.
     pub fn record_report(&mut self, delay: Span, now: Instant) {
+        self.record_suspicion(delay, now);
+        self.reported_lost = Some(now);
+    }
+
+    /// Records that the target may be lost together with a neighbour. It is then
+    /// probed after `delay`.
+    pub fn record_suspicion(&mut self, delay: Span, now: Instant) {
         if !self.is_suspected(now) {
             self.unanswered = 0;
             self.failed_probes = 0;
@@ -179,8 +222,15 @@
         self.reported = Some(now);
     }
 
-    /// Records that the target has responded, to a caller or to a peer in the failure
-    /// domain. Returns whether it was lost until now.
+    /// Records that a peer in the failure domain had an answer from the target.
+    /// Returns whether it was lost until now.
+    pub fn record_peer_answer(&mut self, now: Instant) -> bool {
+        self.answered = Some(now);
+        self.record_response()
+    }
+
+    /// Records that the target has responded to a caller. Returns whether it was lost
+    /// until now.
     pub fn record_response(&mut self) -> bool {
         let was_lost = self.is_lost;
         self.clear();
@@ -190,7 +240,7 @@
     /// Returns whether to probe the target now. If so, the probe counts as in flight.
     pub fn start_probe(&mut self, now: Instant) -> bool {
         let is_due = !self.is_probing && now >= self.next_probe;
-        if !is_due || !(self.is_lost || self.is_suspected(now)) {
+        if !is_due || self.status(now) == Status::Healthy {
             return false;
         }
         self.is_probing = true;
@@ -230,6 +280,9 @@
         now: Instant,
     ) -> Transition {
         self.is_probing = false;
+        if outcome == Outcome::Alive {
+            self.answered = Some(now);
+        }
         if std::mem::take(&mut self.is_reference) {
             return Transition::Unchanged;
         }
@@ -260,6 +313,7 @@
             return Transition::Unchanged;
         }
         self.is_lost = true;
+        self.lost_at = Some(now);
         self.next_probe = now + LOST_PAUSE_SHARED;
         Transition::Lost
     }
@@ -273,5 +327,6 @@
         self.unanswered = 0;
         self.failed_probes = 0;
         self.reported = None;
+        self.reported_lost = None;
     }
 }
--- a/crates/mustardway_flow/src/lib.rs
+++ b/crates/mustardway_flow/src/lib.rs
@@ -14,6 +14,8 @@
 //! - [`demand`]: the share of the callers' demand that this instance can place.
 //! - [`directory`]: published routes and targets, with the state kept for each
 //!   target.
+//! - `rank`: the choice of a few instances for each target.
+//! - `reachability`: failure domains that this instance cannot reach.
 //! - [`responsiveness`]: whether this instance itself responds in time.
 //! - [`observation`]: passive observation of targets from their callers' packets.
 //! - [`health`]: the health status of a target and the schedule of its probes.
@@ -33,6 +35,8 @@
 pub mod opening;
 pub mod packet;
 pub mod placement;
+mod rank;
+mod reachability;
 pub mod responsiveness;
 pub mod slow_start;
 pub mod table;
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -21,17 +21,20 @@
     NoToken,
     /// it would open a flow, but has waited while the process did not run
     Stale,
+    /// it would open a flow, but the routers are about to choose other instances
+    Withdrawing,
 }
 
 impl DropReason {
     /// All reasons, in the order of declaration.
-    pub const ALL: [DropReason; 6] = [
+    pub const ALL: [DropReason; 7] = [
         DropReason::Unconfigured,
         DropReason::NoRoute,
         DropReason::UnknownToken,
         DropReason::ForeignToken,
         DropReason::NoToken,
         DropReason::Stale,
+        DropReason::Withdrawing,
     ];
 
     /// Returns the label value used in metrics.
@@ -43,6 +46,7 @@
             DropReason::ForeignToken => "foreign-token",
             DropReason::NoToken => "no-token",
             DropReason::Stale => "stale",
+            DropReason::Withdrawing => "withdrawing",
         }
     }
 }
@@ -167,6 +171,13 @@
         /// Whether at least half of the demand can be placed.
         is_useful: bool,
     },
+    /// A failure domain cannot be reached, or can be reached again.
+    Reachable {
+        /// The failure domain.
+        domain: domain::Name,
+        /// Whether it can be reached.
+        is_reachable: bool,
+    },
     /// A failure domain was evacuated, or is in use again.
     Evacuated {
         /// The failure domain.
--- a/crates/mustardway_flow/src/slow_start.rs
+++ b/crates/mustardway_flow/src/slow_start.rs
@@ -7,7 +7,9 @@
 //! that have just started from overload.
 
 use mustardway_types::time::{Instant, Span};
-use mustardway_types::{hash, instance, target};
+use mustardway_types::{instance, target};
+
+use crate::rank;
 
 /// Seed of the rank hash. It must be the same at all instances.
 const SEED: u64 = 0x636f_6c64_0000_0001;
@@ -27,19 +29,12 @@
 ) -> f64 {
     let senders = (rate / RATE_PER_SENDER).max(1) as usize;
     let senders = senders.min(SENDERS_MAX).min(known.len().max(1));
-    let own = rank(me, target);
-    let ahead = known.iter().filter(|id| *id != me && rank(id, target) > own).count();
-    if ahead >= senders {
+    if !rank::is_among_first(SEED, me, known, target, senders) {
         return 0.0;
     }
     f64::from(rate) / senders as f64
 }
 
-fn rank(id: &instance::Id, target: &target::Id) -> u64 {
-    let target = hash::seeded(SEED, target.as_str().as_bytes());
-    hash::mix(target, hash::seeded(SEED, id.as_str().as_bytes()))
-}
-
 /// Spaces the new flows to one cold target evenly.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Pacer {
--- a/crates/mustardway_flow/tests/cold_targets.rs
+++ b/crates/mustardway_flow/tests/cold_targets.rs
@@ -54,7 +54,8 @@
         let mut cold = registration(1, "orders", HOME);
         cold.cold = Span::seconds(4);
         harness.publish(put(cold));
-        harness.handle(Event::Peers { known: known.clone(), domain_instances: 1 });
+        let neighbours = vec![me.clone()];
+        harness.handle(Event::Peers { known: known.clone(), neighbours });
         harnesses.push(harness);
     }
     let mut arrivals = Vec::new();
--- a/crates/mustardway_flow/tests/common/mod.rs
+++ b/crates/mustardway_flow/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use mustardway_mirror::publication::{
     Change, Configuration, Item, Key, Registration, Repeat, Route, Service, Share,
 };
-use mustardway_types::target;
 use mustardway_types::time::{Instant, Span};
+use mustardway_types::{instance, target};
 
 /// Failure domain of the instance.
 pub const HOME: &str = "home";
@@ -88,6 +88,11 @@
     }
 }
 
+/// Returns the names of `count` instances, the harness's own first.
+pub fn instances(count: usize) -> Vec<instance::Id> {
+    (1..=count).map(|number| format!("i-{number}").parse().expect("well formed")).collect()
+}
+
 pub fn put(registration: Registration) -> Change {
     Change::Put(Item::Target(registration))
 }
@@ -95,7 +100,10 @@
 impl Harness {
     /// Creates an instance without published state.
     pub fn empty(seed: u64) -> Self {
-        let me = "i-1".parse().expect("well formed");
+        Harness::empty_with_name("i-1".parse().expect("well formed"), seed)
+    }
+
+    fn empty_with_name(me: instance::Id, seed: u64) -> Self {
         let home = HOME.parse().expect("well formed");
         let now = Instant::default() + Span::seconds(3_600);
         Harness { front: Front::new(me, home, seed), now, actions: Vec::new() }
@@ -109,7 +117,16 @@
 
     /// Creates an instance like [`Harness::new`] with another random seed.
     pub fn with_seed(seed: u64, local: u64, remote: u64) -> Self {
-        let mut harness = Harness::empty(seed);
+        Harness::empty(seed).with_targets(local, remote)
+    }
+
+    /// Creates an instance like [`Harness::new`] with another name.
+    pub fn with_name(me: instance::Id, local: u64, remote: u64) -> Self {
+        Harness::empty_with_name(me, 1).with_targets(local, remote)
+    }
+
+    fn with_targets(self, local: u64, remote: u64) -> Self {
+        let mut harness = self;
         harness.configure(configuration(1));
         for number in 1..=local {
             harness.publish(put(registration(number, "orders", HOME)));
@@ -133,6 +150,11 @@
         self.publish(Change::Removed(Key::Target(id(number))));
     }
 
+    /// Sets the number of live instances in the failure domain of the instance.
+    pub fn set_neighbours(&mut self, count: usize) {
+        self.handle(Event::Peers { known: instances(count), neighbours: instances(count) });
+    }
+
     pub fn handle(&mut self, event: Event) {
         self.front.handle(self.now, event, &mut self.actions);
     }
--- a/crates/mustardway_flow/tests/lost_targets.rs
+++ b/crates/mustardway_flow/tests/lost_targets.rs
@@ -197,7 +197,7 @@
 #[test]
 fn instances_share_probes_of_a_lost_target() {
     let (mut harness, target) = after_two_probes(1, Outcome::Silent);
-    harness.handle(Event::Peers { known: Vec::new(), domain_instances: 20 });
+    harness.set_neighbours(20);
     harness.take_actions();
     let mut probes = 0;
     for _ in 0..400 {
--- a/crates/mustardway_flow/tests/probe_rate.rs
+++ b/crates/mustardway_flow/tests/probe_rate.rs
@@ -14,7 +14,7 @@
 
 fn harness(domain_instances: usize) -> Harness {
     let mut harness = Harness::new(1, 0);
-    harness.handle(Event::Peers { known: Vec::new(), domain_instances });
+    harness.set_neighbours(domain_instances);
     harness
 }
 
@@ -62,22 +62,80 @@
     assert_eq!(harness.take_probes(), [id(1)]);
 }
 
-/// Many instances receive a peer's report at the same moment. If all of them probed
-/// at once, they would fill the queue of a target that works.
+/// Many instances receive a peer's report at the same moment. A few of them probe the
+/// target, one after the other. If all of them probed, their probes would fill the
+/// queue of a target that works, and those of a lost failure domain would grow with
+/// the square of the instances.
 #[test]
-fn probes_after_a_peer_report_are_staggered() {
-    let mut ticks = [0; 12];
-    for seed in 0..22 {
-        let mut harness = Harness::with_seed(seed, 1, 0);
-        harness.handle(Event::Peers { known: Vec::new(), domain_instances: 22 });
+fn few_instances_probe_after_a_peer_report() {
+    for (instances, probers) in [(1, 1), (2, 2), (3, 3), (22, 3), (100, 3)] {
+        let mut count = 0;
+        for me in common::instances(instances) {
+            let mut harness = Harness::with_name(me, 1, 0);
+            harness.set_neighbours(instances);
+            harness.handle(Event::PeerReport { target: id(1), is_lost: true });
+            for _ in 0..12 {
+                harness.advance(50);
+                count += harness.take_probes().len();
+            }
+        }
+        assert_eq!(count, probers, "{instances} instances");
+    }
+}
+
+/// The instances that probe a lost target share the probes, so that its return is
+/// noticed within a second whatever their number.
+#[test]
+fn return_of_a_lost_target_is_noticed() {
+    for instances in [3, 22, 100] {
+        let mut first = None;
+        for me in common::instances(instances) {
+            let mut harness = Harness::with_name(me, 1, 0);
+            harness.set_neighbours(instances);
+            harness.handle(Event::PeerReport { target: id(1), is_lost: true });
+            let is_lost = |harness: &Harness| {
+                let directory = harness.front.directory();
+                let index = directory.index_of(&id(1)).expect("the target is known");
+                directory.get(index).expect("the target is known").health.is_lost()
+            };
+            for _ in 0..40 {
+                harness.advance(50);
+                for _ in harness.take_probes() {
+                    harness.finish_probe(1, Outcome::Silent);
+                }
+            }
+            if !is_lost(&harness) {
+                continue;
+            }
+            for tick in 0..80 {
+                if !harness.take_probes().is_empty() {
+                    first = Some(first.map_or(tick, |least: u32| least.min(tick)));
+                    break;
+                }
+                harness.advance(50);
+            }
+        }
+        assert!(first.is_some_and(|tick| tick <= 50), "{instances} instances: {first:?}");
+    }
+}
+
+/// An instance whose callers have flows at the target probes it too.
+#[test]
+fn instance_with_flows_probes_after_a_peer_report() {
+    for me in common::instances(22) {
+        let mut harness = Harness::with_name(me, 1, 0);
+        harness.set_neighbours(22);
+        harness.establish(1, 1);
+        harness.advance(200);
+        harness.take_actions();
         harness.handle(Event::PeerReport { target: id(1), is_lost: true });
-        for count in &mut ticks {
+        let mut count = 0;
+        for _ in 0..12 {
             harness.advance(50);
-            *count += harness.take_probes().len();
+            count += harness.take_probes().len();
         }
+        assert_eq!(count, 1);
     }
-    assert_eq!(ticks.iter().sum::<usize>(), 22);
-    assert!(ticks.iter().all(|count| *count <= 6), "{ticks:?}");
 }
 
 /// Answers all probes with `outcome` for `millis` and returns the probed targets.
@@ -110,7 +168,7 @@
 #[test]
 fn lost_domain_is_found_and_avoided() {
     let mut harness = Harness::new(40, 40);
-    harness.handle(Event::Peers { known: Vec::new(), domain_instances: 10 });
+    harness.set_neighbours(10);
     harness.lose_target(41, Outcome::Silent);
     for round in 0..60 {
         harness.confirm_responsiveness();
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -334,8 +334,8 @@
             "known" => known.len(), "rank" => topology.fleet_rank);
         self.domain_instances.clone_from(&topology.neighbours);
         self.handle_mirror_event(mirror::Event::Topology(topology), now);
-        let domain_instances = self.domain_instances.len();
-        self.handle_front_event(front::Event::Peers { known, domain_instances }, now);
+        let neighbours = self.domain_instances.clone();
+        self.handle_front_event(front::Event::Peers { known, neighbours }, now);
     }
 
     fn handle_mirror_event(&mut self, event: mirror::Event, now: Instant) {
--- a/crates/mustardway_front/src/metrics.rs
+++ b/crates/mustardway_front/src/metrics.rs
@@ -232,6 +232,7 @@
             Note::Registered { .. }
             | Note::Unregistered { .. }
             | Note::Useful { .. }
+            | Note::Reachable { .. }
             | Note::Evacuated { .. } => {}
         }
     }
--- a/crates/mustardway_front/src/report.rs
+++ b/crates/mustardway_front/src/report.rs
@@ -141,6 +141,10 @@
                 slog::warn!(log, "demand against what can be placed"; "is_met" => is_useful,
                     "skipped" => skipped);
             }
+            Note::Reachable { domain, is_reachable } => {
+                slog::warn!(log, "failure domain reachable"; "domain" => %domain,
+                    "is_reachable" => is_reachable, "skipped" => skipped);
+            }
             Note::Evacuated { domain, out } => {
                 slog::info!(log, "failure domain evacuated"; "domain" => %domain, "out" => out,
                     "skipped" => skipped);
@@ -173,6 +177,7 @@
         Note::Registered { .. } => "registered",
         Note::Unregistered { .. } => "unregistered",
         Note::Useful { .. } => "useful",
+        Note::Reachable { .. } => "reachable",
         Note::Evacuated { .. } => "evacuated",
     }
 }
