Keep unregistered targets that respond among the good ones

The reader's first answer removes all registrations but one that was renewed already. All others were degraded, so that one target got every new flow for a second: 357 connections over its cap, 132 requests failed.

Change: an unregistered target that responded to a caller within the last second is as good as others. Registrations of crashed targets expire after 2.3 s of silence, so those stay degraded (silent_unregistered_target_is_avoided).

Before: first_renewed_target_gets_its_share fails with all 20 flows on one target.

--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -20,6 +20,9 @@
 use crate::slow_start;
 use crate::table::{Record, Stage};
 
+/// Time since a response within which an unregistered target is as good as others.
+/// Registrations of crashed targets expire later than that.
+const UNREGISTERED_RESPONSE_AGE_MAX: Span = Span::seconds(1);
 /// Time within which the routers notice that an instance is not ready: two checks,
 /// each every 500 ms, and a margin for instances that notice later.
 const ROUTER_NOTICE_MAX: Span = Span::millis(1_500);
@@ -207,7 +210,7 @@
                 continue;
             }
             let is_degraded = target.health.status(now) != Status::Healthy
-                || target.unregistered_at.is_some()
+                || is_unregistered_and_silent(target, now)
                 || target.observation.is_deprioritised(now);
             candidates.push(Candidate {
                 index: *index,
@@ -277,6 +280,14 @@
     }
 }
 
+/// Returns whether a target is unregistered and has not responded to a caller lately.
+/// If all registrations expire while the platform is unavailable, those that are
+/// renewed first must not get all new flows.
+fn is_unregistered_and_silent(target: &Target, now: Instant) -> bool {
+    target.unregistered_at.is_some()
+        && !target.observation.has_responded_after(now - UNREGISTERED_RESPONSE_AGE_MAX)
+}
+
 /// The result of looking up an earlier copy of an opening packet.
 enum EarlierCopy {
     /// No earlier copy is known.
--- a/crates/mustardway_flow/tests/opening_packets.rs
+++ b/crates/mustardway_flow/tests/opening_packets.rs
@@ -4,7 +4,10 @@
 mod common;
 
 use assert_matches::assert_matches;
-use common::{AWAY, HOME, Harness, acknowledgement, forwarded_to, opening, put, registration};
+use common::{
+    AWAY, HOME, Harness, acknowledgement, answer_acknowledgement, forwarded_to, opening, put,
+    registration,
+};
 use mustardway_flow::front::{Action, Event, Verdict};
 use mustardway_flow::health::Outcome;
 use mustardway_flow::note::DropReason;
@@ -167,3 +170,46 @@
     harness.open(1, 1);
     assert_matches!(&harness.actions[..], [Action::Note(_)]);
 }
+
+/// All registrations expire while the platform is unavailable, and one is renewed
+/// before the others. All targets work, so it must not get all new flows.
+#[test]
+fn first_renewed_target_gets_its_share() {
+    let mut harness = Harness::new(5, 0);
+    for number in 1..=5 {
+        let from = 100 + u16::try_from(number).expect("small");
+        harness.send(&acknowledgement(from, 1, number));
+        harness.send(&answer_acknowledgement(from, 1, number));
+    }
+    for number in 1..=5 {
+        harness.unregister(number);
+    }
+    harness.publish(put(registration(3, "orders", HOME)));
+    for number in 1..=5 {
+        let from = 100 + u16::try_from(number).expect("small");
+        let packet = answer_acknowledgement(from, 1, number);
+        harness.send(&Packet { acknowledgement: 8_001, ..packet });
+    }
+    let mut counts = [0; 6];
+    for from in 0..20 {
+        let target = harness.establish(from, 1);
+        counts[usize::try_from(target).expect("small")] += 1;
+    }
+    assert!(counts.iter().all(|count| *count <= 8), "{counts:?}");
+}
+
+/// The registration of a crashed target expires after it has been silent for seconds.
+#[test]
+fn silent_unregistered_target_is_avoided() {
+    let mut harness = Harness::new(5, 0);
+    for number in 1..=5 {
+        let from = 100 + u16::try_from(number).expect("small");
+        harness.send(&acknowledgement(from, 1, number));
+        harness.send(&answer_acknowledgement(from, 1, number));
+    }
+    harness.advance(2_300);
+    harness.unregister(3);
+    for from in 0..40 {
+        assert_ne!(harness.open(from, 1), Some(3));
+    }
+}
