Fewer reads of the platform by instances that are cut off or start together

Change: past the first three ranks of a failure domain, failed reads back off up to 3 s. Full reads at starts stay: asking peers first would add to the time without service after a power loss.

Also: a replica tells its peers what it had kept over a restore even when the platform lists it unchanged by now.

--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -16,7 +16,7 @@
 use crate::publication::{Change, Departure, Update};
 use crate::replica::Replica;
 use crate::restoration::REWRITE_TIME;
-use crate::topology::Topology;
+use crate::topology::{STALENESS_LIMIT_MAX, Topology};
 
 /// Maximum random addition to the staleness limit, so that instances of equal
 /// rank do not read at the same time.
@@ -27,6 +27,15 @@
 /// noticed within a third of the shortest bound in which a change has to be in
 /// force (3 s).
 const BACKOFF_MAX: Span = Span::millis(1_000);
+/// Maximum backoff of an instance of low rank in its failure domain. Others push to it
+/// what they read.
+const BACKOFF_MAX_LOW_RANK: Span = Span::millis(3_000);
+/// Number of instances of a failure domain that retry failed reads with the short
+/// backoff. The platform may refuse some of them and answer others.
+const EAGER_INSTANCES: usize = 3;
+/// Time after its start within which an instance that knows no other may not be the
+/// only one. All that start at once would take themselves for the reader.
+const SETTLING_TIME: Span = Span::millis(3_000);
 /// Time between two pulls while the replica is empty. The first pull is delayed
 /// as long, because a platform that is available answers sooner.
 const PULL_INTERVAL: Span = Span::millis(150);
@@ -140,6 +149,7 @@
     /// Latest time at which the platform confirmed the replica's state to any
     /// instance.
     confirmed: Option<Instant>,
+    started: Instant,
     /// Start time of the read in flight.
     read_started: Option<Instant>,
     next_read: Instant,
@@ -167,6 +177,7 @@
             replica: Replica::default(),
             topology: Topology::default(),
             confirmed: None,
+            started: now,
             read_started: None,
             next_read: now,
             next_pull: now + PULL_INTERVAL,
@@ -222,7 +233,12 @@
         if self.read_started.is_some() || now < self.next_read {
             return;
         }
-        let limit = self.topology.staleness_limit() + self.jitter;
+        let is_settling = now.since(self.started) < SETTLING_TIME;
+        let limit = match is_settling && self.topology.others().is_empty() {
+            true => STALENESS_LIMIT_MAX,
+            false => self.topology.staleness_limit(),
+        };
+        let limit = limit + self.jitter;
         if self.age(now).is_some_and(|age| age < limit) {
             return;
         }
@@ -314,7 +330,9 @@
         }
         let jitter = Span(self.rng.random_range(0..=self.backoff.0 / 2));
         self.next_read = now + self.backoff + jitter;
-        self.backoff = Span(BACKOFF_MAX.0.min(self.backoff.0 * 2));
+        let is_eager = self.topology.domain_rank < EAGER_INSTANCES;
+        let longest = if is_eager { BACKOFF_MAX } else { BACKOFF_MAX_LOW_RANK };
+        self.backoff = Span(longest.0.min(self.backoff.0 * 2));
         if !self.has_read_failed {
             self.has_read_failed = true;
             actions.push(Action::Platform(Err(failure)));
--- a/crates/mustardway_mirror/src/replica.rs
+++ b/crates/mustardway_mirror/src/replica.rs
@@ -130,6 +130,7 @@
     /// Enters the era of `version` with the full state that the platform was restored
     /// to.
     pub fn restore(&mut self, version: Version, items: Vec<Update>) -> Restored {
+        let kept_before = self.kept_keys();
         let reconciled = restoration::reconcile(&self.items, &self.ended, items);
         self.enter_era(version);
         self.set_aside = reconciled.set_aside;
@@ -152,17 +153,29 @@
             }
             updates.push(update);
         }
+        // Replicas of the same version may lack what only this one kept.
+        for key in kept_before {
+            if updates.iter().all(|update| update.change.key() != key)
+                && let Some((number, item)) = self.items.get(&key)
+            {
+                updates.push(Update { number: *number, change: Change::Put(item.clone()) });
+            }
+        }
         self.history.clear();
         Restored { effective, updates }
     }
 
+    /// Returns the keys of the items that are kept from an earlier era.
+    fn kept_keys(&self) -> BTreeSet<Key> {
+        let kept = self.items.iter().filter(|(_, (number, _))| *number == KEPT);
+        kept.map(|(key, _)| key.clone()).collect()
+    }
+
     /// Enters the era of `version` with the updates that [`Replica::restore`] returned
     /// to an instance that had the same state before, and returns the changes that had
     /// an effect.
     pub fn follow_restore(&mut self, version: Version, updates: Vec<Update>) -> Vec<Change> {
-        let is_kept =
-            |(key, (number, _)): (&Key, &(Number, Item))| (*number == KEPT).then(|| key.clone());
-        let kept_before: BTreeSet<Key> = self.items.iter().filter_map(is_kept).collect();
+        let kept_before = self.kept_keys();
         self.enter_era(version);
         let (kept, changes): (Vec<_>, Vec<_>) =
             updates.into_iter().partition(|update| update.number == KEPT);
--- a/crates/mustardway_mirror/src/topology.rs
+++ b/crates/mustardway_mirror/src/topology.rs
@@ -22,6 +22,9 @@
 /// Maximum number of steps in a staleness limit, so that the limit stays below
 /// the bound in which a change has to be in force (3 s).
 const STALENESS_STEPS_MAX: u64 = 3;
+/// The longest staleness limit of any instance.
+pub const STALENESS_LIMIT_MAX: Span =
+    Span(READ_INTERVAL.0 + STALENESS_STEP.0 * STALENESS_STEPS_MAX);
 
 /// The ranks and peers of one instance among the live instances.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/crates/mustardway_mirror/tests/reading_rate.rs
+++ b/crates/mustardway_mirror/tests/reading_rate.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::{Fleet, put, put_cold};
+use mustardway_mirror::node::Event;
 use mustardway_mirror::publication::{Change, Key};
+use mustardway_mirror::topology::Topology;
 use mustardway_types::time::Span;
 
 /// The shortest bound in which a change has to be in force, less the time that a
@@ -228,3 +230,47 @@
         assert_eq!(host.changes.last(), Some(&put_cold(1, 6_000)));
     }
 }
+
+/// A failure domain that is cut off from the platform: a few instances look for it often
+/// enough that changes are in force in time once the cut ends.
+#[test]
+fn partitioned_domain_makes_limited_calls() {
+    let mut fleet = Fleet::new(118, 2);
+    fleet.run(5_000);
+    fleet.partitioned.insert(1);
+    fleet.update_topologies();
+    fleet.run(5_000);
+    let before = fleet.platform.calls;
+    fleet.run(10_000);
+    let calls = fleet.platform.calls - before;
+    // Three instances each second, the others every three.
+    assert!(calls <= 10 + 3 * 10 + 56 * 10 / 3, "{calls} calls by 59 instances in 10 s");
+    fleet.platform.publish(put(1, false));
+    fleet.partitioned.clear();
+    fleet.update_topologies();
+    fleet.run(1_800);
+    for number in 0..118 {
+        assert!(fleet.is_current(number), "instance {number}");
+    }
+}
+
+/// Instances that start at once do not know each other at first. Each of them would
+/// take itself for the reader.
+#[test]
+fn starting_fleet_makes_limited_calls() {
+    let mut fleet = Fleet::new(60, 3);
+    fleet.run(5_000);
+    for number in 0..60 {
+        fleet.restart(number);
+    }
+    for number in 0..60 {
+        fleet.handle_event(number, Event::Topology(Topology::default()));
+    }
+    let before = fleet.platform.calls;
+    fleet.run(2_200);
+    let calls = fleet.platform.calls - before;
+    assert!(calls <= 60, "{calls} calls by 60 instances that start");
+    fleet.update_topologies();
+    fleet.run(1_000);
+    assert!(fleet.oldest() < STALENESS_MAX);
+}
