--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -7,8 +7,8 @@
 
 /// File that lists the tests that fail because of a known fault.
 ///
-/// Each line holds the name of a test and, after `|`, the command, the seed, the observed failure
-/// and the issue.
+/// Each line holds the full name of a test and, after `|`, the command, the seed, the observed
+/// failure and the issue.
 const KNOWN_FAILURES_FILE: &str = "KNOWN-RED.txt";
 
 /// Run the CI checks
@@ -38,6 +38,12 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
+    if let Some(only) = &arguments.only
+        && STEPS.iter().all(|step| step.name != only)
+    {
+        eprintln!("there is no step {only}");
+        return ExitCode::FAILURE;
+    }
     for step in STEPS {
         if arguments.only.as_deref().is_some_and(|only| only != step.name) {
             continue;
@@ -84,10 +90,17 @@
 
 /// Runs all tests except those that are known to fail.
 fn test() -> bool {
-    let known = known_failures();
+    let known = match known_failures() {
+        Ok(known) => known,
+        Err(error) => {
+            eprintln!("{KNOWN_FAILURES_FILE}: {error}");
+            return false;
+        }
+    };
     let mut arguments = vec!["test", "--workspace", "--locked", "--no-fail-fast"];
     if !known.is_empty() {
-        arguments.push("--");
+        // Without `--exact`, a test whose name contains a listed one would be skipped too.
+        arguments.extend(["--", "--exact"]);
     }
     for name in &known {
         println!("known to fail, skipped: {name}");
@@ -96,13 +109,24 @@
     run("cargo", &arguments)
 }
 
-/// Returns the names of the tests that are known to fail.
-fn known_failures() -> Vec<String> {
-    let text = std::fs::read_to_string(KNOWN_FAILURES_FILE).unwrap_or_default();
+/// Returns the names of the tests that are known to fail. Each must be the name of a test.
+fn known_failures() -> std::io::Result<Vec<String>> {
+    let text = std::fs::read_to_string(KNOWN_FAILURES_FILE)?;
     let mut names = Vec::new();
     for line in text.lines() {
         let Some((name, _)) = line.split_once('|') else { continue };
         names.push(name.trim().to_string());
     }
-    names
+    if names.is_empty() {
+        return Ok(names);
+    }
+    let arguments = ["test", "--workspace", "--locked", "--quiet", "--", "--list"];
+    let listed = Command::new("cargo").args(arguments).output()?.stdout;
+    let listed = String::from_utf8_lossy(&listed);
+    for name in &names {
+        if !listed.lines().any(|line| line.strip_suffix(": test") == Some(name)) {
+            return Err(std::io::Error::other(format!("there is no test {name}")));
+        }
+    }
+    Ok(names)
 }
