Few reads while the platform is away or has dropped its history

Change: instances past the third rank of their failure domain back off from 1 s, and wait 700 ms for the full state from their peers before they read it after a lost history.

--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -29,9 +29,12 @@
 /// noticed within a third of the shortest bound in which a change has to be in
 /// force (3 s).
 const BACKOFF_MAX: Span = Span::millis(1_000);
-/// Maximum backoff of an instance of low rank in its failure domain. Others push to it
-/// what they read.
-const BACKOFF_MAX_LOW_RANK: Span = Span::millis(3_000);
+/// Minimum and maximum backoff of an instance of low rank in its failure domain. Others
+/// push to it what they read.
+const BACKOFF_RANGE_LOW_RANK: (Span, Span) = (Span::millis(1_000), Span::millis(3_000));
+/// Time that an instance of low rank waits for the full state from its peers before it
+/// reads that itself.
+const FULL_PUSH_TIME: Span = Span::millis(700);
 /// Number of instances of a failure domain that retry failed reads with the short
 /// backoff. The platform may refuse some of them and answer others.
 const EAGER_INSTANCES: usize = 3;
@@ -320,14 +323,19 @@
     }
 
     fn take_failure(&mut self, failure: Failure, now: Instant, actions: &mut Vec<Action>) {
+        let is_eager = self.topology.domain_rank < EAGER_INSTANCES;
         if failure == Failure::Forgotten {
             self.needs_full_read = true;
+            if !is_eager {
+                self.next_read = now + FULL_PUSH_TIME + self.jitter;
+            }
             return;
         }
+        let (shortest, longest) =
+            if is_eager { (BACKOFF_MIN, BACKOFF_MAX) } else { BACKOFF_RANGE_LOW_RANK };
+        self.backoff = self.backoff.max(shortest);
         let jitter = Span(self.rng.random_range(0..=self.backoff.0 / 2));
         self.next_read = now + self.backoff + jitter;
-        let is_eager = self.topology.domain_rank < EAGER_INSTANCES;
-        let longest = if is_eager { BACKOFF_MAX } else { BACKOFF_MAX_LOW_RANK };
         self.backoff = Span(longest.0.min(self.backoff.0 * 2));
         if !self.has_read_failed {
             self.has_read_failed = true;
--- a/crates/mustardway_mirror/src/node/exchange.rs
+++ b/crates/mustardway_mirror/src/node/exchange.rs
@@ -131,6 +131,8 @@
         if is_new_era {
             self.enter_era(own, now, actions);
         }
+        // The changes before this version are not needed any more.
+        self.needs_full_read &= !is_newer;
         self.confirm(at);
         self.report_changes(applied, now, actions);
         if !push.relay {
--- a/crates/mustardway_mirror/src/replica.rs
+++ b/crates/mustardway_mirror/src/replica.rs
@@ -119,7 +119,7 @@
     /// Applies the full state as of `number`, which removes every item that it
     /// lacks, and returns the changes that had an effect.
     pub fn apply_full_state(&mut self, number: Number, items: Vec<Update>) -> Vec<Change> {
-        let effective = self.replace_items(number, items, Vec::new());
+        let effective = self.replace_items(number, items, &[]);
         // A full state does not show items that were published and removed in
         // between, so peers that are behind `number` get the full state.
         self.history.retain(|update| update.number > number);
@@ -140,8 +140,8 @@
         }
         let (kept, listed): (Vec<_>, Vec<_>) =
             reconciled.used.into_iter().partition(|update| update.number == KEPT);
-        let keys = kept.iter().map(|update| update.change.key()).collect();
-        let mut effective = self.replace_items(version.number, listed, keys);
+        let keys: Vec<Key> = kept.iter().map(|update| update.change.key()).collect();
+        let mut effective = self.replace_items(version.number, listed, &keys);
         let mut updates = Vec::new();
         for change in &effective {
             let number = self.items.get(&change.key()).map_or(version.number, |(at, _)| *at);
@@ -255,7 +255,7 @@
 
     /// Replaces all items but those under `kept` keys by `items`, and returns the
     /// changes that had an effect.
-    fn replace_items(&mut self, number: Number, items: Vec<Update>, kept: Vec<Key>) -> Vec<Change> {
+    fn replace_items(&mut self, number: Number, items: Vec<Update>, kept: &[Key]) -> Vec<Change> {
         let mut absent: Vec<Key> = self.items.keys().cloned().collect();
         absent.retain(|key| !kept.contains(key));
         for update in &items {
--- a/crates/mustardway_mirror/tests/common/mod.rs
+++ b/crates/mustardway_mirror/tests/common/mod.rs
@@ -89,6 +89,8 @@
     /// Changes up to this number are no longer in the log.
     pub compacted: u64,
     pub calls: usize,
+    /// Number of answered queries for everything.
+    pub full_reads: usize,
 }
 
 impl Platform {
@@ -118,6 +120,7 @@
 
     pub fn answer(&mut self, query: Query) -> Result<Answer, Failure> {
         self.calls += 1;
+        self.full_reads += usize::from(query == Query::Full);
         let version = version(self.era, self.number);
         match query {
             Query::Full => Ok(Answer::Full(version, self.items.values().cloned().collect())),
--- a/crates/mustardway_mirror/tests/reading_rate.rs
+++ b/crates/mustardway_mirror/tests/reading_rate.rs
@@ -274,3 +274,40 @@
     fleet.run(1_000);
     assert!(fleet.oldest() < STALENESS_MAX);
 }
+
+/// The platform drops its history while all instances are behind. A few of them read
+/// the whole state and push it.
+#[test]
+fn lost_history_is_read_by_few_instances() {
+    let mut fleet = Fleet::new(118, 2);
+    for number in 0..50 {
+        fleet.platform.publish(put(number, false));
+    }
+    fleet.run(5_000);
+    fleet.denied = (0..118).collect();
+    fleet.run(2_600);
+    for number in 50..60 {
+        fleet.platform.publish(put(number, false));
+    }
+    fleet.platform.compacted = fleet.platform.number;
+    fleet.denied.clear();
+    fleet.platform.full_reads = 0;
+    fleet.run(4_000);
+    for number in 0..118 {
+        assert!(fleet.is_current(number), "instance {number}");
+    }
+    assert!(fleet.platform.full_reads <= 12, "{} full reads", fleet.platform.full_reads);
+}
+
+/// All instances notice at about the same time that the platform is away.
+#[test]
+fn outage_causes_few_calls_by_each_instance() {
+    let mut fleet = Fleet::new(118, 2);
+    fleet.run(5_000);
+    fleet.denied = (0..118).collect();
+    let before = fleet.platform.calls;
+    fleet.run(6_000);
+    let calls = fleet.platform.calls - before;
+    // Six instances try each second and more often at first, the others at most thrice.
+    assert!(calls <= 6 * 9 + 112 * 3, "{calls} calls in 6 s");
+}
--- a/crates/mustardway_mirror/tests/replica_order.rs
+++ b/crates/mustardway_mirror/tests/replica_order.rs
@@ -8,6 +8,7 @@
 use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query};
 use mustardway_mirror::publication::{Change, Key, Update};
 use mustardway_mirror::replica::Replica;
+use mustardway_mirror::topology::Topology;
 use mustardway_types::revision::Number;
 use mustardway_types::time::{Instant, Span};
 use proptest::collection::vec;
@@ -200,3 +201,20 @@
     );
     assert_eq!(replica.changes_after(version(0, 9)), Some(Vec::new()));
 }
+
+/// The instances of high rank read the whole state and push it, so that the others do
+/// not all read it.
+#[test]
+fn low_rank_instance_waits_for_the_full_state() {
+    let mut platform = Platform::default();
+    platform.publish(configuration(1));
+    let mut node = reader(&mut platform);
+    let topology = Topology { fleet_rank: 20, domain_rank: 5, ..Topology::default() };
+    handle(&mut node, start(), Event::Topology(topology));
+    let later = start() + LATER;
+    assert_matches!(handle(&mut node, later, Event::Tick)[..], [Action::Read(Query::Since { .. })]);
+    let actions = handle(&mut node, later, Event::Answer(Err(Failure::Forgotten)));
+    assert_eq!(actions, []);
+    let actions = handle(&mut node, later + Span::millis(900), Event::Tick);
+    assert_matches!(actions[..], [Action::Read(Query::Full)], "it reads if nothing comes");
+}
--- a/crates/mustardway_mirror/tests/restored_platform.rs
+++ b/crates/mustardway_mirror/tests/restored_platform.rs
@@ -31,7 +31,7 @@
     let mut actions = handle(node, now, Event::Tick);
     loop {
         let query = actions.iter().find_map(|action| match action {
-            Action::Read(query) => Some(query.clone()),
+            Action::Read(query) => Some(*query),
             _ => None,
         });
         let Some(query) = query else { return actions };
