Mirror: one constant for kept items; a full state is applied in n log n

replace_items compared every listed key with every known one; 17,000 targets are 289 million comparisons. One constant names the number of kept items.

--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -24,7 +24,7 @@
 
 use crate::adapter::Adapter;
 use crate::input::Input;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, gauge_value};
 use crate::pause::Detector;
 use crate::peers::{MEMBERSHIP, MIRROR, TARGET_STATUS, TargetStatus};
 use crate::report::Report;
@@ -152,7 +152,7 @@
             metrics.published_age.set(age.as_seconds());
         }
         let era = self.mirror.replica().version().era;
-        metrics.published_era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
+        metrics.published_era.set(gauge_value(era.0));
     }
 
     /// Replaces the seeds, the peers whose addresses are configured.
@@ -446,8 +446,3 @@
         }
     }
 }
-
-/// Converts a count to the value of a gauge.
-fn gauge_value(count: usize) -> i64 {
-    i64::try_from(count).unwrap_or(i64::MAX)
-}
--- a/crates/mustardway_front/src/metrics.rs
+++ b/crates/mustardway_front/src/metrics.rs
@@ -280,3 +280,8 @@
         }
     }
 }
+
+/// Converts a count to the value of a gauge.
+pub(crate) fn gauge_value(count: impl TryInto<i64>) -> i64 {
+    count.try_into().unwrap_or(i64::MAX)
+}
--- a/crates/mustardway_mirror/src/replica.rs
+++ b/crates/mustardway_mirror/src/replica.rs
@@ -5,14 +5,11 @@
 use mustardway_types::revision::{Era, Number, Version};
 
 use crate::publication::{Change, Item, Key, Registration, Update};
-use crate::restoration::{self, Ended};
+use crate::restoration::{self, Ended, KEPT};
 
 /// Number of changes kept for peers that are behind. Peers that are further
 /// behind get the full state.
 const HISTORY_MAX: usize = 512;
-/// Number of an item that is kept from an earlier era, although the platform's copy
-/// lacks or contradicts it.
-const KEPT: Number = Number(0);
 
 /// The latest published state known to this instance and the changes that led
 /// to it.
@@ -40,8 +37,8 @@
 pub struct Restored {
     /// Changes that had an effect on this replica.
     pub effective: Vec<Change>,
-    /// Updates for replicas that had the same state before: the changes and, with
-    /// number 0, the items that the copy lacks or contradicts and that are kept.
+    /// Updates for replicas that had the same version before: the changes and the items
+    /// that are kept, under the number [`KEPT`].
     pub updates: Vec<Update>,
 }
 
@@ -256,11 +253,12 @@
     /// Replaces all items but those under `kept` keys by `items`, and returns the
     /// changes that had an effect.
     fn replace_items(&mut self, number: Number, items: Vec<Update>, kept: &[Key]) -> Vec<Change> {
-        let mut absent: Vec<Key> = self.items.keys().cloned().collect();
-        absent.retain(|key| !kept.contains(key));
+        let mut absent: BTreeSet<Key> = self.items.keys().cloned().collect();
+        for key in kept {
+            absent.remove(key);
+        }
         for update in &items {
-            let key = update.change.key();
-            absent.retain(|other| *other != key);
+            absent.remove(&update.change.key());
         }
         let mut effective = self.merge(number, items);
         for key in absent {
--- a/crates/mustardway_mirror/src/restoration.rs
+++ b/crates/mustardway_mirror/src/restoration.rs
@@ -30,8 +30,11 @@
 /// Time within which the operator and the targets publish again what the copy lacks.
 /// Targets need two seconds.
 pub const REWRITE_TIME: Span = Span::seconds(5);
-/// Maximum number of targets that left and evacuations that ended that are kept.
-const ENDED_MAX: usize = 512;
+/// Number of an item that is kept from an earlier era, although the platform's copy
+/// lacks or contradicts it.
+pub(crate) const KEPT: Number = Number(0);
+/// Maximum number of targets that left that are remembered.
+const LEFT_MAX: usize = 512;
 
 /// What was removed in the current era, to recognise it in a copy.
 #[derive(Debug, Default)]
@@ -47,7 +50,7 @@
     pub(crate) fn record(&mut self, number: Number, item: &Item) {
         match item {
             Item::Target(registration) if registration.leaving => {
-                if self.left.len() >= ENDED_MAX {
+                if self.left.len() >= LEFT_MAX {
                     self.left.pop_first();
                 }
                 self.left.insert(registration.id.clone(), registration.clone());
@@ -72,7 +75,7 @@
 /// The items of a copy, sorted by what to do with them.
 #[derive(Debug, Default)]
 pub(crate) struct Reconciled {
-    /// Items to use. Number 0 marks those that the copy lacks or contradicts.
+    /// Items to use, some of them under the number [`KEPT`].
     pub(crate) used: Vec<Update>,
     /// Items of the copy to set aside.
     pub(crate) set_aside: BTreeMap<Key, (Number, Item)>,
@@ -96,7 +99,7 @@
     }
     for (key, (_, item)) in known {
         if !listed.contains_key(key) && !matches!(item, Item::Target(_)) {
-            result.used.push(Update { number: Number(0), change: Change::Put(item.clone()) });
+            result.used.push(Update { number: KEPT, change: Change::Put(item.clone()) });
         }
     }
     for (key, (number, item)) in listed {
@@ -106,7 +109,7 @@
         {
             result.older_configuration = Some(listed.version);
             let change = Change::Put(Item::Configuration(Arc::clone(latest)));
-            result.used.push(Update { number: Number(0), change });
+            result.used.push(Update { number: KEPT, change });
             continue;
         }
         let is_outdated = match (&item, known) {
@@ -127,7 +130,7 @@
             continue;
         }
         if let Some(known) = known {
-            result.used.push(Update { number: Number(0), change: Change::Put(known.clone()) });
+            result.used.push(Update { number: KEPT, change: Change::Put(known.clone()) });
         }
         result.set_aside.insert(key, (number, item));
     }
