Treat a target as gone only if the platform shows it

Change: the grace counts the time that the platform has confirmed, not the clock. A target that is really gone is silent, and so second choice.

unregistered_target_gets_flows_while_the_platform_is_away fails before.

--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -228,9 +228,9 @@
     /// Returns whether any target of a service outside of silent failure domains
     /// accepts new flows, either now or as soon as the limits of its slow start allow
     /// it.
-    pub(super) fn can_place(&self, service: &service::Name, now: Instant) -> bool {
+    pub(super) fn can_place(&self, service: &service::Name) -> bool {
         let can_take = |target: &Target| {
-            self.is_eligible(target, now)
+            self.is_eligible(target)
                 && !self.reachability.silent.contains(&target.registration.domain)
         };
         let mut targets = self.directory.indexes_of_service(service).iter();
@@ -238,14 +238,14 @@
     }
 
     fn accepts_now(&self, target: &Target, now: Instant) -> bool {
-        self.is_eligible(target, now)
+        self.is_eligible(target)
             && (now >= target.cold_until
                 || self
                     .cold_rate_share(target)
                     .is_none_or(|rate| rate > 0.0 && target.pacer.is_open(now)))
     }
 
-    fn is_eligible(&self, target: &Target, now: Instant) -> bool {
+    fn is_eligible(&self, target: &Target) -> bool {
         let registration = &target.registration;
         if registration.leaving || target.is_shadowed {
             return false;
@@ -255,12 +255,19 @@
         {
             return false;
         }
-        if target.unregistered_at.is_some_and(|since| now.since(since) >= REGISTRATION_GRACE) {
+        if target.unregistered_at.is_some_and(|since| self.is_gone(since)) {
             return false;
         }
         !target.health.is_lost()
     }
 
+    /// Returns whether a target that was unregistered at `since` is gone: the platform
+    /// has shown for a grace period that it was not registered again. While the platform
+    /// cannot be reached, nobody knows.
+    fn is_gone(&self, since: Instant) -> bool {
+        self.confirmed.is_some_and(|at| at >= since + REGISTRATION_GRACE)
+    }
+
     /// Returns the flows per second that this instance may send to a cold target, if
     /// its service has a limit.
     fn cold_rate_share(&self, target: &Target) -> Option<f64> {
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -341,7 +341,7 @@
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.check_openings(now, actions);
         self.update_reachability(now, actions);
-        let is_useful = self.demand.is_met(|service| self.can_place(service, now));
+        let is_useful = self.demand.is_met(|service| self.can_place(service));
         if is_useful != self.unmet_since.is_none() {
             self.unmet_since = (!is_useful).then_some(now);
             actions.push(Action::Note(Note::Useful { is_useful }));
--- a/crates/mustardway_flow/tests/lost_targets.rs
+++ b/crates/mustardway_flow/tests/lost_targets.rs
@@ -301,6 +301,19 @@
     assert_eq!(harness.open(3, 1), Some(1));
 }
 
+/// A failure domain is cut off from the platform just after all registrations expired.
+/// Nobody there can know whether the targets registered again.
+#[test]
+fn unregistered_target_gets_flows_while_the_platform_is_away() {
+    let mut harness = Harness::new(1, 0);
+    harness.unregister(1);
+    harness.now = harness.now + Span::seconds(6);
+    harness.handle(Event::Tick);
+    assert_eq!(harness.open(1, 1), Some(1));
+    harness.advance(0);
+    assert_eq!(harness.open(2, 1), None, "the platform shows that it is gone");
+}
+
 #[test]
 fn restarted_target_is_healthy() {
     let (mut harness, target) = after_two_probes(1, Outcome::Silent);
