Model check: a platform that is restored from a copy

A specification of the published state with eras: operator, copy, restore, two instances with late answers and messages, a restart. The configuration of an instance never goes back, its era neither, and the latest answer brings the latest configuration.

--- a/crates/mustardway_model/src/check.rs
+++ b/crates/mustardway_model/src/check.rs
@@ -18,6 +18,8 @@
     Ownership,
     /// The adoption of the configuration in force.
     View,
+    /// A platform that is restored from a copy.
+    Era,
 }
 
 impl Specification {
@@ -25,6 +27,7 @@
         match self {
             Specification::Ownership => "ownership.pml",
             Specification::View => "view.pml",
+            Specification::Era => "era.pml",
         }
     }
 }
--- a/crates/mustardway_model/tests/spin_check.rs
+++ b/crates/mustardway_model/tests/spin_check.rs
@@ -23,6 +23,13 @@
 /// No packet reaches the former service of an address once one has reached the new service.
 const NO_PACKET_TO_OLD_SERVICE: &str = "!(new_service)";
 
+/// The configuration of an instance never goes back over a restore of the platform.
+const CONFIGURATION_STAYS: &str = "(own_config[me]>=before)";
+/// The latest configuration is in force once the operator has published it again.
+const CONFIGURATION_ARRIVES: &str = "(own_config[me]==acked)";
+/// The era of an instance never goes back.
+const ERA_STAYS: &str = "(own_era[me]>=era_before)";
+
 /// Runs the checker, prints the size of the search and returns the verdict.
 fn check(
     name: &'static str,
@@ -63,7 +70,7 @@
     assert!(verdict.violated.as_deref().unwrap().contains(property), "{:?}", verdict.violated);
 }
 
-use Specification::{Ownership, View};
+use Specification::{Era, Ownership, View};
 
 #[test]
 fn properties_hold_with_a_crash() {
@@ -208,3 +215,31 @@
 fn missing_quarantine_sends_packets_to_the_old_service() {
     assert_violates("no-quarantine", View, &["BROKEN_NO_QUARANTINE"], NO_PACKET_TO_OLD_SERVICE);
 }
+
+#[test]
+fn restored_platform_reverts_nothing() {
+    assert_holds("era_restart", Era, &["RESTORES=1", "RESTARTS=1"]);
+}
+
+#[test]
+fn platform_restored_twice_reverts_nothing() {
+    assert_holds("era_twice", Era, &["RESTORES=2", "RESTARTS=0"]);
+}
+
+/// Without eras, an instance ignores numbers that are given out again.
+#[test]
+fn numbers_without_eras_miss_configurations() {
+    assert_violates("era_number_only", Era, &["BROKEN_NUMBER_ONLY"], CONFIGURATION_ARRIVES);
+}
+
+/// A late answer of an earlier era takes the instance back.
+#[test]
+fn answer_of_any_era_reverts_the_era() {
+    assert_violates("era_any", Era, &["BROKEN_ANY_ERA"], ERA_STAYS);
+}
+
+/// The configuration of the copy replaces a later one.
+#[test]
+fn configuration_of_the_copy_reverts_a_later_one() {
+    assert_violates("era_configuration", Era, &["BROKEN_ANY_CONFIGURATION"], CONFIGURATION_STAYS);
+}
