Observability: why a target was found lost, and which messages fill a link

Added: the evidence and the age of the latest fast probe in the log line 'target lost'; a log line for changes that a peer sends, with their use (new, known, detached, undecodable); counters for these, in messages and bytes, and for all messages between instances by kind. Twenty lines a second of each kind at most, as before.

--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -168,6 +168,7 @@
                 }
                 // The production process only logs these actions.
                 mirror::Action::Platform(_)
+                | mirror::Action::Pushed(_)
                 | mirror::Action::Undecodable { .. }
                 | mirror::Action::Restored(_)
                 | mirror::Action::OlderConfiguration(_) => {}
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -244,8 +244,9 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        let target = self.directory.get(index);
-        if !target.is_some_and(|target| target.health.is_reported_lost(now)) {
+        let Some(target) = self.directory.get(index) else { return };
+        let evidence = target.health.evidence(now);
+        if !target.health.is_reported_lost(now) {
             actions.push(Action::TellPeers { target: id.clone(), is_lost: true });
         }
         self.suspect_neighbours(index, now);
@@ -265,7 +266,9 @@
             let reason = ResetReason::TargetLost;
             actions.push(Action::Note(Note::Reset { flow, target, reason, age }));
         }
-        actions.push(Action::Note(Note::Lost { target: id.clone(), flows: count }));
+        let fast_probe_age = self.responsiveness.fast_probe_age(now);
+        let target = id.clone();
+        actions.push(Action::Note(Note::Lost { target, flows: count, evidence, fast_probe_age }));
     }
 
     /// Deprioritises the other targets in the failure domain of a lost one that have
--- a/crates/mustardway_flow/src/health.rs
+++ b/crates/mustardway_flow/src/health.rs
@@ -81,6 +81,17 @@
     Lost,
 }
 
+/// The evidence against a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Evidence {
+    /// Number of times that a caller's packet was left unanswered.
+    pub unanswered: u32,
+    /// Number of probes that failed.
+    pub failed_probes: u32,
+    /// Time since the first piece of evidence.
+    pub age: Span,
+}
+
 /// The circumstances under which the outcome of a probe is judged.
 #[derive(Debug, Clone, Copy)]
 pub struct Context {
@@ -185,6 +196,15 @@
         self.is_lost && self.is_terminated
     }
 
+    /// Returns the evidence against the target.
+    pub fn evidence(&self, now: Instant) -> Evidence {
+        Evidence {
+            unanswered: self.unanswered,
+            failed_probes: self.failed_probes,
+            age: now.since(self.first_evidence),
+        }
+    }
+
     /// Records that a caller's packet was left unanswered. Returns whether this is
     /// the first evidence against the target.
     pub fn record_unanswered(&mut self, now: Instant) -> bool {
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -4,6 +4,7 @@
 use mustardway_types::time::Span;
 use mustardway_types::{domain, target};
 
+use crate::health::Evidence;
 use crate::packet::Flow;
 
 /// The reason for which a packet was dropped without an answer.
@@ -140,6 +141,10 @@
         target: target::Id,
         /// Number of flows that were reset.
         flows: usize,
+        /// The evidence against the target.
+        evidence: Evidence,
+        /// Time since the latest probe of any target that got a fast answer.
+        fast_probe_age: Option<Span>,
     },
     /// A target is healthy again.
     Trusted {
--- a/crates/mustardway_flow/src/responsiveness.rs
+++ b/crates/mustardway_flow/src/responsiveness.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Returns the time since the latest probe with a fast answer was sent.
+    pub fn fast_probe_age(&self, now: Instant) -> Option<Span> {
+        self.latest.map(|sent| now.since(sent))
+    }
+
     /// Returns whether a probe sent at `since` or later got a fast answer.
     pub fn is_confirmed_since(&self, since: Instant) -> bool {
         self.latest.is_some_and(|sent| sent >= since)
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -153,6 +153,7 @@
         }
         let era = self.mirror.replica().version().era;
         metrics.published_era.set(gauge_value(era.0));
+        metrics.count_peer_traffic(self.context.mesh.counters());
     }
 
     /// Replaces the seeds, the peers whose addresses are configured.
@@ -367,6 +368,7 @@
             mirror::Action::Changed(changes) => {
                 self.handle_front_event(front::Event::Published(changes), now);
             }
+            mirror::Action::Pushed(push) => self.report.log_push(&push, now),
             mirror::Action::Departed(departures) => {
                 slog::info!(logger, "targets departed before the start"; "count" => departures.len());
                 self.handle_front_event(front::Event::Departed(departures), now);
--- a/crates/mustardway_front/src/metrics.rs
+++ b/crates/mustardway_front/src/metrics.rs
@@ -10,7 +10,8 @@
 use hyper::StatusCode;
 use mustardway_flow::health::Outcome;
 use mustardway_flow::note::{DropReason, Note, ResetReason, Wait};
-use mustardway_mirror::node::Failure;
+use mustardway_mirror::node::{Failure, Pushed};
+use mustardway_peer::counters::Counters;
 use mustardway_types::time::Span;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -20,6 +21,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::http::Answer;
+use crate::peers::KIND_NAMES;
 
 /// Path at which the metrics are served.
 pub const PATH: &str = "/metrics";
@@ -50,6 +52,10 @@
     platform_call_time: Histogram,
     flow_open_time: Histogram,
     request_answer_time: Histogram,
+    pushes: Family<Label, Counter>,
+    pushed_bytes: Family<Label, Counter>,
+    peer_bytes_sent: Family<Label, Counter>,
+    peer_bytes_received: Family<Label, Counter>,
     /// Pauses of the process.
     pub pauses: Counter,
     /// Log lines suppressed by a rate limit.
@@ -86,6 +92,10 @@
             platform_call_time: Histogram::new(BUCKETS_SECONDS),
             flow_open_time: Histogram::new(BUCKETS_SECONDS),
             request_answer_time: Histogram::new(BUCKETS_SECONDS),
+            pushes: Family::default(),
+            pushed_bytes: Family::default(),
+            peer_bytes_sent: Family::default(),
+            peer_bytes_received: Family::default(),
             pauses: Counter::default(),
             log_lines_skipped: Counter::default(),
             flows: Gauge::default(),
@@ -103,6 +113,7 @@
     fn register_all(mut self) -> Self {
         self.register_packets();
         self.register_targets();
+        self.register_peers();
         self.register_instance();
         self
     }
@@ -157,6 +168,30 @@
         registry.register("probes", "Probes of targets, by outcome", self.probes.clone());
     }
 
+    fn register_peers(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "published_pushes",
+            "Messages of peers with published changes, by use",
+            self.pushes.clone(),
+        );
+        registry.register(
+            "published_push_bytes",
+            "Published changes that peers sent, by use",
+            self.pushed_bytes.clone(),
+        );
+        registry.register(
+            "peer_sent_bytes",
+            "Messages sent to peers, by kind",
+            self.peer_bytes_sent.clone(),
+        );
+        registry.register(
+            "peer_received_bytes",
+            "Messages received from peers, by kind",
+            self.peer_bytes_received.clone(),
+        );
+    }
+
     fn register_instance(&mut self) {
         let registry = &mut self.registry;
         registry.register(
@@ -254,6 +289,23 @@
         self.probes.get_or_create(&[("outcome", outcome.label())]).inc();
     }
 
+    /// Counts changes that a peer sent.
+    pub fn count_push(&self, push: &Pushed) {
+        let label = [("use", push.usage.label())];
+        self.pushes.get_or_create(&label).inc();
+        self.pushed_bytes.get_or_create(&label).inc_by(push.bytes as u64);
+    }
+
+    /// Takes over the traffic with peers that `counters` have counted.
+    pub fn count_peer_traffic(&self, counters: &Counters) {
+        for (kind, name) in KIND_NAMES {
+            let label = [("kind", name)];
+            set_counter(&self.peer_bytes_sent.get_or_create(&label), counters.sent(kind).bytes);
+            let received = counters.received(kind).bytes;
+            set_counter(&self.peer_bytes_received.get_or_create(&label), received);
+        }
+    }
+
     /// Counts a read of the platform's store and adds its duration to the histogram.
     pub fn observe_platform_call<T>(&self, result: &Result<T, Failure>, span: Span) {
         let label = match result {
@@ -281,6 +333,11 @@
     }
 }
 
+/// Raises a counter to `total`.
+fn set_counter(counter: &Counter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
 /// Converts a count to the value of a gauge.
 pub(crate) fn gauge_value(count: impl TryInto<i64>) -> i64 {
     count.try_into().unwrap_or(i64::MAX)
--- a/crates/mustardway_front/src/peers.rs
+++ b/crates/mustardway_front/src/peers.rs
@@ -18,6 +18,10 @@
 /// Every frame kind that an instance accepts.
 pub const KINDS: [Kind; 3] = [MEMBERSHIP, MIRROR, TARGET_STATUS];
 
+/// Label values of the frame kinds in metrics.
+pub const KIND_NAMES: [(Kind, &str); 3] =
+    [(MEMBERSHIP, "membership"), (MIRROR, "mirror"), (TARGET_STATUS, "target-status")];
+
 /// Tells a peer whether the sender found a target lost or answering again.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct TargetStatus {
--- a/crates/mustardway_front/src/report.rs
+++ b/crates/mustardway_front/src/report.rs
@@ -5,6 +5,7 @@
 
 use mustardway_flow::health::Outcome;
 use mustardway_flow::note::{DropReason, Note};
+use mustardway_mirror::node::Pushed;
 use mustardway_telemetry::limit::Limiter;
 use mustardway_types::time::{Instant, Span};
 use mustardway_types::{rate, target};
@@ -100,6 +101,19 @@
         }
     }
 
+    /// Counts changes that a peer sent, and logs them unless they exceed the rate limit.
+    pub fn log_push(&self, push: &Pushed, now: Instant) {
+        self.metrics.count_push(push);
+        match self.limiter.admit("pushed", now) {
+            Some(skipped) => slog::info!(self.logger, "published changes received";
+                "peer" => %push.from, "version" => %push.version, "bytes" => push.bytes,
+                "use" => %push.usage, "skipped" => skipped),
+            None => {
+                self.metrics.log_lines_skipped.inc();
+            }
+        }
+    }
+
     fn write(&self, note: &Note, skipped: u64) {
         let log = &self.logger;
         match note {
@@ -118,9 +132,11 @@
                 slog::info!(log, "target doubted"; "target" => %target, "flow" => flow,
                     "skipped" => skipped);
             }
-            Note::Lost { target, flows } => {
+            Note::Lost { target, flows, evidence, fast_probe_age } => {
                 slog::warn!(log, "target lost"; "target" => %target, "flows" => flows,
-                    "skipped" => skipped);
+                    "unanswered" => evidence.unanswered, "failed_probes" => evidence.failed_probes,
+                    "evidence_age" => format_age(Some(evidence.age)),
+                    "fast_probe_age" => format_age(*fast_probe_age), "skipped" => skipped);
             }
             Note::Trusted { target } => {
                 slog::info!(log, "target trusted"; "target" => %target, "skipped" => skipped);
--- a/crates/mustardway_mirror/src/message.rs
+++ b/crates/mustardway_mirror/src/message.rs
@@ -163,6 +163,11 @@
         Version { era: Era(self.era), number: Number(self.to) }
     }
 
+    /// Returns the size of the encoded changes in bytes.
+    pub fn size(&self) -> usize {
+        self.changes.iter().map(Vec::len).sum()
+    }
+
     /// Returns whether the changes are the full state.
     pub fn is_full(&self) -> bool {
         self.from == 0
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -88,6 +88,44 @@
 
 impl std::error::Error for Failure {}
 
+/// What became of changes that a peer sent.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Usage {
+    /// they are new
+    New,
+    /// they were known
+    Known,
+    /// they do not continue the known state
+    Detached,
+    /// some of them cannot be decoded
+    Undecodable,
+}
+
+impl Usage {
+    /// Returns the label value used in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Usage::New => "new",
+            Usage::Known => "known",
+            Usage::Detached => "detached",
+            Usage::Undecodable => "undecodable",
+        }
+    }
+}
+
+/// Changes that a peer sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pushed {
+    /// Peer that sent the changes.
+    pub from: instance::Id,
+    /// Version that the changes lead to.
+    pub version: Version,
+    /// Size of the encoded changes.
+    pub bytes: usize,
+    /// What became of the changes.
+    pub usage: Usage,
+}
+
 /// Input of a [`Node`].
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -122,6 +160,8 @@
     },
     /// The published state has changed.
     Changed(Vec<Change>),
+    /// A peer sent changes.
+    Pushed(Pushed),
     /// A peer reported targets that departed before this instance started.
     Departed(Vec<Departure>),
     /// The platform was restored from a copy, which began this era.
--- a/crates/mustardway_mirror/src/node/exchange.rs
+++ b/crates/mustardway_mirror/src/node/exchange.rs
@@ -5,7 +5,7 @@
 use mustardway_types::time::{Instant, Span};
 use rand::RngExt;
 
-use super::{Action, Node, PULL_INTERVAL};
+use super::{Action, Node, PULL_INTERVAL, Pushed, Usage};
 use crate::message::{Body, Message, Pull, Push};
 
 /// Maximum rate of full states sent to peers, in bytes per second. A higher rate
@@ -81,9 +81,8 @@
         }
         let push = self.push_after(have, age);
         if is_full {
-            let bytes: usize = push.changes.iter().map(Vec::len).sum();
-            self.next_full_state =
-                now + Span(bytes as u64 * 1_000_000 / FULL_STATE_BYTES_PER_SECOND);
+            let micros = push.size() as u64 * 1_000_000 / FULL_STATE_BYTES_PER_SECOND;
+            self.next_full_state = now + Span(micros);
         }
         actions.push(Action::Send { to: from, message: Body::Push(push).into() });
     }
@@ -95,10 +94,24 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
+        let (version, bytes) = (push.last(), push.size());
+        let usage = self.apply_push(&from, push, now, actions);
+        if bytes > 0 {
+            actions.push(Action::Pushed(Pushed { from, version, bytes, usage }));
+        }
+    }
+
+    fn apply_push(
+        &mut self,
+        from: &instance::Id,
+        push: &Push,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Usage {
         let (first, last) = (push.first(), push.last());
         let own = self.replica.version();
         if last < own {
-            return;
+            return Usage::Known;
         }
         let is_new_era = last.era > own.era;
         // The difference between two eras applies only to the state that it starts from.
@@ -106,21 +119,21 @@
         let continues = push.is_full() || if is_difference { first == own } else { first <= own };
         if !continues {
             let message = Body::Pull(Pull::new(own)).into();
-            actions.push(Action::Send { to: from, message });
-            return;
+            actions.push(Action::Send { to: from.clone(), message });
+            return Usage::Detached;
         }
         let at = now - Span::millis(push.age_millis);
         let is_newer = last > own;
         if !is_newer && self.confirmed.is_some_and(|known| at <= known + CONFIRMATION_STEP) {
             // Another reader has confirmed the same state. Forwarding both would
             // multiply the messages.
-            return;
+            return Usage::Known;
         }
         let (changes, undecodable) = push.decode();
         if undecodable > 0 {
             // An incomplete replica must not count as confirmed.
-            actions.push(Action::Undecodable { from, count: undecodable });
-            return;
+            actions.push(Action::Undecodable { from: from.clone(), count: undecodable });
+            return Usage::Undecodable;
         }
         let applied = match (is_new_era, push.is_full()) {
             (true, true) => self.replica.restore(last, changes).effective,
@@ -135,8 +148,9 @@
         self.needs_full_read &= !is_newer;
         self.confirm(at);
         self.report_changes(applied, now, actions);
+        let usage = if is_newer { Usage::New } else { Usage::Known };
         if !push.relay {
-            return;
+            return usage;
         }
         let confirmation =
             Push { from: push.to, from_era: push.era, changes: Vec::new(), ..push.clone() };
@@ -149,6 +163,7 @@
         if let Some(root) = root {
             self.forward(push, &root, actions);
         }
+        usage
     }
 
     /// Pulls from a random peer while the replica is empty.
--- a/crates/mustardway_mirror/tests/common/mod.rs
+++ b/crates/mustardway_mirror/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
-use mustardway_mirror::message::Message;
+use mustardway_mirror::message::{Message, Push};
 use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query};
 use mustardway_mirror::publication::{
     Change, Configuration, Item, Key, Registration, Repeat, Route, Share, Update,
@@ -135,6 +135,14 @@
     }
 }
 
+/// Returns the size of an answer of the platform, which holds changes as text.
+fn answer_bytes(answer: &Answer) -> usize {
+    const TEXT_PER_ENCODED: usize = 6;
+    let (Answer::Full(_, updates) | Answer::Since(_, updates)) = answer;
+    let version = Version::default();
+    TEXT_PER_ENCODED * Push::new(version, version, 0, updates).size()
+}
+
 /// A simulated instance.
 pub struct Host {
     pub node: Node,
@@ -154,6 +162,39 @@
     Answer(Result<Answer, Failure>),
 }
 
+/// The links of the instances. Each carries one message after the other.
+#[derive(Default)]
+struct Links {
+    /// Bytes per second in each direction, or `None` for no limit.
+    bytes_per_second: Option<u64>,
+    outbound_idle_at: BTreeMap<usize, Instant>,
+    inbound_idle_at: BTreeMap<usize, Instant>,
+}
+
+impl Links {
+    /// Returns the time at which `bytes` that an instance sends have left its link.
+    fn send(&mut self, from: usize, bytes: usize, now: Instant) -> Instant {
+        let time = self.transmit_time(bytes);
+        let idle_at = self.outbound_idle_at.entry(from).or_default();
+        *idle_at = (*idle_at).max(now) + time;
+        *idle_at
+    }
+
+    /// Returns the time at which `bytes` that reach the link of an instance at `at` have
+    /// passed it.
+    fn receive(&mut self, to: usize, bytes: usize, at: Instant) -> Instant {
+        let time = self.transmit_time(bytes);
+        let idle_at = self.inbound_idle_at.entry(to).or_default();
+        *idle_at = (*idle_at).max(at) + time;
+        *idle_at
+    }
+
+    fn transmit_time(&self, bytes: usize) -> Span {
+        let micros = |rate| Span(bytes as u64 * 1_000_000 / rate);
+        self.bytes_per_second.map_or(Span::ZERO, micros)
+    }
+}
+
 /// A fleet of simulated instances, the platform and the links between them.
 pub struct Fleet {
     pub now: Instant,
@@ -165,6 +206,9 @@
     pub partitioned: BTreeSet<usize>,
     /// Number of bytes that each instance has sent.
     pub sent: BTreeMap<usize, usize>,
+    /// Number of bytes that each instance has received from the others.
+    pub received: BTreeMap<usize, usize>,
+    links: Links,
     deliveries: Vec<(Instant, usize, Delivery)>,
 }
 
@@ -192,6 +236,8 @@
             denied: BTreeSet::new(),
             partitioned: BTreeSet::new(),
             sent: BTreeMap::new(),
+            received: BTreeMap::new(),
+            links: Links::default(),
             deliveries: Vec::new(),
         };
         fleet.platform.publish(configuration(1));
@@ -199,6 +245,11 @@
         fleet
     }
 
+    /// Limits the links of all instances to `bytes_per_second` in each direction.
+    pub fn limit_links(&mut self, bytes_per_second: u64) {
+        self.links.bytes_per_second = Some(bytes_per_second);
+    }
+
     /// Publishes a configuration with `routes` routes, whose version follows the
     /// published one.
     pub fn publish_next_configuration(&mut self, routes: u16) {
@@ -264,6 +315,9 @@
                     *self.sent.entry(number).or_default() += bytes;
                     let index = (0..self.hosts.len()).find(|other| instance(*other) == to);
                     let to = index.expect("the instance exists");
+                    *self.received.entry(to).or_default() += bytes;
+                    let sent = self.links.send(number, bytes, self.now);
+                    let at = self.links.receive(to, bytes, sent + STEP);
                     self.deliveries.push((at, to, Delivery::Message { from: number, message }));
                 }
                 Action::Changed(changes) => self.hosts[number].changes.extend(changes),
@@ -273,6 +327,7 @@
                 }
                 Action::Restored(era) => self.hosts[number].eras.push(era),
                 Action::Platform(_)
+                | Action::Pushed(_)
                 | Action::Undecodable { .. }
                 | Action::OlderConfiguration(_) => {}
             }
@@ -312,7 +367,9 @@
                 } else {
                     self.platform.answer(query)
                 };
-                self.deliveries.push((self.now + STEP, number, Delivery::Answer(answer)));
+                let bytes = answer.as_ref().map_or(0, answer_bytes);
+                let at = self.links.receive(number, bytes, self.now + STEP);
+                self.deliveries.push((at, number, Delivery::Answer(answer)));
             }
             Delivery::Answer(answer) => self.handle_event(number, Event::Answer(answer)),
         }
--- a/crates/mustardway_mirror/tests/replica_order.rs
+++ b/crates/mustardway_mirror/tests/replica_order.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use common::{Platform, configuration, instance, put, target, version};
 use mustardway_mirror::message::{Body, Push};
-use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query};
+use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query, Usage};
 use mustardway_mirror::publication::{Change, Key, Update};
 use mustardway_mirror::replica::Replica;
 use mustardway_mirror::topology::Topology;
@@ -94,8 +94,10 @@
     let changes = [Update { number: Number(9), change: put(1, false) }];
     let message = Body::Push(Push::new(version(0, 8), version(0, 9), 0, &changes)).into();
     let actions = handle(&mut node, start(), Event::Received { from: instance(2), message });
-    assert_matches!(&actions[..], [Action::Send { to, message }]
-        if *to == instance(2) && matches!(message.body, Some(Body::Pull(_))));
+    assert_matches!(&actions[..], [Action::Send { to, message }, Action::Pushed(pushed)]
+        if *to == instance(2)
+            && matches!(message.body, Some(Body::Pull(_)))
+            && pushed.usage == Usage::Detached);
     assert_eq!(node.replica().number(), Number(1));
 }
 
@@ -108,7 +110,8 @@
     push.changes.push(vec![0xff; 9]);
     let message = Body::Push(push).into();
     let actions = handle(&mut node, start(), Event::Received { from: instance(2), message });
-    assert_matches!(&actions[..], [Action::Undecodable { count: 1, .. }]);
+    assert_matches!(&actions[..], [Action::Undecodable { count: 1, .. }, Action::Pushed(pushed)]
+        if pushed.usage == Usage::Undecodable);
     assert_eq!(node.replica().number(), Number(1));
 }
 
