--- /dev/null
+++ b/crates/mustardway_mirror/tests/large_changes.rs
@@ -0,0 +1,94 @@
+//! A change that takes long to pass a narrow link reaches all instances, and none of
+//! them receives it many times.
+
+mod common;
+
+use common::Fleet;
+use mustardway_mirror::message::Push;
+use mustardway_mirror::publication::Update;
+use mustardway_types::revision::{Number, Version};
+use mustardway_types::time::Span;
+
+/// Bytes per second of a link of 10 Mbit/s.
+const NARROW_LINK: u64 = 1_250_000;
+/// Routes of a configuration that takes about 0.7 s as an answer of the platform and
+/// 0.1 s as a message between instances on a narrow link.
+const ROUTES: u16 = 4_200;
+/// Time within which a change has to be in force on a site with narrow links.
+const IN_FORCE_MILLIS: u64 = 5_000;
+
+/// Publishes a large configuration and returns the fleet after it has to be in force.
+fn after_large_change(count: usize, domains: usize) -> Fleet {
+    let mut fleet = Fleet::new(count, domains);
+    fleet.publish_next_configuration(ROUTES);
+    fleet.limit_links(NARROW_LINK);
+    fleet.run(20_000);
+    fleet.received.clear();
+    fleet.platform.calls = 0;
+    fleet.publish_next_configuration(ROUTES);
+    fleet.run(IN_FORCE_MILLIS);
+    fleet
+}
+
+/// Returns the number of bytes of a configuration with `routes` routes.
+fn configuration_bytes(routes: u16) -> usize {
+    let update = Update { number: Number(1), change: common::configuration_with(1, routes) };
+    Push::new(Version::default(), Version::default(), 0, &[update]).size()
+}
+
+#[test]
+fn large_change_is_in_force_everywhere() {
+    for (count, domains) in [(9, 3), (85, 3), (300, 6)] {
+        let fleet = after_large_change(count, domains);
+        for number in 0..count {
+            assert!(fleet.is_current(number), "instance {number} of {count}");
+        }
+    }
+}
+
+/// Instances that read the platform themselves pushed the whole change to the first
+/// ones of each failure domain, whose links were full for seconds.
+#[test]
+fn no_instance_receives_a_large_change_many_times() {
+    for (count, domains) in [(85, 3), (300, 6)] {
+        let fleet = after_large_change(count, domains);
+        let most = fleet.received.values().max().expect("something was received");
+        let size = configuration_bytes(ROUTES);
+        assert!(*most <= 2 * size, "{most} bytes at one of {count} instances, {size} each");
+    }
+}
+
+/// All replicas grow old while a large change is on its way. The instances must not
+/// all read the platform: the calls grow with the failure domains, not the instances.
+#[test]
+fn few_instances_read_a_large_change() {
+    const CALLS_PER_DOMAIN_MAX: usize = 8;
+    for (count, domains) in [(85, 3), (300, 6)] {
+        let fleet = after_large_change(count, domains);
+        let calls = fleet.platform.calls;
+        assert!(calls <= CALLS_PER_DOMAIN_MAX * domains, "{calls} calls by {count} instances");
+    }
+}
+
+/// The instance that offers a change may stop before it sends it.
+#[test]
+fn change_arrives_although_the_reader_stops() {
+    let mut fleet = Fleet::new(30, 3);
+    fleet.publish_next_configuration(ROUTES);
+    fleet.limit_links(NARROW_LINK);
+    fleet.run(20_000);
+    fleet.publish_next_configuration(ROUTES);
+    let reader = fleet.reader();
+    while !fleet.is_current(reader) {
+        fleet.run(10);
+        assert!(fleet.oldest() < Span::seconds(20), "the reader does not read");
+    }
+    fleet.run(30);
+    fleet.hosts[reader].running = false;
+    fleet.run(1_000);
+    fleet.update_topologies();
+    fleet.run(IN_FORCE_MILLIS - 1_000);
+    for number in (0..30).filter(|number| *number != reader) {
+        assert!(fleet.is_current(number), "instance {number}");
+    }
+}
