Mirror: offer large changes instead of pushing them

Cause: a reader needs 0.7 s to read a large configuration over a link of 10 Mbit/s, and its copies take as long again on the way down the tree. All replicas grow older than their staleness limits meanwhile, so every instance reads the platform itself; each one that reads pushes the whole change to the relays and to the first two of its own failure domain, which have it already. Class: work that all members start at the same moment because something they share expires, with copies sent to a few of them without asking.

Ruled out: two readers at a time (the calls come from all ranks); pulls of joining instances (limited to 128 KB/s, none joined).

Change: changes above 4 KB are offered; a peer that lacks them pulls them from one of those that offer them, so it receives them once however many instances read. An offer is forwarded before the change itself has arrived, and whoever knows of it does not read the platform until the change should be there: copies in turn on a narrow link, at most 3 s, once a change. Confirmations of a version that is on its way are kept and forwarded.

Instances of an older build pull what they are offered, and do not forward it; theirs read the platform as before.

--- a/crates/mustardway_mirror/src/message.rs
+++ b/crates/mustardway_mirror/src/message.rs
@@ -107,6 +107,12 @@
     /// Era of the number in `from`.
     #[prost(uint64, tag = "8")]
     pub from_era: u64,
+    /// Size in bytes of the changes up to `to`, if they are offered instead of sent.
+    #[prost(uint64, tag = "9")]
+    pub offered_bytes: u64,
+    /// Whether the receiver is not to pull the offered changes from the sender.
+    #[prost(bool, tag = "10")]
+    pub is_notice: bool,
 }
 
 /// Request for the changes that are newer than the sender's replica.
@@ -150,9 +156,29 @@
             changes: encoded,
             era: to.era.0,
             from_era: from.era.0,
+            offered_bytes: 0,
+            is_notice: false,
         }
     }
 
+    /// Returns an offer of the changes. To an instance that has them it is a
+    /// confirmation.
+    pub fn to_offer(&self) -> Push {
+        Push {
+            from: self.to,
+            from_era: self.era,
+            changes: Vec::new(),
+            offered_bytes: self.size() as u64,
+            root: self.root.clone(),
+            ..*self
+        }
+    }
+
+    /// Returns whether the changes are offered instead of sent.
+    pub fn is_offer(&self) -> bool {
+        self.offered_bytes > 0 && self.changes.is_empty()
+    }
+
     /// Returns the version that the changes start after.
     pub fn first(&self) -> Version {
         Version { era: Era(self.from_era), number: Number(self.from) }
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -5,6 +5,7 @@
 //! platform, which peers to push changes to, and which peers to pull from.
 
 mod exchange;
+mod offers;
 
 use displaydoc::Display;
 use mustardway_types::instance;
@@ -15,6 +16,7 @@
 
 use crate::departed::Tracker;
 use crate::message::{self, Body, DepartedRequest, Message, Push};
+use crate::node::offers::Offers;
 use crate::publication::{Change, Departure, Update};
 use crate::replica::Replica;
 use crate::restoration::REWRITE_TIME;
@@ -97,6 +99,8 @@
     Known,
     /// they do not continue the known state
     Detached,
+    /// they are offered
+    Offered,
     /// some of them cannot be decoded
     Undecodable,
 }
@@ -108,6 +112,7 @@
             Usage::New => "new",
             Usage::Known => "known",
             Usage::Detached => "detached",
+            Usage::Offered => "offered",
             Usage::Undecodable => "undecodable",
         }
     }
@@ -196,6 +201,7 @@
     /// Earliest time at which a full state may be sent to a peer again.
     next_full_state: Instant,
     departed: Tracker,
+    offers: Offers,
     backoff: Span,
     jitter: Span,
     /// Whether the platform no longer has the changes after the replica's number.
@@ -222,6 +228,7 @@
             next_pull: now + PULL_INTERVAL,
             next_full_state: now,
             departed: Tracker::default(),
+            offers: Offers::default(),
             backoff: BACKOFF_MIN,
             jitter: Span::ZERO,
             needs_full_read: false,
@@ -269,7 +276,7 @@
 
     /// Reads the platform if the replica is older than the staleness limit.
     fn read_if_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.read_started.is_some() || now < self.next_read {
+        if self.read_started.is_some() || now < self.next_read || self.offers.holds_reads(now) {
             return;
         }
         let is_settling = now.since(self.started) < SETTLING_TIME;
@@ -334,13 +341,18 @@
         // The platform may have produced the answer at any time since the call.
         self.confirm(since);
         self.report_changes(applied, now, actions);
+        self.settle_offers(None, now, actions);
         // The first state of an instance that has just started is known to the others.
         if from.is_empty() {
             return;
         }
         let Some(age) = self.age(now) else { return };
         let push = match restored {
-            Some(updates) => Push::new(from, to, age.as_millis(), &updates),
+            Some(updates) => {
+                let push = Push::new(from, to, age.as_millis(), &updates);
+                self.offers.keep_difference(&push);
+                push
+            }
             None => self.push_after(from, age),
         };
         self.push_changes(&push, actions);
@@ -357,6 +369,7 @@
     fn finish_restore_if_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
         if self.restore_ends.is_some_and(|at| now >= at) {
             self.restore_ends = None;
+            self.offers.forget_difference();
             let changes = self.replica.finish_restore();
             self.report_changes(changes, now, actions);
         }
--- a/crates/mustardway_mirror/src/node/exchange.rs
+++ b/crates/mustardway_mirror/src/node/exchange.rs
@@ -5,6 +5,7 @@
 use mustardway_types::time::{Instant, Span};
 use rand::RngExt;
 
+use super::offers::Offers;
 use super::{Action, Node, PULL_INTERVAL, Pushed, Usage};
 use crate::message::{Body, Message, Pull, Push};
 
@@ -13,25 +14,45 @@
 const FULL_STATE_BYTES_PER_SECOND: u64 = 128 * 1024;
 /// A confirmation of the known state is forwarded only if it is newer than the
 /// last one by more than this.
-const CONFIRMATION_STEP: Span = Span::millis(200);
+pub(super) const CONFIRMATION_STEP: Span = Span::millis(200);
 
 impl Node {
     /// Sends a push to the relays and the neighbours.
-    pub(super) fn push_changes(&self, push: &Push, actions: &mut Vec<Action>) {
-        for to in &self.topology.relays {
-            let message = Body::Push(Push { relay: true, ..push.clone() }).into();
-            actions.push(Action::Send { to: to.clone(), message });
+    pub(super) fn push_changes(&mut self, push: &Push, actions: &mut Vec<Action>) {
+        let push = Push { relay: true, ..Offers::offer_if_large(push) };
+        for relay in self.topology.relays.clone() {
+            if push.is_offer() {
+                self.send_notices(relay.deputies, &push, &relay.id, actions);
+            }
+            self.send_push(relay.id, push.clone(), actions);
         }
-        if let Some(me) = &self.topology.me {
-            self.forward(push, me, actions);
+        if let Some(me) = self.topology.me.clone() {
+            self.forward(&push, &me, actions);
         }
     }
 
     /// Forwards a push down the tree of this failure domain that starts at `root`.
-    fn forward(&self, push: &Push, root: &instance::Id, actions: &mut Vec<Action>) {
+    pub(super) fn forward(&mut self, push: &Push, root: &instance::Id, actions: &mut Vec<Action>) {
+        let push = Push { root: root.to_string(), ..Offers::offer_if_large(push) };
+        if push.is_offer() {
+            self.send_notices(self.topology.grandchildren(root), &push, root, actions);
+        }
         for to in self.topology.children(root) {
-            let push = Push { relay: true, root: root.to_string(), ..push.clone() };
-            actions.push(Action::Send { to: to.clone(), message: Body::Push(push).into() });
+            self.send_push(to, push.clone(), actions);
+        }
+    }
+
+    fn send_push(&mut self, to: instance::Id, push: Push, actions: &mut Vec<Action>) {
+        self.offers.record_sent(&to, &push);
+        actions.push(Action::Send { to, message: Body::Push(push).into() });
+    }
+
+    /// Returns the first instance of this failure domain that had or was offered the
+    /// changes. An invalid id comes from a peer of another version.
+    pub(super) fn root_of(&self, push: &Push) -> Option<instance::Id> {
+        match push.root.is_empty() {
+            true => self.topology.me.clone(),
+            false => push.root.parse().ok(),
         }
     }
 
@@ -55,27 +76,37 @@
     ) {
         match message.body {
             Some(Body::Push(push)) => self.take_push(from, &push, now, actions),
-            Some(Body::Pull(pull)) => self.answer_pull(from, &pull, now, actions),
+            Some(Body::Pull(pull)) => self.answer_pull(from, pull.version(), now, actions),
             Some(Body::DepartedRequest(_)) => self.answer_departed_request(from, now, actions),
             Some(Body::Departed(departed)) => self.take_departed(from, &departed, actions),
             None => {}
         }
     }
 
-    fn answer_pull(
+    /// Answers the pull of a peer that has the version `have`.
+    pub(super) fn answer_pull(
         &mut self,
         from: instance::Id,
-        pull: &Pull,
+        have: Version,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        let have = pull.version();
         let Some(age) = self.age(now) else { return };
-        if have > self.replica.version() {
+        let own = self.replica.version();
+        if have > own {
             return;
         }
+        if have == own && self.offers.is_incoming(now) {
+            self.offers.wait(from.clone(), have);
+        }
+        if let Some(difference) = self.offers.difference_from(have, own) {
+            let push = Push { age_millis: age.as_millis(), relay: false, ..difference.clone() };
+            actions.push(Action::Send { to: from, message: Body::Push(push).into() });
+            return;
+        }
+        let is_solicited = self.offers.take_solicited(&from);
         let is_full = self.replica.changes_after(have).is_none();
-        if is_full && now < self.next_full_state {
+        if is_full && !is_solicited && now < self.next_full_state {
             // The peer soon pulls from another instance.
             return;
         }
@@ -96,7 +127,7 @@
     ) {
         let (version, bytes) = (push.last(), push.size());
         let usage = self.apply_push(&from, push, now, actions);
-        if bytes > 0 {
+        if bytes > 0 || usage == Usage::Offered {
             actions.push(Action::Pushed(Pushed { from, version, bytes, usage }));
         }
     }
@@ -113,13 +144,20 @@
         if last < own {
             return Usage::Known;
         }
+        if push.is_offer() && last > own {
+            self.take_offer(from, push, now, actions);
+            return Usage::Offered;
+        }
         let is_new_era = last.era > own.era;
         // The difference between two eras applies only to the state that it starts from.
         let is_difference = first.era < last.era;
         let continues = push.is_full() || if is_difference { first == own } else { first <= own };
         if !continues {
-            let message = Body::Pull(Pull::new(own)).into();
-            actions.push(Action::Send { to: from.clone(), message });
+            if !self.offers.is_incoming(now) {
+                self.send_pull(from, actions);
+            } else if push.changes.is_empty() {
+                self.take_early_confirmation(push, now, actions);
+            }
             return Usage::Detached;
         }
         let at = now - Span::millis(push.age_millis);
@@ -143,11 +181,17 @@
         };
         if is_new_era {
             self.enter_era(own, now, actions);
+            if is_difference {
+                self.offers.keep_difference(push);
+            }
         }
         // The changes before this version are not needed any more.
         self.needs_full_read &= !is_newer;
         self.confirm(at);
         self.report_changes(applied, now, actions);
+        if is_newer {
+            self.settle_offers(Some(from), now, actions);
+        }
         let usage = if is_newer { Usage::New } else { Usage::Known };
         if !push.relay {
             return usage;
@@ -155,12 +199,7 @@
         let confirmation =
             Push { from: push.to, from_era: push.era, changes: Vec::new(), ..push.clone() };
         let push = if is_newer { push } else { &confirmation };
-        let root = match push.root.is_empty() {
-            true => self.topology.me.clone(),
-            false => push.root.parse().ok(),
-        };
-        // An invalid id comes from a peer of another version.
-        if let Some(root) = root {
+        if let Some(root) = self.root_of(push) {
             self.forward(push, &root, actions);
         }
         usage
--- /dev/null
+++ b/crates/mustardway_mirror/src/node/offers.rs
@@ -0,0 +1,256 @@
+//! Offers of large changes.
+//!
+//! An instance that has a large change offers it, and each peer pulls it from one of
+//! those that offer it. An offer is forwarded at once, before the change itself has
+//! arrived, and pulls that arrive before the change wait for it.
+//!
+//! Who was offered a change does not read the platform until it should have arrived.
+//! Otherwise all replicas would grow too old meanwhile, and every instance would read
+//! it. Offers also go, as mere notices, one step further down the tree than the
+//! change, because an instance whose link is busy handles an offer late.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mustardway_types::instance;
+use mustardway_types::revision::Version;
+use mustardway_types::time::{Instant, Span};
+
+use super::exchange::CONFIRMATION_STEP;
+use super::{Action, Node};
+use crate::message::{Body, Pull, Push};
+
+/// Minimum size in bytes of changes that are offered. Smaller ones are sent at once:
+/// even a copy from every instance of a large fleet passes a narrow link quickly.
+const OFFERED_BYTES_MIN: usize = 4 * 1024;
+/// Time for an offered change of any size to arrive.
+const TRANSFER_TIME_MIN: Span = Span::millis(500);
+/// Maximum time for an offered change to arrive.
+const TRANSFER_TIME_MAX: Span = Span::seconds(3);
+/// Bytes per second that a narrow link (10 Mbit/s) carries.
+const NARROW_LINK_RATE: u64 = 1_250_000;
+/// Maximum number of trees down which offers of one version are forwarded. Instances
+/// that do not know the same peers may leave gaps in a single tree.
+const TREES_MAX: usize = 3;
+/// Maximum number of peers whose pulls wait for a change.
+const WAITING_MAX: usize = 16;
+
+/// A change that was offered and has not arrived.
+#[derive(Debug)]
+struct Incoming {
+    version: Version,
+    /// Peer that the change was pulled from.
+    from: instance::Id,
+    /// Time at which the pull counts as lost.
+    pull_until: Instant,
+    /// Latest time at which the platform confirmed this version to any instance.
+    confirmed: Option<Instant>,
+}
+
+/// Changes that were offered by or to this instance.
+#[derive(Debug, Default)]
+pub(super) struct Offers {
+    incoming: Option<Incoming>,
+    /// Time until which the platform is not read. It does not end when the change has
+    /// arrived, since confirmations are queued behind the copies for other peers.
+    hold_until: Instant,
+    /// Version for which reads are held.
+    held_for: Version,
+    /// Version that was last offered or noticed, and the roots of the trees down which
+    /// that was forwarded.
+    forwarded: (Version, Vec<instance::Id>),
+    /// Peers whose pulls wait for the incoming change, and the versions they have.
+    waiting: BTreeMap<instance::Id, Version>,
+    /// Peers that were offered the latest change and have not pulled it.
+    offered: BTreeSet<instance::Id>,
+    /// The latest difference between two eras, which is not in the history.
+    difference: Option<Push>,
+}
+
+impl Offers {
+    /// Returns whether the platform is not read because a change is on its way.
+    pub(super) fn holds_reads(&self, now: Instant) -> bool {
+        now < self.hold_until
+    }
+
+    /// Returns whether a change that is newer than the replica is on its way.
+    pub(super) fn is_incoming(&self, now: Instant) -> bool {
+        self.incoming.as_ref().is_some_and(|incoming| now < incoming.pull_until)
+    }
+
+    /// Holds reads until `until`, because `version` is on its way to an instance that has
+    /// `own`. A change that does not arrive must not hold reads again.
+    fn hold_reads(&mut self, own: Version, version: Version, until: Instant) {
+        if self.held_for <= own {
+            self.held_for = version;
+            self.hold_until = until;
+        }
+    }
+
+    /// Returns whether an offer or a notice is to be forwarded down the tree of `root`. If
+    /// so, it counts as forwarded.
+    fn start_forwarding(&mut self, version: Version, root: &instance::Id) -> bool {
+        let (forwarded, roots) = &mut self.forwarded;
+        if version > *forwarded {
+            *forwarded = version;
+            roots.clear();
+        }
+        let is_due = version == *forwarded && roots.len() < TREES_MAX && !roots.contains(root);
+        if is_due {
+            roots.push(root.clone());
+        }
+        is_due
+    }
+
+    /// Returns `push` if it is small, else an offer of its changes.
+    pub(super) fn offer_if_large(push: &Push) -> Push {
+        match push.size() > OFFERED_BYTES_MIN {
+            true => push.to_offer(),
+            false => push.clone(),
+        }
+    }
+
+    /// Records that a push was sent to a peer.
+    pub(super) fn record_sent(&mut self, to: &instance::Id, push: &Push) {
+        if push.is_offer() && !push.is_notice {
+            self.offered.insert(to.clone());
+        }
+    }
+
+    /// Returns whether a peer pulls what it was offered. It may do so once.
+    pub(super) fn take_solicited(&mut self, peer: &instance::Id) -> bool {
+        self.offered.remove(peer)
+    }
+
+    /// Lets the pull of a peer that has the same version wait for the incoming change.
+    pub(super) fn wait(&mut self, peer: instance::Id, have: Version) {
+        if self.waiting.len() < WAITING_MAX {
+            self.waiting.insert(peer, have);
+        }
+    }
+
+    /// Keeps the difference between two eras for peers that pull it.
+    pub(super) fn keep_difference(&mut self, push: &Push) {
+        if push.size() > OFFERED_BYTES_MIN {
+            self.difference = Some(push.clone());
+        }
+    }
+
+    /// Returns the difference between two eras that starts from `have`.
+    pub(super) fn difference_from(&self, have: Version, own: Version) -> Option<&Push> {
+        let difference = self.difference.as_ref()?;
+        (difference.first() == have && difference.last().era == own.era).then_some(difference)
+    }
+
+    /// Forgets the difference between two eras.
+    pub(super) fn forget_difference(&mut self) {
+        self.difference = None;
+    }
+}
+
+impl Node {
+    /// Handles an offer of changes that are newer than the replica: pulls them unless
+    /// they are on their way, and forwards the offer.
+    pub(super) fn take_offer(
+        &mut self,
+        from: &instance::Id,
+        push: &Push,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let version = push.last();
+        let until = now + transfer_time(push.offered_bytes, self.topology.copies_in_turn());
+        self.offers.hold_reads(self.replica.version(), version, until);
+        let incoming = self.offers.incoming.as_ref();
+        let is_coming = incoming.is_some_and(|it| it.version >= version && now < it.pull_until);
+        if !push.is_notice && !is_coming {
+            self.send_pull(from, actions);
+            let from = from.clone();
+            let incoming = Incoming { version, from, pull_until: until, confirmed: None };
+            self.offers.incoming = Some(incoming);
+        }
+        let Some(root) = self.root_of(push).filter(|_| push.relay) else { return };
+        // An instance that pulls the change forwards the offer although it has forwarded
+        // the notice.
+        if self.offers.start_forwarding(version, &root) || !push.is_notice && !is_coming {
+            self.forward(push, &root, actions);
+        }
+    }
+
+    /// Sends notices of an offer to instances that this one does not send the change to.
+    pub(super) fn send_notices(
+        &mut self,
+        to: Vec<instance::Id>,
+        offer: &Push,
+        root: &instance::Id,
+        actions: &mut Vec<Action>,
+    ) {
+        for to in to {
+            let root = root.to_string();
+            let notice = Push { is_notice: true, relay: true, root, ..offer.clone() };
+            actions.push(Action::Send { to, message: Body::Push(notice).into() });
+        }
+    }
+
+    /// Handles a confirmation of a version that is on its way. It counts once the change
+    /// has arrived, and is forwarded at once.
+    pub(super) fn take_early_confirmation(
+        &mut self,
+        push: &Push,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let at = now - Span::millis(push.age_millis);
+        let Some(incoming) = &mut self.offers.incoming else { return };
+        let is_late = incoming.confirmed.is_some_and(|known| at <= known + CONFIRMATION_STEP);
+        if incoming.version != push.last() || is_late {
+            return;
+        }
+        incoming.confirmed = Some(at);
+        if let Some(root) = self.root_of(push)
+            && push.relay
+        {
+            self.forward(push, &root, actions);
+        }
+    }
+
+    /// Answers the pulls that wait for the change that has just arrived from `peer`, or
+    /// from the platform. If the peer that was pulled from sent less than it had offered,
+    /// pulls again.
+    pub(super) fn settle_offers(
+        &mut self,
+        peer: Option<&instance::Id>,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let own = self.replica.version();
+        match self.offers.incoming.take() {
+            Some(incoming) if incoming.version > own => {
+                if peer == Some(&incoming.from) {
+                    self.send_pull(&incoming.from, actions);
+                }
+                self.offers.incoming = Some(incoming);
+            }
+            Some(incoming) if incoming.version == own => {
+                if let Some(at) = incoming.confirmed {
+                    self.confirm(at);
+                }
+            }
+            _ => {}
+        }
+        for (peer, have) in std::mem::take(&mut self.offers.waiting) {
+            self.answer_pull(peer, have, now, actions);
+        }
+    }
+
+    pub(super) fn send_pull(&self, to: &instance::Id, actions: &mut Vec<Action>) {
+        let message = Body::Pull(Pull::new(self.replica.version())).into();
+        actions.push(Action::Send { to: to.clone(), message });
+    }
+}
+
+/// Returns the time within which an offered change arrives, if `copies` of it are sent
+/// one after the other.
+fn transfer_time(bytes: u64, copies: u64) -> Span {
+    let time = Span(bytes.saturating_mul(copies).saturating_mul(1_000_000) / NARROW_LINK_RATE);
+    TRANSFER_TIME_MAX.min(TRANSFER_TIME_MIN + time)
+}
--- a/crates/mustardway_mirror/src/topology.rs
+++ b/crates/mustardway_mirror/src/topology.rs
@@ -26,6 +26,15 @@
 pub const STALENESS_LIMIT_MAX: Span =
     Span(READ_INTERVAL.0 + STALENESS_STEP.0 * STALENESS_STEPS_MAX);
 
+/// The instance of another failure domain that changes are pushed to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relay {
+    /// Id of the instance, which ranks first in its failure domain.
+    pub id: instance::Id,
+    /// Its children in the tree of its failure domain.
+    pub deputies: Vec<instance::Id>,
+}
+
 /// The ranks and peers of one instance among the live instances.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Topology {
@@ -39,7 +48,7 @@
     /// rank order.
     pub neighbours: Vec<instance::Id>,
     /// One live instance in each other failure domain.
-    pub relays: Vec<instance::Id>,
+    pub relays: Vec<Relay>,
     /// Live instances in other failure domains.
     pub remote: Vec<instance::Id>,
 }
@@ -54,7 +63,7 @@
     ) -> Self {
         let mut topology = Topology { me: Some(me.clone()), ..Topology::default() };
         let mut neighbours = vec![(rank(me), me)];
-        let mut relays: BTreeMap<&domain::Name, (u64, &instance::Id)> = BTreeMap::new();
+        let mut remote: BTreeMap<&domain::Name, Vec<(u64, &instance::Id)>> = BTreeMap::new();
         let own = rank(me);
         for (id, domain) in live {
             if id == me {
@@ -69,28 +78,55 @@
                 continue;
             }
             topology.remote.push(id.clone());
-            let relay = relays.entry(domain).or_insert(ranked);
-            *relay = (*relay).max(ranked);
+            remote.entry(domain).or_default().push(ranked);
         }
         neighbours.sort_unstable_by(|first, second| second.cmp(first));
         topology.neighbours = neighbours.into_iter().map(|(_, id)| id.clone()).collect();
-        topology.relays = relays.into_values().map(|(_, id)| id.clone()).collect();
+        for mut ranked in remote.into_values() {
+            ranked.sort_unstable_by(|first, second| second.cmp(first));
+            let mut ids = ranked.into_iter().map(|(_, id)| id.clone());
+            let Some(id) = ids.next() else { continue };
+            topology.relays.push(Relay { id, deputies: ids.take(FANOUT).collect() });
+        }
         topology
     }
 
     /// Returns the instances that this one forwards a change to, if `root` was
     /// the first in the failure domain to have the change.
-    pub fn children(&self, root: &instance::Id) -> Vec<&instance::Id> {
+    pub fn children(&self, root: &instance::Id) -> Vec<instance::Id> {
+        let Some(first) = self.first_child(root) else { return Vec::new() };
+        let others = self.neighbours.iter().filter(|id| *id != root);
+        others.skip(first).take(FANOUT).cloned().collect()
+    }
+
+    /// Returns the children of the children of this instance, if `root` was the first in
+    /// the failure domain to have a change.
+    pub fn grandchildren(&self, root: &instance::Id) -> Vec<instance::Id> {
+        let Some(first) = self.first_child(root) else { return Vec::new() };
+        let others = self.neighbours.iter().filter(|id| *id != root);
+        others.skip((first + 1) * FANOUT).take(FANOUT * FANOUT).cloned().collect()
+    }
+
+    /// Returns the number of copies of a change that are sent one after the other until the
+    /// last instance of this failure domain has it: to the relays and then down the tree.
+    pub fn copies_in_turn(&self) -> u64 {
+        let (mut depth, mut reached) = (0, 1);
+        while reached < self.neighbours.len() {
+            depth += 1;
+            reached += FANOUT.pow(depth);
+        }
+        (self.relays.len() + FANOUT * (depth as usize + 1)) as u64
+    }
+
+    /// Returns the position of the first child of this instance among the neighbours
+    /// other than `root`, in rank order.
+    fn first_child(&self, root: &instance::Id) -> Option<usize> {
+        let me = self.me.as_ref()?;
+        if me == root {
+            return Some(0);
+        }
         let mut others = self.neighbours.iter().filter(|id| *id != root);
-        let first = match &self.me {
-            Some(me) if me == root => 0,
-            Some(me) => match others.clone().position(|id| id == me) {
-                Some(position) => (position + 1) * FANOUT,
-                None => return Vec::new(),
-            },
-            None => return Vec::new(),
-        };
-        others.by_ref().skip(first).take(FANOUT).collect()
+        Some((others.position(|id| id == me)? + 1) * FANOUT)
     }
 
     /// Returns every other live instance.
@@ -103,7 +139,7 @@
     /// each other failure domain.
     pub fn peers(&self) -> Vec<&instance::Id> {
         let others = self.neighbours.iter().filter(|id| Some(*id) != self.me.as_ref());
-        others.chain(&self.relays).collect()
+        others.chain(self.relays.iter().map(|relay| &relay.id)).collect()
     }
 
     /// Returns the age of the replica at which this instance reads the platform
