Flow: silence counts only beside a fast answer to a later probe

Cause: an instance took a target for lost although no probe of any target was answered: after 1.5 s silence counted without any fast answer, on the belief that a link is never full for so long; and one fast answer after the first sign vouched for all silence after it. Class: a failure detector that takes trouble of its own host for trouble of what it watches.

Ruled out: a longer timeout, which a longer burst defeats; the processor (2% in use, no pause).

Change: each silent probe counts only if a probe of another target that was sent later got a fast answer. Callers' packets left unanswered until then count as one sign. There is no timeout. An instance that has got no fast answer to any probe for 1 s is isolated: it reports unready, so that the routers send its callers' packets to others, and goes on probing for reference. Reference targets may be any healthy ones, preferably in its own failure domain.

--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -141,8 +141,8 @@
     /// Number of probes whose outcome is pending.
     probes_in_flight: usize,
     responsiveness: Responsiveness,
-    /// Earliest time of the next reference probe.
-    next_reference_probe: Instant,
+    /// Time of the latest reference probe.
+    reference_probed: Instant,
     /// Whether the packets being handled were received while the process did not run.
     is_clearing_backlog: bool,
     demand: Demand,
@@ -171,7 +171,7 @@
             reachability: Reachability::default(),
             probes_in_flight: 0,
             responsiveness: Responsiveness::default(),
-            next_reference_probe: Instant::default(),
+            reference_probed: Instant::default(),
             is_clearing_backlog: false,
             demand: Demand::default(),
             unmet_since: None,
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -35,7 +35,9 @@
 const REFERENCE_DELAY: Span = Span::millis(30);
 /// Minimum interval between two reference probes.
 const REFERENCE_INTERVAL_MIN: Span = Span::millis(50);
-/// A reference target has responded to a caller within this time.
+/// Interval between reference probes while this instance may be isolated.
+const DOUBT_INTERVAL: Span = Span::millis(200);
+/// Time within which a preferred reference target has responded to a caller.
 const REFERENCE_RESPONSE_AGE_MAX: Span = Span::seconds(1);
 /// Mean interval between the probes of two instances of a failure domain after a
 /// peer's report. If all of them probed at once, they would fill the queue of a
@@ -163,38 +165,50 @@
         actions.push(Action::Probe(Probe { target, address, path }));
     }
 
-    /// Probes a working target if a suspected one is slow to answer its probe, to
-    /// find out whether this instance itself is slow.
+    /// Probes a working target if a suspected one is slow to answer its probe, or if no
+    /// target has answered since, to find out whether this instance itself is slow.
     fn probe_reference(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let pending_since = self.unhealthy.iter().filter_map(|index| {
-            self.directory.get(*index).and_then(|target| target.health.evidence_since())
-        });
-        let Some(since) = pending_since.max() else { return };
-        let is_early = now.since(since) < REFERENCE_DELAY;
-        if is_early
-            || self.responsiveness.is_confirmed_since(since)
-            || now < self.next_reference_probe
-        {
+        let is_unconfirmed = |index: &usize| {
+            let target = self.directory.get(*index);
+            let sent = target.and_then(|target| target.health.deciding_probe_sent());
+            sent.is_some_and(|sent| {
+                now.since(sent) >= REFERENCE_DELAY && !self.responsiveness.is_confirmed_since(sent)
+            })
+        };
+        let interval = match self.unhealthy.iter().any(is_unconfirmed) {
+            true => REFERENCE_INTERVAL_MIN,
+            false if self.responsiveness.is_in_doubt() => DOUBT_INTERVAL,
+            false => return,
+        };
+        if now.since(self.reference_probed) < interval {
             return;
         }
         let Some(index) = self.pick_reference(now) else { return };
         let Some(target) = self.directory.get_mut(index) else { return };
         if target.health.start_reference(now) {
-            self.next_reference_probe = now + REFERENCE_INTERVAL_MIN;
+            self.reference_probed = now;
             self.send_probe(index, actions);
         }
     }
 
-    /// Returns the directory index of a random target that has responded to callers
-    /// recently.
+    /// Returns the directory index of a random healthy target, if possible one that has
+    /// responded to callers recently and is in this instance's failure domain.
     fn pick_reference(&mut self, now: Instant) -> Option<usize> {
         let mut candidates = Vec::new();
+        let mut best = (false, false);
         for index in self.directory.indexes() {
             let Some(target) = self.directory.get(index) else { continue };
+            if target.unregistered_at.is_some() || self.unhealthy.contains(&index) {
+                continue;
+            }
             let has_responded =
                 target.observation.has_responded_after(now - REFERENCE_RESPONSE_AGE_MAX);
-            if has_responded && target.unregistered_at.is_none() && !self.unhealthy.contains(&index)
-            {
+            let preference = (has_responded, target.registration.domain == self.home);
+            if preference > best {
+                best = preference;
+                candidates.clear();
+            }
+            if preference == best {
                 candidates.push(index);
             }
         }
@@ -218,8 +232,10 @@
         let probers = self.probers(self.is_watcher(id));
         let Some(target) = self.directory.get_mut(index) else { return };
         let was_lost = target.health.is_lost() || target.health.is_reported_lost(now);
-        if outcome != Outcome::Silent {
-            self.responsiveness.record_probe(target.health.probe_sent(), now);
+        let sent = target.health.probe_sent();
+        match outcome {
+            Outcome::Silent => self.responsiveness.record_silence(sent),
+            _ => self.responsiveness.record_probe(sent, now),
         }
         let last_response = target.observation.last_response;
         let context = Context { last_response, responsiveness: self.responsiveness, probers };
@@ -344,7 +360,8 @@
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.check_openings(now, actions);
         self.update_reachability(now, actions);
-        let is_useful = self.demand.is_met(|service| self.can_place(service));
+        let is_useful = !self.responsiveness.is_isolated(now)
+            && self.demand.is_met(|service| self.can_place(service));
         if is_useful != self.unmet_since.is_none() {
             self.unmet_since = (!is_useful).then_some(now);
             actions.push(Action::Note(Note::Useful { is_useful }));
--- a/crates/mustardway_flow/src/health.rs
+++ b/crates/mustardway_flow/src/health.rs
@@ -5,8 +5,8 @@
 //! nobody meanwhile: resetting a flow whose target works violates a guarantee, while
 //! resetting it late costs only some requests. A failed probe is one piece of
 //! evidence among others, since a busy target may drop connections. A probe that
-//! failed while this instance itself was slow does not count, see
-//! [`crate::responsiveness`].
+//! failed while this instance itself was slow does not count, and packets left
+//! unanswered until then count little, see [`crate::responsiveness`].
 
 use displaydoc::Display;
 use mustardway_types::time::{Instant, Span};
@@ -280,11 +280,11 @@
         true
     }
 
-    /// Returns the time of the first evidence if a probe is in flight that may make
-    /// the target lost.
-    pub fn evidence_since(&self) -> Option<Instant> {
+    /// Returns the time at which the probe in flight was sent, if it may make the target
+    /// lost.
+    pub fn deciding_probe_sent(&self) -> Option<Instant> {
         let is_deciding = self.is_probing && !self.is_reference && !self.is_lost;
-        is_deciding.then_some(self.first_evidence)
+        is_deciding.then_some(self.probe_sent)
     }
 
     /// Returns the time at which the latest probe was sent.
@@ -320,7 +320,8 @@
             self.next_probe = now + context.pause_per_instance(LOST_PAUSE_SHARED);
             return Transition::Unchanged;
         }
-        if !context.responsiveness.is_silence_conclusive(self.first_evidence, now) {
+        if !context.responsiveness.is_confirmed_since(self.probe_sent) {
+            self.unanswered = self.unanswered.min(1);
             self.next_probe = now + RETRY_DELAY;
             return Transition::Unchanged;
         }
