Reader: a configuration of the largest size is read on a link of 10 Mbit/s

What callers saw: an answer of 1.25 MiB, the largest that is accepted, takes 1.05 s on an idle link of 10 Mbit/s, over the limit of 1 s for a whole call; each try starts anew, so it is never read.

Cause: the same as in the platform adapter: one time limit for a transfer of any size. Ruled out: the size limit (the answer is exactly as large as allowed).

Change: 1 s until the headers, in addition to the wait of the long poll, and 1 s without a received byte of the body. A whole body has 2.1 s, twice what the largest accepted one takes on a link of 10 Mbit/s. Failure kinds keep their meaning.

Why it works: the largest answer needs half of the body's limit on the narrowest link, and every packet on the way shows progress.

--- a/crates/mustardway_reader/src/client.rs
+++ b/crates/mustardway_reader/src/client.rs
@@ -2,14 +2,16 @@
 
 use std::net::SocketAddr;
 use std::panic;
+use std::pin::pin;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use mustardway_types::{rate, revision, size, time};
 use parking_lot::Mutex;
+use tokio::time::timeout;
 use volo_http::error::ClientError;
 use volo_http::{http, hyper, response};
 
@@ -28,14 +30,17 @@
 /// Default of [`Settings::burst`].
 pub const BURST_DEFAULT: u64 = 8;
 
+/// Bandwidth of the narrowest link of an instance (10 Mbit/s).
+const LINK_BYTES_PER_S: u64 = 1_250_000;
+
 /// The addresses of the platform, and the limits on calls to it.
 #[derive(Debug, Clone)]
 pub struct Settings {
     /// Addresses of the platform. Each call tries them in order, starting with the address that
     /// answered last.
     pub addresses: Vec<SocketAddr>,
-    /// Longest time of one call, in addition to the time for which the platform may hold the answer
-    /// back.
+    /// Longest time until the headers of an answer, in addition to the time for which the platform
+    /// may hold the answer back, and longest time without a received byte of its body.
     pub timeout: time::Span,
     /// Greatest size of an answer.
     pub answer_max: size::Bytes,
@@ -59,6 +64,12 @@
             seed,
         }
     }
+
+    /// Returns the time limit for the whole body of an answer: the largest one takes half of it on
+    /// the narrowest link, which carries other traffic too.
+    fn body_timeout(&self) -> Duration {
+        Duration::from_millis(2 * 1_000 * self.answer_max.0 / LINK_BYTES_PER_S)
+    }
 }
 
 /// Why a client could not be created.
@@ -120,12 +131,12 @@
         time::Instant::default() + self.start.elapsed().into()
     }
 
-    /// Calls one address after the other until `parse` accepts an answer. If none does, returns the
-    /// last failure.
+    /// Calls one address after the other until `parse` accepts an answer, which each may hold back
+    /// for `wait`. If none does, returns the last failure.
     async fn call<T>(
         &self,
         path: &str,
-        timeout: time::Span,
+        wait: time::Span,
         parse: fn(&[u8]) -> Result<T, Failure>,
     ) -> Result<T, Failure> {
         let addresses = &self.settings.addresses;
@@ -133,9 +144,9 @@
         let mut failure = Failure::Unreachable;
         for offset in 0..addresses.len() {
             let position = (first + offset) % addresses.len();
-            let wait = self.throttle.lock().reserve(self.now());
-            tokio::time::sleep(wait.into()).await;
-            let answer = self.get(addresses[position], path, timeout).await;
+            let pause = self.throttle.lock().reserve(self.now());
+            tokio::time::sleep(pause.into()).await;
+            let answer = self.get(addresses[position], path, wait).await;
             match answer.and_then(|bytes| parse(&bytes)) {
                 Ok(answer) => {
                     self.counters.add(Outcome::Answered);
@@ -157,28 +168,35 @@
         &self,
         address: SocketAddr,
         path: &str,
-        timeout: time::Span,
+        wait: time::Span,
     ) -> Result<Bytes, Failure> {
-        let exchange = self.exchange(address, path);
-        match tokio::time::timeout(timeout.into(), exchange).await {
-            Ok(answer) => answer,
-            Err(_) => Err(Failure::Timeout),
-        }
-    }
-
-    async fn exchange(&self, address: SocketAddr, path: &str) -> Result<Bytes, Failure> {
         let request = self.http.get(path.to_owned()).address(address);
+        let headers = timeout((self.settings.timeout + wait).into(), request.send()).await;
         let response: response::Response =
-            request.send().await.map_err(|error| classify(&error))?;
+            headers.map_err(|_| Failure::Timeout)?.map_err(|error| classify(&error))?;
         if response.status() != http::StatusCode::OK {
             return Err(Failure::Status(response.status().as_u16()));
         }
+        let body = timeout(self.settings.body_timeout(), self.receive_body(response)).await;
+        body.map_err(|_| Failure::Timeout)?
+    }
+
+    async fn receive_body(&self, response: response::Response) -> Result<Bytes, Failure> {
         let limit = self.settings.answer_max.0 as usize;
-        let body = Limited::new(response.into_body(), limit).collect().await;
-        let body = body.map_err(|error| {
-            if error.is::<LengthLimitError>() { Failure::TooLarge } else { Failure::Malformed }
-        })?;
-        Ok(body.to_bytes())
+        let mut body = pin!(Limited::new(response.into_body(), limit));
+        let mut received = BytesMut::new();
+        loop {
+            let frame = timeout(self.settings.timeout.into(), body.frame()).await;
+            let Some(frame) = frame.map_err(|_| Failure::Timeout)? else {
+                return Ok(received.freeze());
+            };
+            let frame = frame.map_err(|error| {
+                if error.is::<LengthLimitError>() { Failure::TooLarge } else { Failure::Malformed }
+            })?;
+            // Trailers are of no use here.
+            let Ok(part) = frame.into_data() else { continue };
+            received.extend_from_slice(&part);
+        }
     }
 }
 
@@ -198,11 +216,10 @@
 impl Platform for Client {
     fn configuration(&self, after: revision::Number, wait: time::Span) -> Reply<'_, Answer> {
         let path = format!("/configuration?after={after}&wait={}", wait.as_millis());
-        let timeout = self.settings.timeout + wait;
-        Box::pin(async move { self.call(&path, timeout, answer::configuration).await })
+        Box::pin(async move { self.call(&path, wait, answer::configuration).await })
     }
 
     fn instances(&self) -> Reply<'_, Vec<Instance>> {
-        Box::pin(self.call("/instances", self.settings.timeout, answer::instances))
+        Box::pin(self.call("/instances", time::Span::ZERO, answer::instances))
     }
 }
--- a/crates/mustardway_reader/tests/common/mod.rs
+++ b/crates/mustardway_reader/tests/common/mod.rs
@@ -17,6 +17,8 @@
 pub enum Reply {
     /// Sends these bytes after this wait.
     Bytes(Vec<u8>, Duration),
+    /// Sends the parts with this wait after each.
+    Parts(Vec<Vec<u8>>, Duration),
     /// Never answers.
     Nothing,
 }
@@ -75,6 +77,14 @@
             tokio::time::sleep(wait).await;
             let _ = stream.write_all(&bytes).await;
         }
+        Reply::Parts(parts, wait) => {
+            let mut due = tokio::time::Instant::now();
+            for part in parts {
+                let _ = stream.write_all(&part).await;
+                due += wait;
+                tokio::time::sleep_until(due).await;
+            }
+        }
         Reply::Nothing => std::future::pending().await,
     }
 }
