Peer: a large frame on a narrow or full link is not taken for silence

A link that is closed loses the frames that are queued in it, and what they held is sent anew over the next one.

Cause: only whole frames count as signs of life. The sender of a frame waits for a frame back, which the receiver sends only after the whole frame; the receiver, if it waits for a reply itself, does not count the bytes that arrive. A frame that takes longer than the silence timeout (4 s) ends the link: 1.25 MiB on a quarter of 10 Mbit/s, or 155 KB on a thirtieth of it. Ruled out: time to connect and the hello, which come before the frame in these tests.

Change: a receiver that has more than 1 KiB of an unfinished frame extends its own wait, and sends a frame of the new kind PROGRESS in place of a keepalive; its sender extends its wait by it, but still needs the reply. A link that is being closed waits as long as there is progress. Older instances take PROGRESS for a keepalive.

Why it works: as long as bytes arrive, both ends learn of it about once a keepalive interval; when none arrive, silence is noticed one timeout after the last sign, as before.

--- a/crates/mustardway_peer/src/frame.rs
+++ b/crates/mustardway_peer/src/frame.rs
@@ -32,6 +32,8 @@
     pub const KEEPALIVE: Kind = Kind(1);
     /// Announces that the sender closes an idle connection.
     pub const GOODBYE: Kind = Kind(2);
+    /// Reports that a part of a frame has arrived, while its rest is still on the way.
+    pub const PROGRESS: Kind = Kind(3);
     /// First kind for application messages; lower kinds belong to the mesh.
     pub const FIRST_APPLICATION: Kind = Kind(16);
     /// Number of kinds; every known kind is less than this.
--- a/crates/mustardway_peer/src/link.rs
+++ b/crates/mustardway_peer/src/link.rs
@@ -1,6 +1,7 @@
 //! One connection to a peer, used in both directions.
 
 use std::fmt;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 
@@ -25,6 +26,9 @@
 const BUFFER_KEPT_BYTES: usize = 16 << 10;
 /// Initial capacity in bytes of a reader's buffer.
 const READ_BUFFER_BYTES: usize = 2 << 10;
+/// Size from which a part of a frame is reported to its sender; the frames of the mesh
+/// itself, which need no reply, are smaller.
+const PART_MIN_BYTES: usize = 1 << 10;
 
 /// Number of a link, unique within one mesh since its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -68,7 +72,7 @@
     Broken,
     /// A frame could not be decoded.
     Unreadable(frame::Error),
-    /// Nothing was received within the silence timeout.
+    /// Neither a reply nor a sign of progress was received within the silence timeout.
     Silent,
     /// Either side closed the link because it was idle, with no reply pending.
     Idle,
@@ -100,23 +104,30 @@
 /// microseconds since the start of the mesh, 0 for none.
 #[derive(Debug, Default)]
 struct Liveness {
-    /// First write of an application frame since a frame was last received.
+    /// First write of an application frame since a frame was last received, or the last
+    /// sign of progress since then.
     awaiting_reply_since: AtomicU64,
     /// First application frame received since the last write.
     owing_reply_since: AtomicU64,
+    /// First part of a large frame received since the last write.
+    owing_progress_since: AtomicU64,
     /// Last application frame in either direction.
     last_traffic: AtomicU64,
     /// Whether either side has sent a goodbye.
     goodbye: AtomicBool,
-    /// Notified when `awaiting_reply_since` or `owing_reply_since` is set.
+    /// Notified when one of the times above, except `last_traffic`, is set.
     changed: Notify,
 }
 
 impl Liveness {
-    /// Records a write; `expects_reply` tells whether it holds application frames.
-    fn record_write(&self, expects_reply: bool, now: time::Instant) {
-        self.owing_reply_since.store(0, Relaxed);
-        if !expects_reply {
+    /// Records a write of frames of `kinds`.
+    fn record_write(&self, kinds: &[Kind], now: time::Instant) {
+        self.owing_progress_since.store(0, Relaxed);
+        // The frame may be complete by now and still needs its reply.
+        if kinds.iter().any(|kind| *kind != Kind::PROGRESS) {
+            self.owing_reply_since.store(0, Relaxed);
+        }
+        if kinds.iter().all(|kind| *kind < Kind::FIRST_APPLICATION) {
             return;
         }
         self.last_traffic.store(now.0, Relaxed);
@@ -128,6 +139,19 @@
         self.awaiting_reply_since.store(0, Relaxed);
     }
 
+    /// Records that the peer is alive but has not replied yet.
+    fn record_progress(&self, now: time::Instant) {
+        if self.awaiting_reply_since.load(Relaxed) != 0 {
+            self.awaiting_reply_since.store(now.0.max(1), Relaxed);
+        }
+    }
+
+    /// Records a received part of a large frame, which its sender has to learn of.
+    fn record_part(&self, now: time::Instant) {
+        self.record_progress(now);
+        self.set_if_unset(&self.owing_progress_since, now);
+    }
+
     /// Records a received application frame, which expects a reply.
     fn record_request(&self, now: time::Instant) {
         self.last_traffic.store(now.0, Relaxed);
@@ -179,7 +203,7 @@
 
     async fn read(&self, context: &Context, reader: &mut Reader) -> End {
         loop {
-            let frame = match reader.next().await {
+            let frame = match self.next_frame(context, reader).await {
                 Some(Ok(frame)) => frame,
                 Some(Err(frame::Error::Socket(_))) | None => return self.end_on_close(),
                 Some(Err(error)) => return End::Unreadable(error),
@@ -188,6 +212,26 @@
         }
     }
 
+    /// Waits for the next frame and records the parts of a large one as they arrive.
+    async fn next_frame(
+        &self,
+        context: &Context,
+        reader: &mut Reader,
+    ) -> Option<Result<Frame, frame::Error>> {
+        let mut received = PART_MIN_BYTES;
+        let next = poll_fn(|task| {
+            let next = reader.poll_next_unpin(task);
+            let buffered = reader.read_buffer().len();
+            let has_part = next.is_pending() && buffered > received;
+            if has_part && !context.partition.contains(&self.peer.id) {
+                received = buffered;
+                self.liveness.record_part(context.now());
+            }
+            next
+        });
+        next.await
+    }
+
     /// Returns the reason to report when the peer has closed the connection.
     fn end_on_close(&self) -> End {
         let orderly = self.liveness.goodbye.load(Relaxed)
@@ -206,6 +250,10 @@
             self.liveness.goodbye.store(true, Relaxed);
             return;
         }
+        if kind == Kind::PROGRESS {
+            self.liveness.record_progress(context.now());
+            return;
+        }
         self.liveness.record_receive();
         if kind < Kind::FIRST_APPLICATION {
             return;
@@ -236,16 +284,21 @@
         }
         // The peer reads up to the end of the stream and closes, which ends the reader
         // of this side.
-        tokio::time::sleep(context.settings.silence_timeout.into()).await;
-        End::Finished
+        loop {
+            tokio::time::sleep(context.settings.silence_timeout.into()).await;
+            let age = age(&self.liveness.awaiting_reply_since, context.now());
+            if age.is_none_or(|age| age >= context.settings.silence_timeout) {
+                return End::Finished;
+            }
+        }
     }
 
     /// Encodes a batch into `buffer`; from here on its frames count as sent.
     fn encode(&self, context: &Context, batch: Vec<Entry>, buffer: &mut BytesMut) {
         let partitioned = context.partition.contains(&self.peer.id);
         let mut codec = Codec::default();
-        let expects_reply = batch.iter().any(|entry| entry.frame.kind() >= Kind::FIRST_APPLICATION);
-        self.liveness.record_write(expects_reply, context.now());
+        let kinds: Vec<Kind> = batch.iter().map(|entry| entry.frame.kind()).collect();
+        self.liveness.record_write(&kinds, context.now());
         for Entry { frame, notifier } in batch {
             if partitioned {
                 context.counters.add(Event::Partitioned);
@@ -278,8 +331,11 @@
                 return End::Silent;
             }
             let half_interval = time::Span(settings.keepalive_interval.0 / 2);
-            if age(&self.liveness.owing_reply_since, now).is_some_and(|age| age >= half_interval) {
+            let is_due = |since| age(since, now).is_some_and(|age| age >= half_interval);
+            if is_due(&self.liveness.owing_reply_since) {
                 self.push_control(Kind::KEEPALIVE);
+            } else if is_due(&self.liveness.owing_progress_since) {
+                self.push_control(Kind::PROGRESS);
             }
             if self.reply_pending() {
                 self.liveness.changed.notify_one();
@@ -300,6 +356,7 @@
     fn reply_pending(&self) -> bool {
         self.liveness.awaiting_reply_since.load(Relaxed) != 0
             || self.liveness.owing_reply_since.load(Relaxed) != 0
+            || self.liveness.owing_progress_since.load(Relaxed) != 0
     }
 
     fn push_control(&self, kind: Kind) {
