Emulator: model the inbound link of an instance

Cause: links had only outgoing bandwidth. Answers of the platform and arriving messages cost nothing, so no scenario could fill the link of an instance from outside.

An answer of the platform has the size of its encoded updates times six for the text form. What is left at a timeout is not sent. The routers' readiness check fails on a link that is full for 500 ms.

Not modelled: congestion control, and reads in several pages (no site has 500 items).

--- a/crates/mustardway_emulator/src/host.rs
+++ b/crates/mustardway_emulator/src/host.rs
@@ -7,7 +7,7 @@
 use mustardway_mirror::message as mirror_message;
 use mustardway_mirror::node as mirror;
 use mustardway_types::instance::Incarnation;
-use mustardway_types::time::Instant;
+use mustardway_types::time::{Instant, Span};
 use mustardway_types::{domain, instance, target};
 use prost::Message as _;
 
@@ -16,6 +16,8 @@
 
 /// Bytes that framing, TCP and IP add to a message.
 const OVERHEAD_BYTES: usize = 60;
+/// Timeout of a readiness check by the routers.
+const CHECK_TIMEOUT: Span = Span::millis(500);
 /// Number of seed instances that a starting instance knows.
 const SEED_COUNT: usize = 3;
 
@@ -59,7 +61,10 @@
     pub(crate) changed_at: Instant,
     /// Number of restarts.
     pub(crate) incarnation: u32,
-    pub(crate) link: Link,
+    /// The outgoing direction of the link.
+    pub(crate) outbound: Link,
+    /// The incoming direction of the link.
+    pub(crate) inbound: Link,
     /// Version of the member list that the current topology was computed from.
     pub(crate) topology_version: Option<u64>,
     /// Live instances in this instance's failure domain, including itself.
@@ -67,7 +72,8 @@
 }
 
 impl Host {
-    /// Creates an instance that starts `now`.
+    /// Creates an instance that starts `now`. Both directions of its link are like the
+    /// idle `link`.
     pub(crate) fn new(
         index: usize,
         domain: usize,
@@ -104,7 +110,8 @@
             frozen_until: now,
             changed_at: now,
             incarnation,
-            link,
+            outbound: link,
+            inbound: link,
             topology_version: None,
             neighbours: Vec::new(),
         }
@@ -115,9 +122,11 @@
         self.alive && now >= self.frozen_until
     }
 
-    /// Returns whether the instance passes the routers' readiness check.
+    /// Returns whether the instance passes the routers' readiness check, which has to
+    /// arrive in time.
     pub(crate) fn is_ready(&self, now: Instant) -> bool {
-        self.runs(now) && !self.is_stopping && self.front.is_ready()
+        let is_reachable = self.inbound.backlog(now) < CHECK_TIMEOUT;
+        self.runs(now) && !self.is_stopping && is_reachable && self.front.is_ready()
     }
 }
 
--- a/crates/mustardway_emulator/src/lib.rs
+++ b/crates/mustardway_emulator/src/lib.rs
@@ -17,6 +17,7 @@
 //!   a failing scenario.
 //! - [`plot`]: charts of a run.
 
+mod arrival;
 mod caller;
 pub mod defect;
 mod disruption;
--- a/crates/mustardway_emulator/src/network.rs
+++ b/crates/mustardway_emulator/src/network.rs
@@ -66,7 +66,7 @@
     (first.min(second), first.max(second))
 }
 
-/// The outgoing link of a machine. Packets are sent one after the other.
+/// One direction of a machine's link. Packets are carried one after the other.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Link {
     bits_per_second: f64,
@@ -86,4 +86,27 @@
         self.idle_at = self.idle_at.max(now) + transmit_time;
         self.idle_at
     }
+
+    /// Queues `bytes` that the receiver awaits until `deadline` and returns the time at
+    /// which the last of them arrives. Returns `None` if that is not before the deadline;
+    /// what is left by then is not sent.
+    pub(crate) fn send_before(
+        &mut self,
+        bytes: usize,
+        deadline: Instant,
+        now: Instant,
+    ) -> Option<Instant> {
+        let starts_at = self.idle_at.max(now);
+        let sent_at = self.send(bytes, now);
+        if sent_at < deadline {
+            return Some(sent_at);
+        }
+        self.idle_at = starts_at.max(deadline);
+        None
+    }
+
+    /// Returns the time that further bytes wait until they are sent.
+    pub(crate) fn backlog(&self, now: Instant) -> Span {
+        self.idle_at.since(now)
+    }
 }
--- a/crates/mustardway_emulator/src/platform.rs
+++ b/crates/mustardway_emulator/src/platform.rs
@@ -2,11 +2,27 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use mustardway_mirror::message::Push;
 use mustardway_mirror::node::{Answer, Failure, Query};
 use mustardway_mirror::publication::{Change, Item, Key, Update};
 use mustardway_types::revision::{Era, Number, Version};
 use mustardway_types::time::{Instant, Span};
 
+/// Size of the headers of an answer.
+const HEADER_BYTES: usize = 200;
+/// Factor on the encoded size of an update for its text form, JSON with values in base64.
+const TEXT_FACTOR: usize = 6;
+
+/// Returns the size of an answer on the wire.
+pub(crate) fn answer_bytes(answer: &Result<Answer, Failure>) -> usize {
+    let updates = match answer {
+        Ok(Answer::Full(_, updates) | Answer::Since(_, updates)) => updates.as_slice(),
+        Err(_) => &[],
+    };
+    let (first, last) = (Version::default(), Version::default());
+    HEADER_BYTES + Push::new(first, last, 0, updates).size() * TEXT_FACTOR
+}
+
 /// The platform's store, which numbers all changes in one sequence.
 #[derive(Debug, Default)]
 pub(crate) struct Platform {
--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -18,6 +18,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
+use crate::arrival::Arrival;
 use crate::caller::{Flow, Request};
 use crate::defect::Defect;
 use crate::disruption::FollowUp;
@@ -80,6 +81,8 @@
     RequestDone { target: usize, incarnation: u32, flow: u32, request: usize },
     /// An instance's tick is due.
     Tick { host: usize, incarnation: u32 },
+    /// Data reaches the link of an instance.
+    Arrival(Box<Arrival>),
     /// A message arrives at an instance.
     Frame { from: usize, to: usize, frame: Frame },
     /// A query of an instance arrives at the platform.
@@ -296,6 +299,7 @@
                 self.request_done(target, incarnation, flow, request);
             }
             Event::Tick { host, incarnation } => self.tick(host, incarnation),
+            Event::Arrival(arrival) => self.receive(*arrival),
             Event::Frame { from, to, frame } => self.receive_frame(from, to, frame),
             Event::PlatformCall { host, incarnation, query } => {
                 self.call_platform(host, incarnation, query);
--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -12,12 +12,14 @@
 use rand::RngExt;
 
 use super::{Event, TICK_INTERVAL, World};
+use crate::arrival::{Arrival, Deadline};
 use crate::host::{self, Frame};
 use crate::network::Partition;
+use crate::platform;
 
 /// Response time of the platform.
 const PLATFORM_DELAY: Span = Span::millis(4);
-/// Timeout of a call to the platform.
+/// Timeout of a call to the platform, in addition to the time that it is asked to wait.
 const PLATFORM_TIMEOUT: Span = Span::millis(800);
 
 impl World {
@@ -69,10 +71,22 @@
         };
         let took = PLATFORM_DELAY + self.platform.delay;
         let is_lost = self.platform.loss > 0.0 && self.rng.random_bool(self.platform.loss);
-        let answer =
-            if is_lost || took >= PLATFORM_TIMEOUT { Err(Failure::Timeout) } else { answer };
-        let after = if answer == Err(Failure::Timeout) { PLATFORM_TIMEOUT } else { took };
-        self.queue.add(self.now + after, Event::PlatformAnswer { host, incarnation, answer });
+        let time_limit = match query {
+            Query::Full => PLATFORM_TIMEOUT,
+            Query::Since { wait, .. } => wait + PLATFORM_TIMEOUT,
+        };
+        let timeout = Deadline {
+            at: self.now + time_limit,
+            event: Event::PlatformAnswer { host, incarnation, answer: Err(Failure::Timeout) },
+        };
+        if is_lost || took >= time_limit || answer == Err(Failure::Timeout) {
+            self.queue.add(timeout.at, timeout.event);
+            return;
+        }
+        let bytes = platform::answer_bytes(&answer);
+        let event = Event::PlatformAnswer { host, incarnation, answer };
+        let arrival = Arrival { host, bytes, event, deadline: Some(timeout) };
+        self.queue.add(self.now + took, Event::Arrival(Box::new(arrival)));
     }
 
     /// Delivers the platform's answer to the instance that asked.
@@ -231,12 +245,14 @@
         }
         let bytes = frame.bytes();
         self.report.instance_bytes += bytes as u64;
-        let sent_at = self.hosts[from].link.send(bytes, self.now);
+        let sent_at = self.hosts[from].outbound.send(bytes, self.now);
         let (first, second) = (self.hosts[from].domain, self.hosts[to].domain);
         if self.network.partition(first, second).is_some() {
             return;
         }
         let at = sent_at + self.network.delay(first, second);
-        self.queue.add(at, Event::Frame { from, to, frame });
+        let event = Event::Frame { from, to, frame };
+        let arrival = Arrival { host: to, bytes, event, deadline: None };
+        self.queue.add(at, Event::Arrival(Box::new(arrival)));
     }
 }
--- a/crates/mustardway_emulator/src/world/request.rs
+++ b/crates/mustardway_emulator/src/world/request.rs
@@ -162,7 +162,7 @@
     fn forward(&mut self, host: usize, target: usize, flow: u32, packet: Packet) {
         let (from, to) = (self.hosts[host].domain, self.servers[target].domain);
         let bytes = HEADER_BYTES + usize::from(packet.length);
-        let sent_at = self.hosts[host].link.send(bytes, self.now);
+        let sent_at = self.hosts[host].outbound.send(bytes, self.now);
         if packet.flags.opens {
             self.report.placed += 1;
             self.report.cross_domain += u32::from(from != to);
@@ -176,7 +176,7 @@
 
     /// Sends a reset from an instance to the caller of a flow.
     pub(super) fn send_reset(&mut self, host: usize, flow: u32) {
-        let sent_at = self.hosts[host].link.send(HEADER_BYTES, self.now);
+        let sent_at = self.hosts[host].outbound.send(HEADER_BYTES, self.now);
         let at = sent_at + self.site.caller_delay;
         self.queue.add(at, Event::ToCaller { flow, reply: Reply::Reset { host: Some(host) } });
     }
