--- a/crates/mustardway_emulator/src/main.rs
+++ b/crates/mustardway_emulator/src/main.rs
@@ -16,7 +16,7 @@
 #[derive(Debug, argh::FromArgs)]
 #[argh(error_code(1, "a rule was broken, or a day failed"))]
 struct Arguments {
-    /// site: frio-austral, san-jose or san-jose-grown
+    /// site: frio-austral, frio-austral-grown, san-jose or san-jose-grown
     #[argh(option)]
     site: Preset,
     #[argh(subcommand)]
--- a/crates/mustardway_emulator/src/site.rs
+++ b/crates/mustardway_emulator/src/site.rs
@@ -9,6 +9,9 @@
 use mustardway_types::parse;
 use mustardway_types::time::Span;
 
+/// Bandwidth of a wide link, in each direction.
+pub const WIDE_LINK_BITS_PER_SECOND: f64 = 1e9;
+
 /// A service and its targets.
 #[derive(Debug, Clone)]
 pub struct Service {
@@ -66,17 +69,31 @@
     pub domain_delay: Span,
     /// One-way delay between callers and instances or targets.
     pub caller_delay: Span,
-    /// Bandwidth of an instance's link.
+    /// Bandwidth of an instance's link, in each direction.
     pub link_bits_per_second: f64,
+    /// Indexes of the instances whose links have [`WIDE_LINK_BITS_PER_SECOND`] instead.
+    pub wide_links: Vec<usize>,
     /// Time between two renewals of a target's registration on the platform.
     pub heartbeat_interval: Span,
 }
 
+impl Site {
+    /// Returns the bandwidth of the link of the instance with the given index.
+    pub fn link_bits_per_second_of(&self, instance: usize) -> f64 {
+        match self.wide_links.contains(&instance) {
+            true => WIDE_LINK_BITS_PER_SECOND,
+            false => self.link_bits_per_second,
+        }
+    }
+}
+
 /// A predefined site, which the command line selects by name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Preset {
     /// Van bookings and cold-chain alerts.
     FrioAustral,
+    /// Frío Austral's grown deployment, most of it on narrow links.
+    FrioAustralGrown,
     /// Orders and downloads.
     SanJose,
     /// San José's grown deployment, on narrow links.
@@ -85,12 +102,14 @@
 
 impl Preset {
     /// All predefined sites.
-    pub const ALL: [Preset; 3] = [Preset::FrioAustral, Preset::SanJose, Preset::SanJoseGrown];
+    pub const ALL: [Preset; 4] =
+        [Preset::FrioAustral, Preset::FrioAustralGrown, Preset::SanJose, Preset::SanJoseGrown];
 
     /// Returns the site.
     pub fn site(self) -> Site {
         match self {
             Preset::FrioAustral => frio_austral(),
+            Preset::FrioAustralGrown => frio_austral_grown(),
             Preset::SanJose => san_jose(),
             Preset::SanJoseGrown => san_jose_grown(),
         }
@@ -101,6 +120,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Preset::FrioAustral => "frio-austral",
+            Preset::FrioAustralGrown => "frio-austral-grown",
             Preset::SanJose => "san-jose",
             Preset::SanJoseGrown => "san-jose-grown",
         })
@@ -111,7 +131,7 @@
     type Err = parse::Error;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        const WANTED: &str = "site: frio-austral, san-jose or san-jose-grown";
+        const WANTED: &str = "site: frio-austral, frio-austral-grown, san-jose or san-jose-grown";
         let preset = Preset::ALL.into_iter().find(|preset| preset.to_string() == text);
         preset.ok_or_else(|| parse::Error::value(text, WANTED))
     }
@@ -156,11 +176,29 @@
         classes,
         domain_delay: Span(500),
         caller_delay: Span::millis(1),
-        link_bits_per_second: 1e9,
+        link_bits_per_second: WIDE_LINK_BITS_PER_SECOND,
+        wide_links: Vec::new(),
         heartbeat_interval: Span::millis(770),
     }
 }
 
+fn frio_austral_grown() -> Site {
+    let mut site = frio_austral();
+    site.name = "frio-austral-grown".into();
+    site.instances = vec![31, 28, 26];
+    site.services =
+        vec![service("bookings", &[44, 39, 37], 2), service("archive", &[11, 10, 9], 2)];
+    let classes = [(1_137.0, 400, 2_000), (325.0, 400, 2_000), (97.4, 1_200, 6_000)];
+    for (class, (rate, aim, limit)) in site.classes.iter_mut().zip(classes) {
+        class.rate = rate;
+        class.aim = Span::millis(aim);
+        class.limit = Span::millis(limit);
+    }
+    site.link_bits_per_second = 10e6;
+    site.wide_links = vec![0, 2, 31, 33, 59, 61];
+    site
+}
+
 fn san_jose() -> Site {
     let mut site = frio_austral();
     site.name = "san-jose".into();
--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -247,7 +247,7 @@
         for (domain, count) in self.site.instances.clone().into_iter().enumerate() {
             for _ in 0..count {
                 let host = self.hosts.len();
-                let link = Link::new(self.site.link_bits_per_second);
+                let link = Link::new(self.site.link_bits_per_second_of(host));
                 let name = &self.domain_names[domain];
                 self.hosts.push(Host::new(host, domain, name, 0, link, self.variant, self.now));
                 self.upstreams.push(Upstream::new(domain));
@@ -335,7 +335,7 @@
     pub(crate) fn start_host(&mut self, host: usize) {
         let old = &self.hosts[host];
         let (domain, incarnation) = (old.domain, old.incarnation + 1);
-        let link = Link::new(self.site.link_bits_per_second);
+        let link = Link::new(self.site.link_bits_per_second_of(host));
         let name = &self.domain_names[domain];
         self.hosts[host] = Host::new(host, domain, name, incarnation, link, self.variant, self.now);
         self.queue.add(self.now, Event::Tick { host, incarnation });
