Emulator: hold a read of the platform until there is a change

Cause: the platform answered at once.

Change: a held call is looked at every 10 ms. The report shows the calls without an answer in time and the longest time that data took over an inbound link.

--- a/crates/mustardway_emulator/src/arrival.rs
+++ b/crates/mustardway_emulator/src/arrival.rs
@@ -31,14 +31,15 @@
     pub(crate) fn receive(&mut self, arrival: Arrival) {
         let Arrival { host, bytes, event, deadline } = arrival;
         let (inbound, now) = (&mut self.hosts[host].inbound, self.now);
-        let Some(deadline) = deadline else {
-            let received_at = inbound.send(bytes, now);
-            self.queue.add(received_at, event);
-            return;
+        let (at, event) = match deadline {
+            None => (inbound.send(bytes, now), event),
+            Some(deadline) => match inbound.send_before(bytes, deadline.at, now) {
+                Some(received_at) => (received_at, event),
+                None => (deadline.at, deadline.event),
+            },
         };
-        match inbound.send_before(bytes, deadline.at, now) {
-            Some(received_at) => self.queue.add(received_at, event),
-            None => self.queue.add(deadline.at, deadline.event),
-        }
+        let wait_max = &mut self.report.inbound_wait_max;
+        *wait_max = inbound.backlog(now).max(*wait_max);
+        self.queue.add(at, event);
     }
 }
--- a/crates/mustardway_emulator/src/report.rs
+++ b/crates/mustardway_emulator/src/report.rs
@@ -89,6 +89,10 @@
     pub violations: Vec<Violation>,
     /// Number of calls to the platform.
     pub platform_calls: u32,
+    /// Number of calls to the platform that had no answer within their timeout.
+    pub platform_timeouts: u32,
+    /// Longest time that data took over the inbound link of an instance.
+    pub inbound_wait_max: Span,
     /// Number of probes of targets.
     pub probes: u32,
     /// Bytes sent between instances.
@@ -175,8 +179,15 @@
         )?;
         writeln!(
             f,
-            "platform calls {}, probes {}, bytes between instances {}, placed across {} of {}",
-            self.platform_calls, self.probes, self.instance_bytes, self.cross_domain, self.placed
+            "platform calls {}, without answer {}, probes {}, bytes between instances {}, \
+             longest wait at a link {} ms, placed across {} of {}",
+            self.platform_calls,
+            self.platform_timeouts,
+            self.probes,
+            self.instance_bytes,
+            self.inbound_wait_max.as_millis(),
+            self.cross_domain,
+            self.placed
         )?;
         for violation in &self.violations {
             writeln!(
--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -85,8 +85,8 @@
     Arrival(Box<Arrival>),
     /// A message arrives at an instance.
     Frame { from: usize, to: usize, frame: Frame },
-    /// A query of an instance arrives at the platform.
-    PlatformCall { host: usize, incarnation: u32, query: Query },
+    /// A query of an instance, `asked` at the given time, is due at the platform.
+    PlatformCall { host: usize, incarnation: u32, query: Query, asked: Instant },
     /// The platform's answer, or the failure of the call, reaches the instance.
     PlatformAnswer { host: usize, incarnation: u32, answer: Result<Answer, Failure> },
     /// The outcome of a probe reaches the instance.
@@ -301,8 +301,8 @@
             Event::Tick { host, incarnation } => self.tick(host, incarnation),
             Event::Arrival(arrival) => self.receive(*arrival),
             Event::Frame { from, to, frame } => self.receive_frame(from, to, frame),
-            Event::PlatformCall { host, incarnation, query } => {
-                self.call_platform(host, incarnation, query);
+            Event::PlatformCall { host, incarnation, query, asked } => {
+                self.call_platform(host, incarnation, query, asked);
             }
             Event::PlatformAnswer { host, incarnation, answer } => {
                 self.platform_answered(host, incarnation, answer);
--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -7,7 +7,7 @@
 use mustardway_mirror::node::{self as mirror, Answer, Failure, Query};
 use mustardway_mirror::topology::Topology;
 use mustardway_types::target;
-use mustardway_types::time::Span;
+use mustardway_types::time::{Instant, Span};
 
 use rand::RngExt;
 
@@ -19,6 +19,8 @@
 
 /// Response time of the platform.
 const PLATFORM_DELAY: Span = Span::millis(4);
+/// Interval at which the platform checks whether a call that it holds has an answer.
+const HOLD_STEP: Span = Span::millis(10);
 /// Timeout of a call to the platform, in addition to the time that it is asked to wait.
 const PLATFORM_TIMEOUT: Span = Span::millis(800);
 
@@ -58,9 +60,15 @@
         }
     }
 
-    /// Sends a query to the platform and schedules its answer.
-    pub(super) fn call_platform(&mut self, host: usize, incarnation: u32, query: Query) {
-        self.report.platform_calls += 1;
+    /// Handles a query at the platform, which was `asked` now or before: schedules its
+    /// answer, or holds it while there is no change and time to wait.
+    pub(super) fn call_platform(
+        &mut self,
+        host: usize,
+        incarnation: u32,
+        query: Query,
+        asked: Instant,
+    ) {
         let platform = self.site.domains.len();
         let domain = self.hosts[host].domain;
         let partition = self.network.partition(domain, platform);
@@ -69,24 +77,32 @@
             Some(Partition::Refuses) => Err(Failure::Unreachable),
             Some(Partition::Silent) => Err(Failure::Timeout),
         };
+        let wait = match query {
+            Query::Full => Span::ZERO,
+            Query::Since { wait, .. } => wait,
+        };
+        if self.now < asked + wait
+            && matches!(&answer, Ok(Answer::Since(_, changes)) if changes.is_empty())
+        {
+            let next = Event::PlatformCall { host, incarnation, query, asked };
+            self.queue.add(self.now + HOLD_STEP, next);
+            return;
+        }
         let took = PLATFORM_DELAY + self.platform.delay;
         let is_lost = self.platform.loss > 0.0 && self.rng.random_bool(self.platform.loss);
-        let time_limit = match query {
-            Query::Full => PLATFORM_TIMEOUT,
-            Query::Since { wait, .. } => wait + PLATFORM_TIMEOUT,
-        };
+        let answered_at = self.now + took;
         let timeout = Deadline {
-            at: self.now + time_limit,
+            at: asked + wait + PLATFORM_TIMEOUT,
             event: Event::PlatformAnswer { host, incarnation, answer: Err(Failure::Timeout) },
         };
-        if is_lost || took >= time_limit || answer == Err(Failure::Timeout) {
+        if is_lost || answered_at >= timeout.at || answer == Err(Failure::Timeout) {
             self.queue.add(timeout.at, timeout.event);
             return;
         }
         let bytes = platform::answer_bytes(&answer);
         let event = Event::PlatformAnswer { host, incarnation, answer };
         let arrival = Arrival { host, bytes, event, deadline: Some(timeout) };
-        self.queue.add(self.now + took, Event::Arrival(Box::new(arrival)));
+        self.queue.add(answered_at, Event::Arrival(Box::new(arrival)));
     }
 
     /// Delivers the platform's answer to the instance that asked.
@@ -97,6 +113,7 @@
         answer: Result<Answer, Failure>,
     ) {
         if self.hosts[host].alive && self.hosts[host].incarnation == incarnation {
+            self.report.platform_timeouts += u32::from(answer == Err(Failure::Timeout));
             self.deliver_to_mirror(host, mirror::Event::Answer(answer));
         }
     }
@@ -166,7 +183,8 @@
             match action {
                 mirror::Action::Read(query) => {
                     let at = self.now + self.network.delay(0, 1);
-                    self.queue.add(at, Event::PlatformCall { host, incarnation, query });
+                    self.report.platform_calls += 1;
+                    self.queue.add(at, Event::PlatformCall { host, incarnation, query, asked: at });
                 }
                 mirror::Action::Send { to, message } => {
                     if let Some(to) = host::index(&to) {
