--- a/crates/mustardway_emulator/src/main.rs
+++ b/crates/mustardway_emulator/src/main.rs
@@ -50,6 +50,9 @@
     /// troubles of every kind, and a platform that is restored from a copy
     #[argh(switch)]
     restored: bool,
+    /// troubles of every kind, and large configurations
+    #[argh(switch)]
+    large: bool,
     /// print the decisions of this instance, such as i-0003, or of all
     #[argh(option)]
     log: Option<String>,
@@ -110,14 +113,7 @@
     fn run(&self, site: &Site) -> bool {
         let mut is_clean = true;
         for seed in self.seed..self.seed + self.days {
-            let scenario = match (self.quiet, self.mixed) {
-                (true, _) => Scenario::quiet(30),
-                (false, true) => Scenario::mixed(seed, site.domains.len(), site.services.len()),
-                (false, false) if self.restored => {
-                    Scenario::restored(seed, site.domains.len(), site.services.len())
-                }
-                (false, false) => random_scenario(site, seed),
-            };
+            let scenario = self.scenario(site, seed);
             let report = match &self.log {
                 Some(log) => {
                     world::simulate_with_listener(site, &scenario, seed, listener(log.clone()))
@@ -136,6 +132,17 @@
         is_clean
     }
 
+    fn scenario(&self, site: &Site, seed: u64) -> Scenario {
+        let (domains, services) = (site.domains.len(), site.services.len());
+        match self {
+            Emulate { quiet: true, .. } => Scenario::quiet(30),
+            Emulate { mixed: true, .. } => Scenario::mixed(seed, domains, services),
+            Emulate { restored: true, .. } => Scenario::restored(seed, domains, services),
+            Emulate { large: true, .. } => Scenario::large(seed, domains, services),
+            _ => random_scenario(site, seed),
+        }
+    }
+
     /// Draws the chart if one was requested. Returns false if it cannot be written.
     fn draw(&self, report: &Report, site: &Site) -> bool {
         let Some(path) = &self.plot else { return true };
--- a/crates/mustardway_emulator/src/scenario.rs
+++ b/crates/mustardway_emulator/src/scenario.rs
@@ -250,6 +250,22 @@
         scenario
     }
 
+    /// Creates a random scenario like [`Scenario::mixed`], in which large configurations
+    /// are also published, each larger than the one before. The largest can be read over a
+    /// link of 10 Mbit/s within the timeout of a call.
+    pub fn large(seed: u64, domains: usize, services: usize) -> Self {
+        let mut scenario = Scenario::mixed(seed, domains, services);
+        let mut rng = Pcg32::new(seed, 3);
+        let (mut at, mut routes) = (0.0, 0);
+        for _ in 0..rng.random_range(2..4) {
+            at += rng.random_range(1.0..9.0);
+            routes += rng.random_range(800..1_600);
+            scenario = scenario.with(at, Kind::Configure { routes });
+        }
+        scenario.name = format_compact!("large-{seed}");
+        scenario
+    }
+
     /// Creates a random scenario without the kinds that only [`Scenario::mixed`]
     /// draws.
     pub fn random(seed: u64, domains: usize, services: usize) -> Self {
--- a/crates/mustardway_emulator/tests/random_scenarios.rs
+++ b/crates/mustardway_emulator/tests/random_scenarios.rs
@@ -42,3 +42,15 @@
         }
     }
 }
+
+#[test]
+fn large_scenarios_violate_no_rule() {
+    for preset in [Preset::FrioAustral, Preset::SanJose] {
+        let site = preset.site();
+        for seed in 1..=SCENARIOS {
+            let scenario = Scenario::large(seed, site.domains.len(), site.services.len());
+            let report = simulate(&site, &scenario, seed);
+            assert!(report.violations.is_empty(), "{preset}, large scenario {seed}: {report}");
+        }
+    }
+}
