--- a/crates/mustardway_emulator/src/rules.rs
+++ b/crates/mustardway_emulator/src/rules.rs
@@ -15,8 +15,6 @@
 /// Time after the start of an evacuation from which no new flow may reach the failure
 /// domain.
 const EVACUATED_MAX: Span = Span::seconds(5);
-/// Time after which a published configuration must be in force.
-const CONFIGURED_MAX: Span = Span::seconds(3);
 /// Factor on a cold target's rate up to which new flows are allowed.
 const COLD_RATE_FACTOR: f64 = 1.5;
 /// Number of new flows per second that a cold target may get in addition.
@@ -112,7 +110,7 @@
     /// published, and does not have the next one, which may have been removed.
     pub(crate) fn check_routes(&mut self) {
         let (count, since) = self.extra_routes;
-        if self.now < since + CONFIGURED_MAX || !self.is_stable() {
+        if self.now < since + self.site.in_force_time || !self.is_stable() {
             return;
         }
         let first = self.site.classes.len();
--- a/crates/mustardway_emulator/src/site.rs
+++ b/crates/mustardway_emulator/src/site.rs
@@ -75,6 +75,8 @@
     pub wide_links: Vec<usize>,
     /// Time between two renewals of a target's registration on the platform.
     pub heartbeat_interval: Span,
+    /// Time after which a published configuration has to be in force.
+    pub in_force_time: Span,
 }
 
 impl Site {
@@ -179,6 +181,7 @@
         link_bits_per_second: WIDE_LINK_BITS_PER_SECOND,
         wide_links: Vec::new(),
         heartbeat_interval: Span::millis(770),
+        in_force_time: Span::seconds(3),
     }
 }
 
@@ -196,6 +199,7 @@
     }
     site.link_bits_per_second = 10e6;
     site.wide_links = vec![0, 2, 31, 33, 59, 61];
+    site.in_force_time = Span::seconds(5);
     site
 }
 
