Membership: an instance behind a full link declares nobody dead

It heard its peers later and later, but often enough not to count as cut off, declared them dead, and the others believed it. A contact is now declared dead only if a heartbeat of the last half lease was answered.

--- a/crates/mustardway_membership/src/heartbeat.rs
+++ b/crates/mustardway_membership/src/heartbeat.rs
@@ -32,6 +32,7 @@
 impl Node {
     /// Sends a heartbeat to every contact.
     pub(crate) fn heartbeat_all(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.round_trips.record_round(self.sequence + 1, now);
         for id in self.contacts.ids() {
             self.send_heartbeat(&id, Kind::Regular, now, actions);
         }
@@ -153,6 +154,9 @@
             self.contacts.record_watch_request(from, now);
         }
         let answered = heartbeat.echo != 0 && heartbeat.echo <= self.sequence;
+        if answered {
+            self.round_trips.record_echo(heartbeat.echo);
+        }
         let differs = heartbeat.table != self.table.digest();
         if let Some(contact) = self.contacts.get_mut(from) {
             contact.record_heard(now);
--- a/crates/mustardway_membership/src/lib.rs
+++ b/crates/mustardway_membership/src/lib.rs
@@ -36,6 +36,7 @@
 mod probe;
 mod ring;
 pub mod roster;
+mod round_trips;
 pub mod settings;
 mod suspicion;
 mod table;
--- a/crates/mustardway_membership/src/node.rs
+++ b/crates/mustardway_membership/src/node.rs
@@ -21,6 +21,7 @@
 use crate::message::{Body, Message};
 use crate::ring::{self, Links};
 use crate::roster;
+use crate::round_trips::RoundTrips;
 use crate::settings::Settings;
 use crate::suspicion::IndirectProbe;
 use crate::table::Table;
@@ -51,6 +52,7 @@
     pub(crate) last_event: Instant,
     pub(crate) last_heard: Option<Instant>,
     pub(crate) silent_since: Instant,
+    pub(crate) round_trips: RoundTrips,
     pub(crate) fence: Option<Fence>,
     pub(crate) superseded: bool,
     pub(crate) joined: bool,
@@ -93,6 +95,7 @@
             last_event: now,
             last_heard: None,
             silent_since: now,
+            round_trips: RoundTrips::default(),
             fence: None,
             superseded: false,
             joined: false,
--- a/crates/mustardway_membership/src/suspicion.rs
+++ b/crates/mustardway_membership/src/suspicion.rs
@@ -35,12 +35,12 @@
 impl Node {
     /// Queries other instances about silent contacts, and declares a contact dead
     /// after a lease of silence if the first query is at least a third of a lease
-    /// old. An instance that has heard no peer for half a lease declares nobody
-    /// dead, since it is probably cut off itself.
+    /// old. An instance whose heartbeats of the last half lease no peer has answered
+    /// declares nobody dead, since it is probably cut off or slow itself.
     pub(crate) fn check_silent_contacts(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let lease = self.settings.lease;
         let third = Span(lease.0 / 3);
-        let cut_off = now.since(self.silent_since) >= Span(lease.0 / 2);
+        let is_answered = self.round_trips.is_answered_since(now - Span(lease.0 / 2));
         self.indirect_probes.retain(|probe| now < probe.deadline);
         for id in self.contacts.ids() {
             let Some(contact) = self.contacts.get(&id) else { continue };
@@ -54,7 +54,7 @@
                 self.query_helpers(&id, now, actions);
             }
             let queried_long = queried.is_some_and(|(first, _)| now.since(first) >= third);
-            if silence < lease || !queried_long || cut_off {
+            if silence < lease || !queried_long || !is_answered {
                 continue;
             }
             self.counts.declared_dead += 1;
--- a/crates/mustardway_membership/tests/common/mod.rs
+++ b/crates/mustardway_membership/tests/common/mod.rs
@@ -36,6 +36,26 @@
     inbox: Vec<(instance::Id, Message)>,
 }
 
+/// The inbound link of a host that receives other data as well. From `start` on for
+/// `fill`, it gets `load` times the data that it carries, and keeps them in order.
+pub struct FullLink {
+    pub host: usize,
+    pub start: Instant,
+    pub fill: Span,
+    pub load: u64,
+}
+
+impl FullLink {
+    /// Returns the time at which a message that reaches the link at `at` has passed it.
+    fn passed_at(&self, at: Instant) -> Instant {
+        if at < self.start {
+            return at;
+        }
+        let filled = at.since(self.start).0.min(self.fill.0);
+        at.max(self.start + Span(filled * self.load))
+    }
+}
+
 /// A message that is being delivered.
 struct InFlight {
     to: usize,
@@ -54,6 +74,7 @@
     pub delay: (Span, Span),
     pub cut_links: BTreeSet<(usize, usize)>,
     pub sides: Vec<u8>,
+    pub full_link: Option<FullLink>,
     pub rng: Pcg32,
     in_flight: BTreeMap<(Instant, u64), InFlight>,
     last_flight: u64,
@@ -113,6 +134,7 @@
             delay: (Span(300), Span(700)),
             cut_links: BTreeSet::new(),
             sides: Vec::new(),
+            full_link: None,
             rng: Pcg32::seed_from_u64(seed),
             in_flight: BTreeMap::new(),
             last_flight: 0,
@@ -226,7 +248,11 @@
             let delay = Span(self.rng.random_range(self.delay.0.0..=self.delay.1.0));
             self.last_flight += 1;
             let flight = InFlight { to, from, message: message.clone() };
-            self.in_flight.insert((self.now + delay, self.last_flight), flight);
+            let at = match &self.full_link {
+                Some(link) if link.host == to => link.passed_at(self.now + delay),
+                _ => self.now + delay,
+            };
+            self.in_flight.insert((at, self.last_flight), flight);
         }
     }
 
