Flow: one peer alone does not make a failure domain unreachable

Callers: opening packets are reset although the failure domain works, if a peer reports three of its targets lost by mistake, as an instance behind a full link did.

Cause: reports of lost targets had no sender, so three of one peer counted like those of three. Class: acting on one unconfirmed word.

Change: reports carry the peer that sent them (the frame names it, the wire is the same). A failure domain is unreachable once three targets were lost and one of them was found lost here, or they were reported by two peers at least. Each reported target is avoided and probed as before.

--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -58,7 +58,7 @@
                 self.deliver_to_mirror(to, mirror::Event::Received { from, message });
             }
             Frame::PeerReport { target, is_lost } => {
-                self.deliver_to_front(to, front::Event::PeerReport { target, is_lost });
+                self.deliver_to_front(to, front::Event::PeerReport { from, target, is_lost });
             }
         }
     }
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -5,7 +5,7 @@
 mod open;
 mod probing;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 use compact_str::CompactString;
@@ -79,6 +79,8 @@
     Probed(target::Id, Outcome),
     /// A peer in the same failure domain reports the health of a target.
     PeerReport {
+        /// The peer.
+        from: instance::Id,
         /// The target.
         target: target::Id,
         /// Whether the target is lost; otherwise it answers again.
@@ -135,8 +137,9 @@
     /// Directory indexes of targets that are suspected or lost and that this instance
     /// probes.
     unhealthy: BTreeSet<usize>,
-    /// Directory indexes of targets that a peer reported lost.
-    reported: BTreeSet<usize>,
+    /// Directory indexes of targets that a peer reported lost, with the latest peer that
+    /// did.
+    reported: BTreeMap<usize, instance::Id>,
     reachability: Reachability,
     /// Number of probes whose outcome is pending.
     probes_in_flight: usize,
@@ -167,7 +170,7 @@
             unknown_tokens: FxHashMap::default(),
             openings: Queue::default(),
             unhealthy: BTreeSet::new(),
-            reported: BTreeSet::new(),
+            reported: BTreeMap::new(),
             reachability: Reachability::default(),
             probes_in_flight: 0,
             responsiveness: Responsiveness::default(),
@@ -240,7 +243,9 @@
             Event::Paused => self.is_clearing_backlog = true,
             Event::BacklogCleared => self.is_clearing_backlog = false,
             Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
-            Event::PeerReport { target, is_lost } => self.reported(&target, is_lost, now, actions),
+            Event::PeerReport { from, target, is_lost } => {
+                self.reported(from, &target, is_lost, now, actions);
+            }
         }
     }
 
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -2,8 +2,8 @@
 //! work.
 
 use mustardway_mirror::publication::{Change, Key, Route};
-use mustardway_types::target;
 use mustardway_types::time::{Instant, Span};
+use mustardway_types::{instance, target};
 use rand::RngExt;
 
 use super::{Action, Front, Probe};
@@ -72,6 +72,7 @@
     /// probed here too, and is avoided for new flows until a probe gets an answer.
     pub(super) fn reported(
         &mut self,
+        from: instance::Id,
         id: &target::Id,
         is_lost: bool,
         now: Instant,
@@ -92,7 +93,7 @@
         }
         let has_flows = target.observation.flows > 0 || target.health.has_own_evidence(now);
         target.health.record_report(delay, now);
-        self.reported.insert(index);
+        self.reported.insert(index, from);
         if is_watcher || has_flows {
             self.unhealthy.insert(index);
         }
@@ -120,11 +121,10 @@
     /// Updates the failure domains that cannot be reached.
     fn update_reachability(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let directory = &self.directory;
-        self.reported.retain(|index| {
+        self.reported.retain(|index, _| {
             directory.get(*index).is_some_and(|it| it.health.is_reported_lost(now))
         });
-        let unhealthy = &self.unhealthy | &self.reported;
-        let reachability = Reachability::assess(directory, &unhealthy, now);
+        let reachability = Reachability::assess(directory, &self.unhealthy, &self.reported, now);
         for domain in &self.reachability.unreachable ^ &reachability.unreachable {
             let is_reachable = !reachability.unreachable.contains(&domain);
             actions.push(Action::Note(Note::Reachable { domain, is_reachable }));
--- a/crates/mustardway_flow/src/reachability.rs
+++ b/crates/mustardway_flow/src/reachability.rs
@@ -7,15 +7,16 @@
 //! - It is *silent* once several targets have left callers unanswered for a while.
 //!   A silent domain does not count for the readiness of the instance. A full link of
 //!   the instance has the same effect, and then too the routers should choose others.
-//! - It is *unreachable* once several targets were lost. New flows then go elsewhere.
+//! - It is *unreachable* once several targets were lost, as found here or reported by
+//!   more than one peer. New flows then go elsewhere. A single peer may be wrong.
 //!
 //! A single sign of life of any target ends both. Flows of a target are reset only
 //! once the target itself is lost.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use mustardway_types::domain;
 use mustardway_types::time::{Instant, Span};
+use mustardway_types::{domain, instance};
 
 use crate::directory::Directory;
 
@@ -36,24 +37,37 @@
 }
 
 impl Reachability {
-    /// Judges the failure domains of the targets with the directory indexes
-    /// `unhealthy`, which are all that may be suspected or lost.
-    pub(crate) fn assess(directory: &Directory, unhealthy: &BTreeSet<usize>, now: Instant) -> Self {
+    /// Judges the failure domains of the targets with the directory indexes `unhealthy`
+    /// and `reported`, which are all that may be suspected or lost. Each reported target
+    /// has the peer that reported it.
+    pub(crate) fn assess(
+        directory: &Directory,
+        unhealthy: &BTreeSet<usize>,
+        reported: &BTreeMap<usize, instance::Id>,
+        now: Instant,
+    ) -> Self {
         let mut counts: BTreeMap<&domain::Name, usize> = BTreeMap::new();
-        for index in unhealthy {
+        let unreported = unhealthy.iter().filter(|index| !reported.contains_key(index));
+        for index in unreported.chain(reported.keys()) {
             let Some(target) = directory.get(*index) else { continue };
             *counts.entry(&target.registration.domain).or_default() += 1;
         }
         let mut result = Reachability::default();
         for (domain, count) in counts {
             if count >= TARGETS_MIN {
-                result.assess_domain(directory, domain, now);
+                result.assess_domain(directory, reported, domain, now);
             }
         }
         result
     }
 
-    fn assess_domain(&mut self, directory: &Directory, domain: &domain::Name, now: Instant) {
+    fn assess_domain(
+        &mut self,
+        directory: &Directory,
+        reported: &BTreeMap<usize, instance::Id>,
+        domain: &domain::Name,
+        now: Instant,
+    ) {
         let mut sign_of_life = None;
         let (mut suspected, mut lost) = (Vec::new(), Vec::new());
         for index in directory.indexes_in_domain(domain) {
@@ -64,13 +78,16 @@
                 continue;
             }
             suspected.extend(target.health.unanswered_since(now));
-            lost.extend(target.health.lost_since(now));
+            let reporter = reported.get(&index).filter(|_| !target.health.is_lost());
+            lost.extend(target.health.lost_since(now).map(|at| (at, reporter)));
         }
         let is_later = |at: &Instant| sign_of_life.is_none_or(|sign| *at > sign);
         suspected.retain(is_later);
-        lost.retain(is_later);
+        lost.retain(|(at, _)| is_later(at));
         let is_long = suspected.iter().min().is_some_and(|at| now.since(*at) >= SILENCE_MIN);
-        if lost.len() >= TARGETS_MIN {
+        let reporters: BTreeSet<_> = lost.iter().map(|(_, reporter)| reporter).collect();
+        let is_confirmed = reporters.len() > 1 || reporters.contains(&None);
+        if lost.len() >= TARGETS_MIN && is_confirmed {
             self.unreachable.insert(domain.clone());
         }
         if suspected.len() >= TARGETS_MIN && is_long {
--- a/crates/mustardway_flow/tests/common/mod.rs
+++ b/crates/mustardway_flow/tests/common/mod.rs
@@ -101,6 +101,11 @@
     (1..=count).map(|number| format!("i-{number}").parse().expect("well formed")).collect()
 }
 
+/// Returns the name of a peer of the harness's own instance.
+pub fn peer(number: usize) -> instance::Id {
+    instances(number + 1).swap_remove(number)
+}
+
 pub fn put(registration: Registration) -> Change {
     Change::Put(Item::Target(registration))
 }
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -269,7 +269,8 @@
                     now,
                 );
             }),
-            _ => TargetStatus::decode(body).map(|status| self.handle_target_status(&status, now)),
+            _ => TargetStatus::decode(body)
+                .map(|status| self.handle_target_status(from, &status, now)),
         };
         if let Err(error) = result {
             slog::warn!(self.context.logger, "skipped a malformed message";
@@ -277,11 +278,11 @@
         }
     }
 
-    fn handle_target_status(&mut self, status: &TargetStatus, now: Instant) {
+    fn handle_target_status(&mut self, from: &instance::Id, status: &TargetStatus, now: Instant) {
         match status.target.parse() {
             Ok(target) => {
-                let is_lost = status.is_lost;
-                self.handle_front_event(front::Event::PeerReport { target, is_lost }, now);
+                let (from, is_lost) = (from.clone(), status.is_lost);
+                self.handle_front_event(front::Event::PeerReport { from, target, is_lost }, now);
             }
             Err(error) => {
                 slog::warn!(self.context.logger, "skipped a target status with a malformed target name"; "error" => %error);
