Mirror: the answer to a read from before a pause does not count for the read after it

Callers: after a pause an instance may reset opening packets of routes that were added meanwhile, and flows of new targets.

Cause: an instance that resumes reads at once, and took the next answer for that of the new read, whichever it was. So a state of before the pause counted as confirmed now, and the new answer was ignored. Class: old evidence that counts as new. No full link is needed: the reader has a read in flight for up to 300 ms of each second. Evidence: paused_reads, two tests that failed before: after a pause of 10 s the state counted as 0 ms old; the newer state was not applied.

Change: reads have tickets, which their answers repeat; only the answer to the latest read counts. The tests pass the ticket of the read that they answer; their bounds are unchanged.

--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -11,7 +11,7 @@
 use mustardway_flow::note::Note;
 use mustardway_flow::packet::Packet;
 use mustardway_flow::token::Token;
-use mustardway_mirror::node::{Answer, Failure, Query};
+use mustardway_mirror::node::{Answer, Failure, Query, Ticket};
 use mustardway_mirror::publication::Item;
 use mustardway_types::time::{Instant, Span};
 use mustardway_types::{domain, instance, service, target};
@@ -58,6 +58,17 @@
     Reset { host: Option<usize> },
 }
 
+/// A query of an instance to the platform.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Call {
+    pub(crate) host: usize,
+    pub(crate) incarnation: u32,
+    pub(crate) ticket: Ticket,
+    pub(crate) query: Query,
+    /// Time at which the query arrived at the platform.
+    pub(crate) asked: Instant,
+}
+
 /// An event of the simulation.
 ///
 /// An event that carries an incarnation or a generation has no effect on a later one.
@@ -86,9 +97,9 @@
     /// A message arrives at an instance.
     Frame { from: usize, to: usize, frame: Frame },
     /// A query of an instance, `asked` at the given time, is due at the platform.
-    PlatformCall { host: usize, incarnation: u32, query: Query, asked: Instant },
+    PlatformCall(Call),
     /// The platform's answer, or the failure of the call, reaches the instance.
-    PlatformAnswer { host: usize, incarnation: u32, answer: Result<Answer, Failure> },
+    PlatformAnswer(Call, Result<Answer, Failure>),
     /// The outcome of a probe reaches the instance.
     ProbeResult { host: usize, incarnation: u32, id: target::Id, outcome: Outcome },
     /// The routers' next readiness check is due.
@@ -301,12 +312,8 @@
             Event::Tick { host, incarnation } => self.tick(host, incarnation),
             Event::Arrival(arrival) => self.receive(*arrival),
             Event::Frame { from, to, frame } => self.receive_frame(from, to, frame),
-            Event::PlatformCall { host, incarnation, query, asked } => {
-                self.call_platform(host, incarnation, query, asked);
-            }
-            Event::PlatformAnswer { host, incarnation, answer } => {
-                self.platform_answered(host, incarnation, answer);
-            }
+            Event::PlatformCall(call) => self.call_platform(call),
+            Event::PlatformAnswer(call, answer) => self.platform_answered(call, answer),
             Event::ProbeResult { host, incarnation, id, outcome } => {
                 self.probe_finished(host, incarnation, id, outcome);
             }
--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -7,11 +7,11 @@
 use mustardway_mirror::node::{self as mirror, Answer, Failure, Query};
 use mustardway_mirror::topology::Topology;
 use mustardway_types::target;
-use mustardway_types::time::{Instant, Span};
+use mustardway_types::time::Span;
 
 use rand::RngExt;
 
-use super::{Event, TICK_INTERVAL, World};
+use super::{Call, Event, TICK_INTERVAL, World};
 use crate::arrival::{Arrival, Deadline};
 use crate::host::{self, Frame};
 use crate::network::Partition;
@@ -65,13 +65,8 @@
 
     /// Handles a query at the platform, which was `asked` now or before: schedules its
     /// answer, or holds it while there is no change and time to wait.
-    pub(super) fn call_platform(
-        &mut self,
-        host: usize,
-        incarnation: u32,
-        query: Query,
-        asked: Instant,
-    ) {
+    pub(super) fn call_platform(&mut self, call: Call) {
+        let Call { host, query, asked, .. } = call;
         let platform = self.site.domains.len();
         let domain = self.hosts[host].domain;
         let partition = self.network.partition(domain, platform);
@@ -87,36 +82,31 @@
         if self.now < asked + wait
             && matches!(&answer, Ok(Answer::Since(_, changes)) if changes.is_empty())
         {
-            let next = Event::PlatformCall { host, incarnation, query, asked };
-            self.queue.add(self.now + HOLD_STEP, next);
+            self.queue.add(self.now + HOLD_STEP, Event::PlatformCall(call));
             return;
         }
         let took = PLATFORM_DELAY + self.platform.delay;
         let is_lost = self.platform.loss > 0.0 && self.rng.random_bool(self.platform.loss);
         let answered_at = self.now + took;
         let begins_by = asked + wait + PLATFORM_TIMEOUT;
-        let failure = Event::PlatformAnswer { host, incarnation, answer: Err(Failure::Timeout) };
+        let failure = Event::PlatformAnswer(call, Err(Failure::Timeout));
         if is_lost || answered_at >= begins_by || answer == Err(Failure::Timeout) {
             self.queue.add(begins_by, failure);
             return;
         }
         let timeout = Deadline { at: answered_at + ANSWER_TIMEOUT, event: failure };
         let bytes = platform::answer_bytes(&answer);
-        let event = Event::PlatformAnswer { host, incarnation, answer };
+        let event = Event::PlatformAnswer(call, answer);
         let arrival = Arrival { host, bytes, event, deadline: Some(timeout) };
         self.queue.add(answered_at, Event::Arrival(Box::new(arrival)));
     }
 
     /// Delivers the platform's answer to the instance that asked.
-    pub(super) fn platform_answered(
-        &mut self,
-        host: usize,
-        incarnation: u32,
-        answer: Result<Answer, Failure>,
-    ) {
+    pub(super) fn platform_answered(&mut self, call: Call, answer: Result<Answer, Failure>) {
+        let Call { host, incarnation, ticket, .. } = call;
         if self.hosts[host].alive && self.hosts[host].incarnation == incarnation {
             self.report.platform_timeouts += u32::from(answer == Err(Failure::Timeout));
-            self.deliver_to_mirror(host, mirror::Event::Answer(answer));
+            self.deliver_to_mirror(host, mirror::Event::Answer(ticket, answer));
         }
     }
 
@@ -183,10 +173,11 @@
         let incarnation = self.hosts[host].incarnation;
         for action in actions {
             match action {
-                mirror::Action::Read(query) => {
+                mirror::Action::Read(ticket, query) => {
                     let at = self.now + self.network.delay(0, 1);
                     self.report.platform_calls += 1;
-                    self.queue.add(at, Event::PlatformCall { host, incarnation, query, asked: at });
+                    let call = Call { host, incarnation, ticket, query, asked: at };
+                    self.queue.add(at, Event::PlatformCall(call));
                 }
                 mirror::Action::Send { to, message } => {
                     if let Some(to) = host::index(&to) {
--- a/crates/mustardway_flow/tests/delayed_confirmation.rs
+++ b/crates/mustardway_flow/tests/delayed_confirmation.rs
@@ -62,7 +62,8 @@
         let answer = Answer::Full(version(1), updates.collect());
         let started = harness.now;
         let mut instance = Instance { harness, mirror, started };
-        instance.handle(MirrorEvent::Answer(Ok(answer)));
+        let ticket = instance.mirror.reading().expect("a read is in flight");
+        instance.handle(MirrorEvent::Answer(ticket, Ok(answer)));
         instance
     }
 
--- a/crates/mustardway_flow/tests/unreachable_domains.rs
+++ b/crates/mustardway_flow/tests/unreachable_domains.rs
@@ -76,7 +76,7 @@
                 from: common::peer(1),
                 target: id(5),
                 is_lost: false,
-            })
+            });
         },
         |harness| harness.handle(Event::Probed(id(20), Outcome::Alive)),
         |harness| respond(harness, 77, 30),
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -168,9 +168,9 @@
         match input {
             Input::Frame { from, kind, body } => self.handle_frame(&from, kind, body, now),
             Input::LinkDown(id) => self.handle_membership_event(event::Event::LinkDown(id), now),
-            Input::Answer(answer, took) => {
+            Input::Answer(ticket, answer, took) => {
                 self.context.metrics.observe_platform_call(&answer, took);
-                self.handle_mirror_event(mirror::Event::Answer(answer), now);
+                self.handle_mirror_event(mirror::Event::Answer(ticket, answer), now);
             }
             Input::Probed(target, outcome) => {
                 self.report.log_probe(&target, outcome, now);
@@ -351,7 +351,7 @@
     fn apply_mirror_action(&mut self, action: mirror::Action, now: Instant) {
         let logger = &self.context.logger;
         match action {
-            mirror::Action::Read(ask) => {
+            mirror::Action::Read(ticket, ask) => {
                 let (store, inputs) =
                     (Arc::clone(&self.context.adapter.store), self.context.inputs.clone());
                 let clock = self.context.clock;
@@ -359,7 +359,7 @@
                     let answer = store.fetch(ask).await;
                     let took = clock.now().since(now);
                     // Fails only after the dispatcher has shut down.
-                    let _ = inputs.send(Input::Answer(answer, took)).await;
+                    let _ = inputs.send(Input::Answer(ticket, answer, took)).await;
                 });
             }
             mirror::Action::Send { to, message } => {
--- a/crates/mustardway_front/src/input.rs
+++ b/crates/mustardway_front/src/input.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use mustardway_flow::health::Outcome;
-use mustardway_mirror::node::{Answer, Failure};
+use mustardway_mirror::node::{Answer, Failure, Ticket};
 use mustardway_peer::frame::Kind;
 use mustardway_types::time::Span;
 use mustardway_types::{instance, target};
@@ -21,8 +21,8 @@
     },
     /// The link to this peer broke.
     LinkDown(instance::Id),
-    /// Result of a read of the platform's store, and how long the read took.
-    Answer(Result<Answer, Failure>, Span),
+    /// Result of a read of the platform, and how long the read took.
+    Answer(Ticket, Result<Answer, Failure>, Span),
     /// Outcome of a probe of this target.
     Probed(target::Id, Outcome),
 }
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -64,6 +64,10 @@
     },
 }
 
+/// Number of a read of the platform. It tells the answers of two reads apart.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Ticket(pub u64);
+
 /// The platform's answer to a [`Query`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
@@ -136,8 +140,8 @@
 pub enum Event {
     /// Time has passed. A tick is due at least every 50 ms.
     Tick,
-    /// The answer to the latest [`Action::Read`].
-    Answer(Result<Answer, Failure>),
+    /// The answer to an [`Action::Read`]. Only that to the latest one has an effect.
+    Answer(Ticket, Result<Answer, Failure>),
     /// A message arrived from a peer.
     Received {
         /// Peer that sent the message.
@@ -154,8 +158,8 @@
 /// Output of a [`Node`].
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Read the platform. At most one read is in flight at a time.
-    Read(Query),
+    /// Read the platform. At most one read is in flight at a time, except after a pause.
+    Read(Ticket, Query),
     /// Send a message to a peer. The message may be lost.
     Send {
         /// Peer to send the message to.
@@ -194,8 +198,9 @@
     /// instance.
     confirmed: Option<Instant>,
     started: Instant,
-    /// Start time of the read in flight.
-    read_started: Option<Instant>,
+    /// The read in flight and its start time.
+    reading: Option<(Ticket, Instant)>,
+    last_ticket: Ticket,
     next_read: Instant,
     next_pull: Instant,
     /// Earliest time at which a full state may be sent to a peer again.
@@ -223,7 +228,8 @@
             topology: Topology::default(),
             confirmed: None,
             started: now,
-            read_started: None,
+            reading: None,
+            last_ticket: Ticket::default(),
             next_read: now,
             next_pull: now + PULL_INTERVAL,
             next_full_state: now,
@@ -244,6 +250,11 @@
         &self.replica
     }
 
+    /// Returns the ticket of the read in flight.
+    pub fn reading(&self) -> Option<Ticket> {
+        self.reading.map(|(ticket, _)| ticket)
+    }
+
     /// Returns the time since the platform last confirmed the replica's state, or
     /// `None` before the first confirmation.
     pub fn age(&self, now: Instant) -> Option<Span> {
@@ -254,7 +265,7 @@
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Tick => {}
-            Event::Answer(answer) => self.take_answer(answer, now, actions),
+            Event::Answer(ticket, answer) => self.take_answer(ticket, answer, now, actions),
             Event::Received { from, message } => self.receive(from, message, now, actions),
             Event::Topology(topology) => self.topology = topology,
             Event::Paused(span) => self.take_pause(span, now),
@@ -266,17 +277,17 @@
     }
 
     /// Adds the time that the clock missed to the replica's age and reads without
-    /// backoff.
+    /// backoff. The answer to a read from before the pause shows the state as it was then.
     fn take_pause(&mut self, span: Span, now: Instant) {
         self.confirmed = self.confirmed.map(|at| at - span);
-        self.read_started = None;
+        self.reading = None;
         self.next_read = now;
         self.backoff = BACKOFF_MIN;
     }
 
     /// Reads the platform if the replica is older than the staleness limit.
     fn read_if_due(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.read_started.is_some() || now < self.next_read || self.offers.holds_reads(now) {
+        if self.reading.is_some() || now < self.next_read || self.offers.holds_reads(now) {
             return;
         }
         let is_settling = now.since(self.started) < SETTLING_TIME;
@@ -293,18 +304,21 @@
             true => Query::Full,
             false => Query::Since { after: version.number, wait: LONG_POLL_WAIT },
         };
-        self.read_started = Some(now);
+        self.last_ticket.0 += 1;
+        self.reading = Some((self.last_ticket, now));
         self.jitter = Span(self.rng.random_range(0..=JITTER_MAX.0));
-        actions.push(Action::Read(query));
+        actions.push(Action::Read(self.last_ticket, query));
     }
 
     fn take_answer(
         &mut self,
+        ticket: Ticket,
         answer: Result<Answer, Failure>,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        let Some(since) = self.read_started.take() else { return };
+        let reading = self.reading.take_if(|(latest, _)| *latest == ticket);
+        let Some((_, since)) = reading else { return };
         let answer = match answer {
             Ok(answer) => answer,
             Err(failure) => return self.take_failure(failure, now, actions),
--- a/crates/mustardway_mirror/tests/arbitrary_messages.rs
+++ b/crates/mustardway_mirror/tests/arbitrary_messages.rs
@@ -77,7 +77,7 @@
             node.handle(now, Event::Received { from: instance(1), message }, &mut actions);
             prop_assert!(node.replica().version() >= last, "the version went back");
             last = node.replica().version();
-            let reads = actions.iter().filter(|action| matches!(action, Action::Read(_))).count();
+            let reads = actions.iter().filter(|action| matches!(action, Action::Read(..))).count();
             prop_assert!(reads <= 1);
         }
         Ok(())
--- a/crates/mustardway_mirror/tests/common/mod.rs
+++ b/crates/mustardway_mirror/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use mustardway_mirror::message::{Message, Push};
-use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query};
+use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query, Ticket};
 use mustardway_mirror::publication::{
     Change, Configuration, Item, Key, Registration, Repeat, Route, Share, Update,
 };
@@ -79,6 +79,14 @@
     Change::Put(Item::Configuration(Arc::new(configuration)))
 }
 
+/// Answers the read in flight of an instance.
+pub fn answer(node: &mut Node, now: Instant, answer: Result<Answer, Failure>) -> Vec<Action> {
+    let ticket = node.reading().expect("a read is in flight");
+    let mut actions = Vec::new();
+    node.handle(now, Event::Answer(ticket, answer), &mut actions);
+    actions
+}
+
 /// A simulated platform with its published items and their changes.
 #[derive(Default)]
 pub struct Platform {
@@ -158,8 +166,8 @@
 
 enum Delivery {
     Message { from: usize, message: Message },
-    Call(Query),
-    Answer(Result<Answer, Failure>),
+    Call(Ticket, Query),
+    Answer(Ticket, Result<Answer, Failure>),
 }
 
 /// The links of the instances. Each carries one message after the other.
@@ -309,7 +317,9 @@
         let at = self.now + STEP;
         for action in actions {
             match action {
-                Action::Read(query) => self.deliveries.push((at, number, Delivery::Call(query))),
+                Action::Read(ticket, query) => {
+                    self.deliveries.push((at, number, Delivery::Call(ticket, query)));
+                }
                 Action::Send { to, message } => {
                     let bytes = prost::Message::encoded_len(&message);
                     *self.sent.entry(number).or_default() += bytes;
@@ -359,7 +369,7 @@
                     self.handle_event(number, Event::Received { from: instance(from), message });
                 }
             }
-            Delivery::Call(query) => {
+            Delivery::Call(ticket, query) => {
                 let is_partitioned = self.partitioned.contains(&self.hosts[number].domain);
                 let answer = if is_partitioned || self.denied.contains(&number) {
                     self.platform.calls += 1;
@@ -369,9 +379,11 @@
                 };
                 let bytes = answer.as_ref().map_or(0, answer_bytes);
                 let at = self.links.receive(number, bytes, self.now + STEP);
-                self.deliveries.push((at, number, Delivery::Answer(answer)));
+                self.deliveries.push((at, number, Delivery::Answer(ticket, answer)));
+            }
+            Delivery::Answer(ticket, answer) => {
+                self.handle_event(number, Event::Answer(ticket, answer));
             }
-            Delivery::Answer(answer) => self.handle_event(number, Event::Answer(answer)),
         }
     }
 
--- a/crates/mustardway_mirror/tests/paused_reads.rs
+++ b/crates/mustardway_mirror/tests/paused_reads.rs
@@ -5,7 +5,7 @@
 
 use common::{configuration, domain, instance, put, version};
 use mustardway_mirror::message::{Body, Push};
-use mustardway_mirror::node::{Action, Answer, Event, Node, Query};
+use mustardway_mirror::node::{Action, Answer, Event, Node, Query, Ticket};
 use mustardway_mirror::publication::Update;
 use mustardway_mirror::topology::Topology;
 use mustardway_types::revision::Number;
@@ -28,7 +28,8 @@
         let live = names.iter().map(|name| (name, &home));
         harness.handle(Event::Topology(Topology::new(&names[0], &home, live)));
         let update = Update { number: Number(1), change: configuration(1) };
-        harness.handle(Event::Answer(Ok(Answer::Full(version(0, 1), vec![update]))));
+        let ticket = harness.reading();
+        harness.handle(Event::Answer(ticket, Ok(Answer::Full(version(0, 1), vec![update]))));
         harness
     }
 
@@ -42,13 +43,17 @@
         self.node.age(self.now).expect("the platform has confirmed the state")
     }
 
+    fn reading(&self) -> Ticket {
+        self.node.reading().expect("a read is in flight")
+    }
+
     /// Advances the clock until the instance reads the platform.
-    fn advance_to_read(&mut self) {
+    fn advance_to_read(&mut self) -> Ticket {
         for _ in 0..100 {
             self.now = self.now + Span::millis(50);
             let actions = self.handle(Event::Tick);
-            if actions.iter().any(|action| matches!(action, Action::Read(Query::Since { .. }))) {
-                return;
+            if actions.iter().any(|action| matches!(action, Action::Read(_, Query::Since { .. }))) {
+                return self.reading();
             }
         }
         panic!("the instance does not read");
@@ -58,7 +63,7 @@
     fn pause(&mut self) {
         self.now = self.now + PAUSE;
         let actions = self.handle(Event::Paused(Span::ZERO));
-        assert!(actions.iter().any(|action| matches!(action, Action::Read(_))));
+        assert!(actions.iter().any(|action| matches!(action, Action::Read(..))));
     }
 }
 
@@ -66,9 +71,9 @@
 #[test]
 fn earlier_answer_does_not_confirm_the_state() {
     let mut harness = Harness::new();
-    harness.advance_to_read();
+    let earlier = harness.advance_to_read();
     harness.pause();
-    harness.handle(Event::Answer(Ok(Answer::Since(version(0, 1), Vec::new()))));
+    harness.handle(Event::Answer(earlier, Ok(Answer::Since(version(0, 1), Vec::new()))));
     assert!(harness.age() >= PAUSE, "the state counts as {} old", harness.age());
 }
 
@@ -76,11 +81,12 @@
 #[test]
 fn answer_after_an_earlier_one_is_applied() {
     let mut harness = Harness::new();
-    harness.advance_to_read();
+    let earlier = harness.advance_to_read();
     harness.pause();
-    harness.handle(Event::Answer(Ok(Answer::Since(version(0, 1), Vec::new()))));
+    harness.handle(Event::Answer(earlier, Ok(Answer::Since(version(0, 1), Vec::new()))));
     let update = Update { number: Number(2), change: put(1, false) };
-    harness.handle(Event::Answer(Ok(Answer::Since(version(0, 2), vec![update]))));
+    let ticket = harness.reading();
+    harness.handle(Event::Answer(ticket, Ok(Answer::Since(version(0, 2), vec![update]))));
     assert_eq!(harness.node.replica().version(), version(0, 2));
 }
 
--- a/crates/mustardway_mirror/tests/replica_order.rs
+++ b/crates/mustardway_mirror/tests/replica_order.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use assert_matches::assert_matches;
-use common::{Platform, configuration, instance, put, target, version};
+use common::{Platform, answer, configuration, instance, put, target, version};
 use mustardway_mirror::message::{Body, Push};
 use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query, Usage};
 use mustardway_mirror::publication::{Change, Key, Update};
@@ -34,9 +34,8 @@
 fn reader(platform: &mut Platform) -> Node {
     let mut node = Node::new(1, start());
     let actions = handle(&mut node, start(), Event::Tick);
-    assert_matches!(actions[..], [Action::Read(Query::Full)]);
-    let answer = platform.answer(Query::Full);
-    handle(&mut node, start(), Event::Answer(answer));
+    assert_matches!(actions[..], [Action::Read(_, Query::Full)]);
+    answer(&mut node, start(), platform.answer(Query::Full));
     node
 }
 
@@ -63,8 +62,8 @@
     platform.publish(configuration(2));
     let mut node = reader(&mut platform);
     let later = start() + LATER;
-    assert_matches!(handle(&mut node, later, Event::Tick)[..], [Action::Read(_)]);
-    let actions = handle(&mut node, later, Event::Answer(stale));
+    assert_matches!(handle(&mut node, later, Event::Tick)[..], [Action::Read(..)]);
+    let actions = answer(&mut node, later, stale);
     assert!(!actions.iter().any(|action| matches!(action, Action::Changed(_))));
     assert_eq!(node.age(later), Some(LATER), "a stale answer must not confirm the replica");
 }
@@ -77,12 +76,12 @@
     let mut node = reader(&mut platform);
     let later = start() + LATER;
     handle(&mut node, later, Event::Tick);
-    let actions = handle(&mut node, later, Event::Answer(Err(Failure::Forgotten)));
-    assert_matches!(actions[..], [Action::Read(Query::Full)]);
+    let actions = answer(&mut node, later, Err(Failure::Forgotten));
+    assert_matches!(actions[..], [Action::Read(_, Query::Full)]);
     assert_eq!(node.replica().items().count(), 2, "the items are kept until the full read");
     platform.publish(Change::Removed(Key::Target(target(1))));
     let full = platform.answer(Query::Full);
-    let actions = handle(&mut node, later, Event::Answer(full));
+    let actions = answer(&mut node, later, full);
     assert!(actions.contains(&Action::Changed(vec![Change::Removed(Key::Target(target(1)))])));
 }
 
@@ -122,7 +121,7 @@
     let mut node = reader(&mut platform);
     let actions = handle(&mut node, start(), Event::Paused(Span::seconds(4)));
     assert_eq!(node.age(start()), Some(Span::seconds(4)));
-    assert_matches!(actions[..], [Action::Read(_)]);
+    assert_matches!(actions[..], [Action::Read(..)]);
 }
 
 /// After each of any mix of old and new changes and full states, the replica
@@ -215,9 +214,12 @@
     let topology = Topology { fleet_rank: 20, domain_rank: 5, ..Topology::default() };
     handle(&mut node, start(), Event::Topology(topology));
     let later = start() + LATER;
-    assert_matches!(handle(&mut node, later, Event::Tick)[..], [Action::Read(Query::Since { .. })]);
-    let actions = handle(&mut node, later, Event::Answer(Err(Failure::Forgotten)));
+    assert_matches!(
+        handle(&mut node, later, Event::Tick)[..],
+        [Action::Read(_, Query::Since { .. })]
+    );
+    let actions = answer(&mut node, later, Err(Failure::Forgotten));
     assert_eq!(actions, []);
     let actions = handle(&mut node, later + Span::millis(900), Event::Tick);
-    assert_matches!(actions[..], [Action::Read(Query::Full)], "it reads if nothing comes");
+    assert_matches!(actions[..], [Action::Read(_, Query::Full)], "it reads if nothing comes");
 }
--- a/crates/mustardway_mirror/tests/restored_platform.rs
+++ b/crates/mustardway_mirror/tests/restored_platform.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
-use common::{Fleet, Platform, configuration, domain, instance, put, target, version};
+use common::{Fleet, Platform, answer, configuration, domain, instance, put, target, version};
 use mustardway_mirror::message::{Body, Push};
 use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query};
 use mustardway_mirror::publication::{Change, Configuration, Item, Key, Registration, Update};
@@ -31,13 +31,12 @@
     let mut actions = handle(node, now, Event::Tick);
     loop {
         let query = actions.iter().find_map(|action| match action {
-            Action::Read(query) => Some(*query),
+            Action::Read(_, query) => Some(*query),
             _ => None,
         });
         let Some(query) = query else { return actions };
-        actions.retain(|action| !matches!(action, Action::Read(_)));
-        let answer = platform.answer(query);
-        actions.extend(handle(node, now, Event::Answer(answer)));
+        actions.retain(|action| !matches!(action, Action::Read(..)));
+        actions.extend(answer(node, now, platform.answer(query)));
     }
 }
 
@@ -219,8 +218,8 @@
     let held = node.replica().version();
     assert_eq!(held, version(1, 5));
     let now = now + LATER;
-    assert_matches!(handle(&mut node, now, Event::Tick)[..], [Action::Read(_)]);
-    let actions = handle(&mut node, now, Event::Answer(late));
+    assert_matches!(handle(&mut node, now, Event::Tick)[..], [Action::Read(..)]);
+    let actions = answer(&mut node, now, late);
     assert!(!actions.iter().any(|action| matches!(action, Action::Changed(_))), "{actions:?}");
     assert_eq!(node.replica().version(), held);
     assert_eq!(node.age(now), Some(LATER), "it confirms nothing");
@@ -485,8 +484,8 @@
     handle(&mut node, now, Event::Tick);
     let answer =
         Answer::Since(version(1, 9), vec![Update { number: Number(9), change: put(3, false) }]);
-    let actions = handle(&mut node, now, Event::Answer(Ok(answer)));
-    assert_matches!(actions[..], [Action::Read(Query::Full)]);
+    let actions = common::answer(&mut node, now, Ok(answer));
+    assert_matches!(actions[..], [Action::Read(_, Query::Full)]);
     assert_eq!(node.replica().version(), version(0, 1));
 }
 
@@ -522,10 +521,10 @@
     let mut node = reader(&mut platform);
     let now = start() + LATER;
     handle(&mut node, now, Event::Tick);
-    let actions = handle(&mut node, now, Event::Answer(Err(Failure::Forgotten)));
-    assert_matches!(actions[..], [Action::Read(Query::Full)]);
-    let actions = handle(&mut node, now, Event::Answer(Err(Failure::Refused)));
-    assert!(!actions.iter().any(|action| matches!(action, Action::Read(_))), "{actions:?}");
+    let actions = answer(&mut node, now, Err(Failure::Forgotten));
+    assert_matches!(actions[..], [Action::Read(_, Query::Full)]);
+    let actions = answer(&mut node, now, Err(Failure::Refused));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Read(..))), "{actions:?}");
 }
 
 /// A step of a random history.
