Mirror: only the answer to a question confirms the published state

Callers: an open flow of a target that was just registered is reset, or an opening packet of a route that was just added, by an instance whose replica counts as fresh although it is seconds old.

Cause: a push tells the age of the state when it was made. The time that it then spends in queues, on a full link or in a paused process is missing, so a late push makes the replica look current, and the wrong age is passed on. Class: old evidence that counts as new.

Change: pulls carry the time at which they are sent, and the answer repeats it. The state is confirmed as of that time less the age in the answer; what a peer says unasked brings changes and at most causes a question, one at a time to a peer. A confirmation is forwarded once it is answered, with the age known here. Answers to questions from before a pause do not count. Confirmations of a change that is on its way are not kept any more: who receives it asks anew.

--- a/crates/mustardway_emulator/src/rules.rs
+++ b/crates/mustardway_emulator/src/rules.rs
@@ -10,8 +10,6 @@
 
 /// Grace period after a disruption. Rules are not checked for what it affected.
 const IMPAIRMENT_GRACE: Span = Span::seconds(4);
-/// Time after a target's notice from which no new flow may reach it.
-const LEAVING_MAX: Span = Span::seconds(3);
 /// Time after the start of an evacuation from which no new flow may reach the failure
 /// domain.
 const EVACUATED_MAX: Span = Span::seconds(5);
@@ -69,7 +67,8 @@
         let is_cut = self.was_cut_from_platform(self.hosts[host].domain, now - IMPAIRMENT_GRACE);
         let server = &self.servers[target];
         let (id, domain) = (server.id.clone(), server.domain);
-        let is_overdue = server.leaving_since.is_some_and(|at| now.since(at) > LEAVING_MAX);
+        let leaving_time = self.site.leaving_time;
+        let is_overdue = server.leaving_since.is_some_and(|at| now.since(at) > leaving_time);
         if is_informed && !is_cut && is_overdue {
             self.record_violation(
                 Rule::Leaving,
--- a/crates/mustardway_emulator/src/site.rs
+++ b/crates/mustardway_emulator/src/site.rs
@@ -75,6 +75,8 @@
     pub wide_links: Vec<usize>,
     /// Time between two renewals of a target's registration on the platform.
     pub heartbeat_interval: Span,
+    /// Time after a target's notice from which no new flow may reach it.
+    pub leaving_time: Span,
     /// Time after which a published configuration has to be in force.
     pub in_force_time: Span,
 }
@@ -181,6 +183,7 @@
         link_bits_per_second: WIDE_LINK_BITS_PER_SECOND,
         wide_links: Vec::new(),
         heartbeat_interval: Span::millis(770),
+        leaving_time: Span::seconds(3),
         in_force_time: Span::seconds(3),
     }
 }
@@ -199,6 +202,7 @@
     }
     site.link_bits_per_second = 10e6;
     site.wide_links = vec![0, 2, 31, 33, 59, 61];
+    site.leaving_time = Span::seconds(5);
     site.in_force_time = Span::seconds(5);
     site
 }
--- a/crates/mustardway_mirror/src/message.rs
+++ b/crates/mustardway_mirror/src/message.rs
@@ -4,7 +4,7 @@
 //! in an unknown format is skipped alone.
 
 use mustardway_types::revision::{Era, Number, Version};
-use mustardway_types::time::Span;
+use mustardway_types::time::{Instant, Span};
 
 use crate::publication::{Departure, Update};
 
@@ -113,6 +113,9 @@
     /// Whether the receiver is not to pull the offered changes from the sender.
     #[prost(bool, tag = "10")]
     pub is_notice: bool,
+    /// The time in the [`Pull`] that this answers, or 0 if it was not asked for.
+    #[prost(uint64, tag = "11")]
+    pub asked_at: u64,
 }
 
 /// Request for the changes that are newer than the sender's replica.
@@ -124,12 +127,15 @@
     /// Era of the number in `have`.
     #[prost(uint64, tag = "2")]
     pub era: u64,
+    /// Time of the sender's clock in microseconds, which the answer repeats.
+    #[prost(uint64, tag = "3")]
+    pub asked_at: u64,
 }
 
 impl Pull {
-    /// Creates a request for the changes after `have`.
-    pub fn new(have: Version) -> Self {
-        Pull { have: have.number.0, era: have.era.0 }
+    /// Creates a request for the changes after `have`, sent at `now`.
+    pub fn new(have: Version, now: Instant) -> Self {
+        Pull { have: have.number.0, era: have.era.0, asked_at: now.0 }
     }
 
     /// Returns the version of the sender's replica.
@@ -158,6 +164,7 @@
             from_era: from.era.0,
             offered_bytes: 0,
             is_notice: false,
+            asked_at: 0,
         }
     }
 
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -6,6 +6,7 @@
 
 mod exchange;
 mod offers;
+mod questions;
 
 use displaydoc::Display;
 use mustardway_types::instance;
@@ -17,6 +18,7 @@
 use crate::departed::Tracker;
 use crate::message::{self, Body, DepartedRequest, Message, Push};
 use crate::node::offers::Offers;
+use crate::node::questions::Questions;
 use crate::publication::{Change, Departure, Update};
 use crate::replica::Replica;
 use crate::restoration::REWRITE_TIME;
@@ -207,6 +209,7 @@
     next_full_state: Instant,
     departed: Tracker,
     offers: Offers,
+    questions: Questions,
     backoff: Span,
     jitter: Span,
     /// Whether the platform no longer has the changes after the replica's number.
@@ -235,6 +238,7 @@
             next_full_state: now,
             departed: Tracker::default(),
             offers: Offers::default(),
+            questions: Questions::default(),
             backoff: BACKOFF_MIN,
             jitter: Span::ZERO,
             needs_full_read: false,
@@ -281,6 +285,7 @@
     fn take_pause(&mut self, span: Span, now: Instant) {
         self.confirmed = self.confirmed.map(|at| at - span);
         self.reading = None;
+        self.questions.forget(now);
         self.next_read = now;
         self.backoff = BACKOFF_MIN;
     }
@@ -369,7 +374,7 @@
             }
             None => self.push_after(from, age),
         };
-        self.push_changes(&push, actions);
+        self.push_changes(&push, now, actions);
     }
 
     /// Reports that the platform was restored since the version `from`.
@@ -408,7 +413,7 @@
             self.has_read_failed = true;
             actions.push(Action::Platform(Err(failure)));
         }
-        self.pull_from_random_peer(actions);
+        self.pull_from_random_peer(now, actions);
     }
 
     /// Reports the changes that the replica has just applied.
--- a/crates/mustardway_mirror/src/node/exchange.rs
+++ b/crates/mustardway_mirror/src/node/exchange.rs
@@ -14,11 +14,11 @@
 const FULL_STATE_BYTES_PER_SECOND: u64 = 128 * 1024;
 /// A confirmation of the known state is forwarded only if it is newer than the
 /// last one by more than this.
-pub(super) const CONFIRMATION_STEP: Span = Span::millis(200);
+const CONFIRMATION_STEP: Span = Span::millis(200);
 
 impl Node {
     /// Sends a push to the relays and the neighbours.
-    pub(super) fn push_changes(&mut self, push: &Push, actions: &mut Vec<Action>) {
+    pub(super) fn push_changes(&mut self, push: &Push, now: Instant, actions: &mut Vec<Action>) {
         let push = Push { relay: true, ..Offers::offer_if_large(push) };
         for relay in self.topology.relays.clone() {
             if push.is_offer() {
@@ -27,13 +27,26 @@
             self.send_push(relay.id, push.clone(), actions);
         }
         if let Some(me) = self.topology.me.clone() {
-            self.forward(&push, &me, actions);
+            self.forward(&push, &me, now, actions);
         }
     }
 
     /// Forwards a push down the tree of this failure domain that starts at `root`.
-    pub(super) fn forward(&mut self, push: &Push, root: &instance::Id, actions: &mut Vec<Action>) {
-        let push = Push { root: root.to_string(), ..Offers::offer_if_large(push) };
+    pub(super) fn forward(
+        &mut self,
+        push: &Push,
+        root: &instance::Id,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let age_millis = self.age(now).map_or(push.age_millis, Span::as_millis);
+        let push = Push {
+            root: root.to_string(),
+            relay: true,
+            asked_at: 0,
+            age_millis,
+            ..Offers::offer_if_large(push)
+        };
         if push.is_offer() {
             self.send_notices(self.topology.grandchildren(root), &push, root, actions);
         }
@@ -47,9 +60,13 @@
         actions.push(Action::Send { to, message: Body::Push(push).into() });
     }
 
-    /// Returns the first instance of this failure domain that had or was offered the
-    /// changes. An invalid id comes from a peer of another version.
-    pub(super) fn root_of(&self, push: &Push) -> Option<instance::Id> {
+    /// Returns the root of the tree down which a push is to be forwarded: the first instance
+    /// of this failure domain that had or was offered the changes. An invalid id comes from
+    /// a peer of another version.
+    pub(super) fn forwarding_root(&self, push: &Push) -> Option<instance::Id> {
+        if !push.relay {
+            return None;
+        }
         match push.root.is_empty() {
             true => self.topology.me.clone(),
             false => push.root.parse().ok(),
@@ -76,31 +93,32 @@
     ) {
         match message.body {
             Some(Body::Push(push)) => self.take_push(from, &push, now, actions),
-            Some(Body::Pull(pull)) => self.answer_pull(from, pull.version(), now, actions),
+            Some(Body::Pull(pull)) => self.answer_pull(from, &pull, now, actions),
             Some(Body::DepartedRequest(_)) => self.answer_departed_request(from, now, actions),
             Some(Body::Departed(departed)) => self.take_departed(from, &departed, actions),
             None => {}
         }
     }
 
-    /// Answers the pull of a peer that has the version `have`.
+    /// Answers the pull of a peer.
     pub(super) fn answer_pull(
         &mut self,
         from: instance::Id,
-        have: Version,
+        pull: &Pull,
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
         let Some(age) = self.age(now) else { return };
-        let own = self.replica.version();
+        let (have, own) = (pull.version(), self.replica.version());
         if have > own {
             return;
         }
         if have == own && self.offers.is_incoming(now) {
-            self.offers.wait(from.clone(), have);
+            self.offers.wait(from.clone(), pull.clone());
         }
         if let Some(difference) = self.offers.difference_from(have, own) {
-            let push = Push { age_millis: age.as_millis(), relay: false, ..difference.clone() };
+            let difference = Push { age_millis: age.as_millis(), ..difference.clone() };
+            let push = Push { relay: false, asked_at: pull.asked_at, ..difference };
             actions.push(Action::Send { to: from, message: Body::Push(push).into() });
             return;
         }
@@ -110,7 +128,7 @@
             // The peer soon pulls from another instance.
             return;
         }
-        let push = self.push_after(have, age);
+        let push = Push { asked_at: pull.asked_at, ..self.push_after(have, age) };
         if is_full {
             let micros = push.size() as u64 * 1_000_000 / FULL_STATE_BYTES_PER_SECOND;
             self.next_full_state = now + Span(micros);
@@ -154,17 +172,21 @@
         let continues = push.is_full() || if is_difference { first == own } else { first <= own };
         if !continues {
             if !self.offers.is_incoming(now) {
-                self.send_pull(from, actions);
-            } else if push.changes.is_empty() {
-                self.take_early_confirmation(push, now, actions);
+                self.ask(from, self.forwarding_root(push), now, actions);
             }
             return Usage::Detached;
         }
-        let at = now - Span::millis(push.age_millis);
         let is_newer = last > own;
-        if !is_newer && self.confirmed.is_some_and(|known| at <= known + CONFIRMATION_STEP) {
-            // Another reader has confirmed the same state. Forwarding both would
-            // multiply the messages.
+        let confirmed = self.confirmed_by(push, now);
+        let claimed = now - Span::millis(push.age_millis);
+        if !is_newer {
+            match confirmed {
+                Some(at) => self.take_confirmation(from, push, at, now, actions),
+                None if self.is_news(claimed) => {
+                    self.ask(from, self.forwarding_root(push), now, actions);
+                }
+                None => {}
+            }
             return Usage::Known;
         }
         let (changes, undecodable) = push.decode();
@@ -186,23 +208,47 @@
             }
         }
         // The changes before this version are not needed any more.
-        self.needs_full_read &= !is_newer;
-        self.confirm(at);
+        self.needs_full_read = false;
+        let is_news = self.is_news(claimed);
+        if let Some(at) = confirmed {
+            self.confirm(at);
+        }
         self.report_changes(applied, now, actions);
-        if is_newer {
-            self.settle_offers(Some(from), now, actions);
+        self.settle_offers(Some(from), now, actions);
+        let root = self.forwarding_root(push).or_else(|| self.take_question(from));
+        if let Some(root) = &root {
+            self.forward(push, root, now, actions);
         }
-        let usage = if is_newer { Usage::New } else { Usage::Known };
-        if !push.relay {
-            return usage;
+        if confirmed.is_none() && is_news {
+            self.ask(from, root, now, actions);
         }
-        let confirmation =
-            Push { from: push.to, from_era: push.era, changes: Vec::new(), ..push.clone() };
-        let push = if is_newer { push } else { &confirmation };
-        if let Some(root) = self.root_of(push) {
-            self.forward(push, &root, actions);
+        Usage::New
+    }
+
+    /// Handles the answer to a question whose sender has the same state, which the
+    /// platform showed at `at`.
+    fn take_confirmation(
+        &mut self,
+        from: &instance::Id,
+        push: &Push,
+        at: Instant,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let root = self.take_question(from);
+        let is_news = self.is_news(at);
+        self.confirm(at);
+        if let Some(root) = root.filter(|_| is_news) {
+            let confirmation = Push { from: push.to, from_era: push.era, ..push.clone() };
+            let confirmation = Push { changes: Vec::new(), ..confirmation };
+            self.forward(&confirmation, &root, now, actions);
         }
-        usage
+    }
+
+    /// Returns whether a confirmation at `at` tells more than what is known. If several
+    /// readers confirm the same state, forwarding all would multiply the messages.
+    fn is_news(&self, at: Instant) -> bool {
+        self.confirmed.is_none_or(|known| at > known + CONFIRMATION_STEP)
     }
 
     /// Pulls from a random peer while the replica is empty.
@@ -211,17 +257,16 @@
             return;
         }
         self.next_pull = now + PULL_INTERVAL;
-        self.pull_from_random_peer(actions);
+        self.pull_from_random_peer(now, actions);
     }
 
     /// Pulls what is newer than the replica from a random peer.
-    pub(super) fn pull_from_random_peer(&mut self, actions: &mut Vec<Action>) {
+    pub(super) fn pull_from_random_peer(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let peers = self.topology.peers();
         if peers.is_empty() {
             return;
         }
-        let to = peers[self.rng.random_range(0..peers.len())];
-        let message = Body::Pull(Pull::new(self.replica.version())).into();
-        actions.push(Action::Send { to: to.clone(), message });
+        let to = peers[self.rng.random_range(0..peers.len())].clone();
+        self.send_pull(&to, now, actions);
     }
 }
--- a/crates/mustardway_mirror/src/node/offers.rs
+++ b/crates/mustardway_mirror/src/node/offers.rs
@@ -15,7 +15,6 @@
 use mustardway_types::revision::Version;
 use mustardway_types::time::{Instant, Span};
 
-use super::exchange::CONFIRMATION_STEP;
 use super::{Action, Node};
 use crate::message::{Body, Pull, Push};
 
@@ -42,8 +41,8 @@
     from: instance::Id,
     /// Time at which the pull counts as lost.
     pull_until: Instant,
-    /// Latest time at which the platform confirmed this version to any instance.
-    confirmed: Option<Instant>,
+    /// Root of the tree down which the offer was forwarded.
+    root: Option<instance::Id>,
 }
 
 /// Changes that were offered by or to this instance.
@@ -58,8 +57,8 @@
     /// Version that was last offered or noticed, and the roots of the trees down which
     /// that was forwarded.
     forwarded: (Version, Vec<instance::Id>),
-    /// Peers whose pulls wait for the incoming change, and the versions they have.
-    waiting: BTreeMap<instance::Id, Version>,
+    /// Pulls of peers that wait for the incoming change.
+    waiting: BTreeMap<instance::Id, Pull>,
     /// Peers that were offered the latest change and have not pulled it.
     offered: BTreeSet<instance::Id>,
     /// The latest difference between two eras, which is not in the history.
@@ -122,9 +121,9 @@
     }
 
     /// Lets the pull of a peer that has the same version wait for the incoming change.
-    pub(super) fn wait(&mut self, peer: instance::Id, have: Version) {
+    pub(super) fn wait(&mut self, peer: instance::Id, pull: Pull) {
         if self.waiting.len() < WAITING_MAX {
-            self.waiting.insert(peer, have);
+            self.waiting.insert(peer, pull);
         }
     }
 
@@ -163,16 +162,15 @@
         let incoming = self.offers.incoming.as_ref();
         let is_coming = incoming.is_some_and(|it| it.version >= version && now < it.pull_until);
         if !push.is_notice && !is_coming {
-            self.send_pull(from, actions);
-            let from = from.clone();
-            let incoming = Incoming { version, from, pull_until: until, confirmed: None };
-            self.offers.incoming = Some(incoming);
+            self.send_pull(from, now, actions);
+            let (from, root) = (from.clone(), self.forwarding_root(push));
+            self.offers.incoming = Some(Incoming { version, from, pull_until: until, root });
         }
-        let Some(root) = self.root_of(push).filter(|_| push.relay) else { return };
+        let Some(root) = self.forwarding_root(push) else { return };
         // An instance that pulls the change forwards the offer although it has forwarded
         // the notice.
         if self.offers.start_forwarding(version, &root) || !push.is_notice && !is_coming {
-            self.forward(push, &root, actions);
+            self.forward(push, &root, now, actions);
         }
     }
 
@@ -191,28 +189,6 @@
         }
     }
 
-    /// Handles a confirmation of a version that is on its way. It counts once the change
-    /// has arrived, and is forwarded at once.
-    pub(super) fn take_early_confirmation(
-        &mut self,
-        push: &Push,
-        now: Instant,
-        actions: &mut Vec<Action>,
-    ) {
-        let at = now - Span::millis(push.age_millis);
-        let Some(incoming) = &mut self.offers.incoming else { return };
-        let is_late = incoming.confirmed.is_some_and(|known| at <= known + CONFIRMATION_STEP);
-        if incoming.version != push.last() || is_late {
-            return;
-        }
-        incoming.confirmed = Some(at);
-        if let Some(root) = self.root_of(push)
-            && push.relay
-        {
-            self.forward(push, &root, actions);
-        }
-    }
-
     /// Answers the pulls that wait for the change that has just arrived from `peer`, or
     /// from the platform. If the peer that was pulled from sent less than it had offered,
     /// pulls again.
@@ -226,26 +202,20 @@
         match self.offers.incoming.take() {
             Some(incoming) if incoming.version > own => {
                 if peer == Some(&incoming.from) {
-                    self.send_pull(&incoming.from, actions);
+                    self.send_pull(&incoming.from, now, actions);
                 }
                 self.offers.incoming = Some(incoming);
             }
-            Some(incoming) if incoming.version == own => {
-                if let Some(at) = incoming.confirmed {
-                    self.confirm(at);
-                }
+            // The change was asked for when it was offered, which may be long ago.
+            Some(incoming) if peer.is_some() => {
+                self.ask(&incoming.from, incoming.root, now, actions);
             }
             _ => {}
         }
-        for (peer, have) in std::mem::take(&mut self.offers.waiting) {
-            self.answer_pull(peer, have, now, actions);
+        for (peer, pull) in std::mem::take(&mut self.offers.waiting) {
+            self.answer_pull(peer, &pull, now, actions);
         }
     }
-
-    pub(super) fn send_pull(&self, to: &instance::Id, actions: &mut Vec<Action>) {
-        let message = Body::Pull(Pull::new(self.replica.version())).into();
-        actions.push(Action::Send { to: to.clone(), message });
-    }
 }
 
 /// Returns the time within which an offered change arrives, if `copies` of it are sent
