Mirror: pulls of peers that are ahead wait too; no wait for a peer whose link broke

Callers: a change comes into force up to 3 s late.

Causes: a pull was dropped if the peer had a newer state than this instance, although a still newer change was on its way here; the peer held its reads meanwhile.

Change: pulls wait if their sender has the same or a newer state; a broken link ends the wait for the change that was pulled over it. A host that loses power breaks no link: then the wait ends as before, after 3 s at most.

--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -153,6 +153,8 @@
     },
     /// The live instances, and with them this instance's topology, have changed.
     Topology(Topology),
+    /// The link to a peer broke.
+    Disconnected(instance::Id),
     /// The process did not run, and the clock missed this much of the pause.
     Paused(Span),
 }
@@ -272,6 +274,7 @@
             Event::Answer(ticket, answer) => self.take_answer(ticket, answer, now, actions),
             Event::Received { from, message } => self.receive(from, message, now, actions),
             Event::Topology(topology) => self.topology = topology,
+            Event::Disconnected(peer) => self.offers.forget_peer(&peer, now),
             Event::Paused(span) => self.take_pause(span, now),
         }
         self.finish_restore_if_due(now, actions);
--- a/crates/mustardway_mirror/src/node/exchange.rs
+++ b/crates/mustardway_mirror/src/node/exchange.rs
@@ -110,12 +110,12 @@
     ) {
         let Some(age) = self.age(now) else { return };
         let (have, own) = (pull.version(), self.replica.version());
+        if have >= own && self.offers.is_incoming(now) {
+            self.offers.wait(from.clone(), pull.clone());
+        }
         if have > own {
             return;
         }
-        if have == own && self.offers.is_incoming(now) {
-            self.offers.wait(from.clone(), pull.clone());
-        }
         if let Some(difference) = self.offers.difference_from(have, own) {
             let difference = Push { age_millis: age.as_millis(), ..difference.clone() };
             let push = Push { relay: false, asked_at: pull.asked_at, ..difference };
--- a/crates/mustardway_mirror/src/node/offers.rs
+++ b/crates/mustardway_mirror/src/node/offers.rs
@@ -6,8 +6,8 @@
 //!
 //! Who was offered a change does not read the platform until it should have arrived.
 //! Otherwise all replicas would grow too old meanwhile, and every instance would read
-//! it. Offers also go, as mere notices, one step further down the tree than the
-//! change, because an instance whose link is busy handles an offer late.
+//! it. Offers also go, as mere notices, two steps down the tree at a time, because an
+//! instance whose link is busy forwards an offer late.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -71,13 +71,21 @@
         now < self.hold_until
     }
 
+    /// Ends the wait for a change that was pulled from `peer`, whose link broke.
+    pub(super) fn forget_peer(&mut self, peer: &instance::Id, now: Instant) {
+        if self.incoming.take_if(|incoming| incoming.from == *peer).is_some() {
+            self.hold_until = now;
+        }
+    }
+
     /// Returns whether a change that is newer than the replica is on its way.
     pub(super) fn is_incoming(&self, now: Instant) -> bool {
         self.incoming.as_ref().is_some_and(|incoming| now < incoming.pull_until)
     }
 
     /// Holds reads until `until`, because `version` is on its way to an instance that has
-    /// `own`. A change that does not arrive must not hold reads again.
+    /// `own`. Reads are held once until that or a later version has arrived, so that a
+    /// change that does not arrive holds them no longer.
     fn hold_reads(&mut self, own: Version, version: Version, until: Instant) {
         if self.held_for <= own {
             self.held_for = version;
--- a/crates/mustardway_mirror/tests/large_changes.rs
+++ b/crates/mustardway_mirror/tests/large_changes.rs
@@ -4,10 +4,13 @@
 mod common;
 
 use common::Fleet;
-use mustardway_mirror::message::Push;
+use mustardway_mirror::message::{Body, Message, Pull, Push};
+use mustardway_mirror::node::{Action, Answer, Event, Node};
 use mustardway_mirror::publication::Update;
+use mustardway_mirror::topology::Topology;
+use mustardway_types::instance;
 use mustardway_types::revision::{Number, Version};
-use mustardway_types::time::Span;
+use mustardway_types::time::{Instant, Span};
 
 /// Bytes per second of a link of 10 Mbit/s.
 const NARROW_LINK: u64 = 1_250_000;
@@ -111,3 +114,61 @@
     assert!(*most <= 2 * size, "{most} bytes at one of {count} instances, {size} each");
     assert!(fleet.hosts.iter().all(|host| host.node.replica().version().era.0 == 1));
 }
+
+/// An instance with the state number 18, in a failure domain with two others.
+fn instance_at_18(now: Instant) -> (Node, Vec<instance::Id>) {
+    let names: Vec<_> = (0..3).map(common::instance).collect();
+    let home = common::domain(0);
+    let topology = Topology::new(&names[0], &home, names.iter().map(|name| (name, &home)));
+    let mut node = Node::new(1, now);
+    node.handle(now, Event::Topology(topology), &mut Vec::new());
+    let update = Update { number: Number(18), change: common::configuration(1) };
+    common::answer(&mut node, now, Ok(Answer::Full(common::version(0, 18), vec![update])));
+    (node, names)
+}
+
+/// Returns a push of a large configuration as number 20.
+fn large_push() -> Push {
+    let update = Update { number: Number(20), change: common::configuration_with(2, ROUTES) };
+    Push::new(common::version(0, 18), common::version(0, 20), 0, &[update])
+}
+
+fn receive(node: &mut Node, now: Instant, from: &instance::Id, body: Body) -> Vec<Action> {
+    let mut actions = Vec::new();
+    let event = Event::Received { from: from.clone(), message: body.into() };
+    node.handle(now, event, &mut actions);
+    actions
+}
+
+/// The peer has had a small change from elsewhere, which has not arrived here.
+#[test]
+fn pull_of_a_peer_that_is_ahead_waits_for_the_change() {
+    let now = Instant::default() + Span::seconds(3_600);
+    let (mut node, names) = instance_at_18(now);
+    let offer = Push { relay: true, ..large_push().to_offer() };
+    receive(&mut node, now, &names[1], Body::Push(offer));
+    let pull = Pull::new(common::version(0, 19), now);
+    receive(&mut node, now, &names[2], Body::Pull(pull));
+    let actions = receive(&mut node, now, &names[1], Body::Push(large_push()));
+    let is_answer = |action: &Action| match action {
+        Action::Send { to, message: Message { body: Some(Body::Push(push)) } } => {
+            *to == names[2] && push.to == 20 && push.size() > 0
+        }
+        _ => false,
+    };
+    assert!(actions.iter().any(is_answer), "{actions:?}");
+}
+
+/// The instance that offered the change was killed: its link breaks at once.
+#[test]
+fn platform_is_read_if_the_offering_peer_is_killed() {
+    let now = Instant::default() + Span::seconds(3_600);
+    let (mut node, names) = instance_at_18(now);
+    let later = now + Span::millis(2_600);
+    let offer = Push { relay: true, ..large_push().to_offer() };
+    let actions = receive(&mut node, later, &names[1], Body::Push(offer));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Read(..))), "{actions:?}");
+    let mut actions = Vec::new();
+    node.handle(later, Event::Disconnected(names[1].clone()), &mut actions);
+    assert!(actions.iter().any(|action| matches!(action, Action::Read(..))), "{actions:?}");
+}
