Flow: any answer to a probe shows that the instance responds; doubt ends with it

Callers: an instance whose targets answer slowly stays unready for good, and a lost target among them is never found.

Cause: only answers within 60 ms counted, health check included, which waits for a slot of a busy target.

Change: an established connection is an answer, whatever the health check takes (event ProbeConnected; the adapter reports it). There is no limit of 60 ms: on one link answers come in the order of the probes, so an answer to a later probe before the silent one has timed out is enough. Only silent reference probes cause doubt. A probe that was sent in doubt does not count.

--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -75,6 +75,8 @@
     /// All packets that were received while the process did not run have been
     /// handled.
     BacklogCleared,
+    /// The connection of a probe of a target was established. Its outcome follows.
+    ProbeConnected(target::Id),
     /// A probe of a target has finished.
     Probed(target::Id, Outcome),
     /// A peer in the same failure domain reports the health of a target.
@@ -242,6 +244,7 @@
             }
             Event::Paused => self.is_clearing_backlog = true,
             Event::BacklogCleared => self.is_clearing_backlog = false,
+            Event::ProbeConnected(target) => self.probe_connected(&target, now),
             Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
             Event::PeerReport { from, target, is_lost } => {
                 self.reported(from, &target, is_lost, now, actions);
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -219,6 +219,14 @@
         candidates.get(drawn).copied()
     }
 
+    /// Records that the connection of a probe was established.
+    pub(super) fn probe_connected(&mut self, id: &target::Id, now: Instant) {
+        let target = self.directory.index_of(id).and_then(|index| self.directory.get(index));
+        if let Some(target) = target.filter(|target| target.health.is_probing()) {
+            self.responsiveness.record_answer(target.health.probe_sent(), now);
+        }
+    }
+
     /// Handles the outcome of a probe.
     pub(super) fn probed(
         &mut self,
@@ -234,8 +242,11 @@
         let was_lost = target.health.is_lost() || target.health.is_reported_lost(now);
         let sent = target.health.probe_sent();
         match outcome {
-            Outcome::Silent => self.responsiveness.record_silence(sent),
-            _ => self.responsiveness.record_probe(sent, now),
+            Outcome::Silent if target.health.is_reference() => {
+                self.responsiveness.record_silence(sent);
+            }
+            Outcome::Silent => {}
+            _ => self.responsiveness.record_answer(sent, now),
         }
         let last_response = target.observation.last_response;
         let context = Context { last_response, responsiveness: self.responsiveness, probers };
@@ -282,9 +293,14 @@
             let reason = ResetReason::TargetLost;
             actions.push(Action::Note(Note::Reset { flow, target, reason, age }));
         }
-        let fast_probe_age = self.responsiveness.fast_probe_age(now);
+        let answered_probe_age = self.responsiveness.answered_probe_age(now);
         let target = id.clone();
-        actions.push(Action::Note(Note::Lost { target, flows: count, evidence, fast_probe_age }));
+        actions.push(Action::Note(Note::Lost {
+            target,
+            flows: count,
+            evidence,
+            answered_probe_age,
+        }));
     }
 
     /// Deprioritises the other targets in the failure domain of a lost one that have
--- a/crates/mustardway_flow/src/health.rs
+++ b/crates/mustardway_flow/src/health.rs
@@ -287,6 +287,16 @@
         is_deciding.then_some(self.probe_sent)
     }
 
+    /// Returns whether a reference probe is in flight.
+    pub fn is_reference(&self) -> bool {
+        self.is_probing && self.is_reference
+    }
+
+    /// Returns whether a probe is in flight.
+    pub fn is_probing(&self) -> bool {
+        self.is_probing
+    }
+
     /// Returns the time at which the latest probe was sent.
     pub fn probe_sent(&self) -> Instant {
         self.probe_sent
@@ -320,7 +330,7 @@
             self.next_probe = now + context.pause_per_instance(LOST_PAUSE_SHARED);
             return Transition::Unchanged;
         }
-        if !context.responsiveness.is_confirmed_since(self.probe_sent) {
+        if !context.responsiveness.is_silence_conclusive(self.probe_sent) {
             self.unanswered = self.unanswered.min(1);
             self.next_probe = now + RETRY_DELAY;
             return Transition::Unchanged;
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -143,8 +143,8 @@
         flows: usize,
         /// The evidence against the target.
         evidence: Evidence,
-        /// Time since the latest probe of any target that got a fast answer.
-        fast_probe_age: Option<Span>,
+        /// Time since the latest probe of any target that was answered was sent.
+        answered_probe_age: Option<Span>,
     },
     /// A target is healthy again.
     Trusted {
--- a/crates/mustardway_flow/tests/full_link.rs
+++ b/crates/mustardway_flow/tests/full_link.rs
@@ -96,3 +96,27 @@
     }
     assert!(!resets.is_empty(), "the flows of the lost target wait");
 }
+
+/// Callers retransmit after the last probe that the full link swallowed, and the link
+/// drains while a probe of their target is in flight.
+#[test]
+fn link_that_drains_during_a_probe_resets_no_flow() {
+    for drained_after in [0, 50, 100, 150] {
+        let mut harness = Harness::new(4, 4);
+        let callers: Vec<u16> = (1..40).filter(|from| harness.establish(*from, 1) == 1).collect();
+        harness.take_actions();
+        let mut resets = Vec::new();
+        for _ in 0..10 {
+            for from in &callers {
+                harness.send(&request(*from, 1, 1));
+            }
+            resets.extend(harness.run(RETRANSMIT_MILLIS, |_| true));
+        }
+        for from in &callers {
+            harness.send(&request(*from, 1, 1));
+        }
+        resets.extend(harness.run(drained_after, |_| true));
+        resets.extend(harness.run(1_000, |_| false));
+        assert!(resets.is_empty(), "drained after {drained_after} ms: {resets:?}");
+    }
+}
--- a/crates/mustardway_front/src/adapter.rs
+++ b/crates/mustardway_front/src/adapter.rs
@@ -37,10 +37,14 @@
     fn fetch(&self, ask: Query) -> BoxFuture<'_, Result<Answer, Failure>>;
 }
 
+/// Is called once the connection of a health check is established.
+pub type Connected = Box<dyn FnOnce() + Send>;
+
 /// Runs active health checks of targets.
 pub trait Prober: Send + Sync {
-    /// Probes a target once. The implementation sets its own timeout.
-    fn probe(&self, probe: Probe) -> BoxFuture<'static, Outcome>;
+    /// Probes a target once, and calls `connected` once the connection is established.
+    /// The implementation sets its own timeout.
+    fn probe(&self, probe: Probe, connected: Connected) -> BoxFuture<'static, Outcome>;
 }
 
 /// Serves the readiness check by which the routers decide whether to send new
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -167,11 +167,17 @@
         let now = self.now();
         match input {
             Input::Frame { from, kind, body } => self.handle_frame(&from, kind, body, now),
-            Input::LinkDown(id) => self.handle_membership_event(event::Event::LinkDown(id), now),
+            Input::LinkDown(id) => {
+                self.handle_mirror_event(mirror::Event::Disconnected(id.clone()), now);
+                self.handle_membership_event(event::Event::LinkDown(id), now);
+            }
             Input::Answer(ticket, answer, took) => {
                 self.context.metrics.observe_platform_call(&answer, took);
                 self.handle_mirror_event(mirror::Event::Answer(ticket, answer), now);
             }
+            Input::ProbeConnected(target) => {
+                self.handle_front_event(front::Event::ProbeConnected(target), now);
+            }
             Input::Probed(target, outcome) => {
                 self.report.log_probe(&target, outcome, now);
                 self.handle_front_event(front::Event::Probed(target, outcome), now);
@@ -406,8 +412,13 @@
                 front::Action::Reset(reset) => self.send_reset(&reset),
                 front::Action::Probe(probe) => {
                     let target = probe.target.clone();
-                    let probing = self.context.adapter.prober.probe(probe);
                     let inputs = self.context.inputs.clone();
+                    let (probed, connections) = (target.clone(), inputs.clone());
+                    // If the queue is full, the outcome of the probe shows the connection.
+                    let connected = move || {
+                        let _ = connections.try_send(Input::ProbeConnected(probed));
+                    };
+                    let probing = self.context.adapter.prober.probe(probe, Box::new(connected));
                     tokio::spawn(async move {
                         let outcome = probing.await;
                         // Fails only after the dispatcher has shut down.
--- a/crates/mustardway_front/src/input.rs
+++ b/crates/mustardway_front/src/input.rs
@@ -23,6 +23,8 @@
     LinkDown(instance::Id),
     /// Result of a read of the platform, and how long the read took.
     Answer(Ticket, Result<Answer, Failure>, Span),
+    /// The connection of a probe of this target was established.
+    ProbeConnected(target::Id),
     /// Outcome of a probe of this target.
     Probed(target::Id, Outcome),
 }
--- a/crates/mustardway_front/src/report.rs
+++ b/crates/mustardway_front/src/report.rs
@@ -132,11 +132,11 @@
                 slog::info!(log, "target doubted"; "target" => %target, "flow" => flow,
                     "skipped" => skipped);
             }
-            Note::Lost { target, flows, evidence, fast_probe_age } => {
+            Note::Lost { target, flows, evidence, answered_probe_age } => {
                 slog::warn!(log, "target lost"; "target" => %target, "flows" => flows,
                     "unanswered" => evidence.unanswered, "failed_probes" => evidence.failed_probes,
                     "evidence_age" => format_age(Some(evidence.age)),
-                    "fast_probe_age" => format_age(*fast_probe_age), "skipped" => skipped);
+                    "answered_probe_age" => format_age(*answered_probe_age), "skipped" => skipped);
             }
             Note::Trusted { target } => {
                 slog::info!(log, "target trusted"; "target" => %target, "skipped" => skipped);
