--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -27,6 +27,7 @@
 use crate::metrics::{Metrics, gauge_value};
 use crate::pause::Detector;
 use crate::peers::{MEMBERSHIP, MIRROR, TARGET_STATUS, TargetStatus};
+use crate::probes;
 use crate::report::Report;
 
 /// Packets that are read in one go before other events are handled.
@@ -411,19 +412,8 @@
             match action {
                 front::Action::Reset(reset) => self.send_reset(&reset),
                 front::Action::Probe(probe) => {
-                    let target = probe.target.clone();
-                    let inputs = self.context.inputs.clone();
-                    let (probed, connections) = (target.clone(), inputs.clone());
-                    // If the queue is full, the outcome of the probe shows the connection.
-                    let connected = move || {
-                        let _ = connections.try_send(Input::ProbeConnected(probed));
-                    };
-                    let probing = self.context.adapter.prober.probe(probe, Box::new(connected));
-                    tokio::spawn(async move {
-                        let outcome = probing.await;
-                        // Fails only after the dispatcher has shut down.
-                        let _ = inputs.send(Input::Probed(target, outcome)).await;
-                    });
+                    let prober = self.context.adapter.prober.as_ref();
+                    probes::spawn(prober, probe, self.context.inputs.clone());
                 }
                 front::Action::TellPeers { target, is_lost } => {
                     self.broadcast_status(&target, is_lost);
--- a/crates/mustardway_front/src/lib.rs
+++ b/crates/mustardway_front/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`dispatcher`]: routes events and packets between sockets and state machines.
 //! - [`input`]: events that other tasks send to the dispatcher.
 //! - [`peers`]: messages exchanged with other instances.
+//! - `probes`: health checks of targets.
 //! - [`pause`]: detects that the process was suspended.
 //! - [`report`]: rate-limited log lines about decisions.
 //! - [`metrics`]: counters, gauges and latency histograms.
@@ -25,6 +26,7 @@
 pub mod metrics;
 pub mod pause;
 pub mod peers;
+mod probes;
 pub mod report;
 pub mod run;
 pub mod signals;
--- a/crates/mustardway_front/src/report.rs
+++ b/crates/mustardway_front/src/report.rs
@@ -5,7 +5,7 @@
 
 use mustardway_flow::health::Outcome;
 use mustardway_flow::note::{DropReason, Note};
-use mustardway_mirror::node::Pushed;
+use mustardway_mirror::usage::Pushed;
 use mustardway_telemetry::limit::Limiter;
 use mustardway_types::time::{Instant, Span};
 use mustardway_types::{rate, target};
--- a/crates/mustardway_mirror/src/lib.rs
+++ b/crates/mustardway_mirror/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`departed`]: targets whose registrations were recently removed.
 //! - [`message`]: messages between instances.
 //! - [`topology`]: ranks, push peers and staleness limits.
+//! - [`usage`]: what became of changes that a peer sent.
 //! - [`node`]: the state machine of one instance.
 
 pub mod departed;
@@ -28,3 +29,4 @@
 pub mod replica;
 pub mod restoration;
 pub mod topology;
+pub mod usage;
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -23,6 +23,7 @@
 use crate::replica::Replica;
 use crate::restoration::REWRITE_TIME;
 use crate::topology::{STALENESS_LIMIT_MAX, Topology};
+use crate::usage::Pushed;
 
 /// Maximum random addition to the staleness limit, so that instances of equal
 /// rank do not read at the same time.
@@ -96,47 +97,6 @@
 
 impl std::error::Error for Failure {}
 
-/// What became of changes that a peer sent.
-#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Usage {
-    /// they are new
-    New,
-    /// they were known
-    Known,
-    /// they do not continue the known state
-    Detached,
-    /// they are offered
-    Offered,
-    /// some of them cannot be decoded
-    Undecodable,
-}
-
-impl Usage {
-    /// Returns the label value used in metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            Usage::New => "new",
-            Usage::Known => "known",
-            Usage::Detached => "detached",
-            Usage::Offered => "offered",
-            Usage::Undecodable => "undecodable",
-        }
-    }
-}
-
-/// Changes that a peer sent.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Pushed {
-    /// Peer that sent the changes.
-    pub from: instance::Id,
-    /// Version that the changes lead to.
-    pub version: Version,
-    /// Size of the encoded changes.
-    pub bytes: usize,
-    /// What became of the changes.
-    pub usage: Usage,
-}
-
 /// Input of a [`Node`].
 #[derive(Debug, Clone)]
 pub enum Event {
--- a/crates/mustardway_mirror/src/node/exchange.rs
+++ b/crates/mustardway_mirror/src/node/exchange.rs
@@ -6,8 +6,9 @@
 use rand::RngExt;
 
 use super::offers::Offers;
-use super::{Action, Node, PULL_INTERVAL, Pushed, Usage};
+use super::{Action, Node, PULL_INTERVAL};
 use crate::message::{Body, Message, Pull, Push};
+use crate::usage::{Pushed, Usage};
 
 /// Maximum rate of full states sent to peers, in bytes per second. A higher rate
 /// would fill a narrow link (10 Mbit/s) and delay callers' packets.
