Spread: a full revision passes a narrow link that others share

Callers of the request interface: a revision comes into force late or not at all on links of 10 Mbit/s.

Cause: a part of 256 KB takes 210 ms on such a link and 420 ms beside one other transfer, but a transfer without a new part for 250 ms is abandoned; its parts arrive and are ignored, and all is sent again. Evidence: shared_link_carries_a_full_revision failed (not in force after 6 s).

Change: parts of 64 KB, 52 ms each on an idle link, 210 ms beside three others.

--- a/crates/mustardway_spread/src/settings.rs
+++ b/crates/mustardway_spread/src/settings.rs
@@ -33,8 +33,9 @@
 pub const JOIN_WAIT: Span = Span::seconds(3);
 /// Greatest random delay of the first read of a joining instance.
 pub const JOIN_JITTER: Span = Span::seconds(1);
-/// Greatest size of one part of a transfer; each part is one message.
-pub const PART_MAX: size::Bytes = size::Bytes(256 * 1024);
+/// Greatest size of one part of a transfer; each part is one message. Four transfers that
+/// share a narrow link (10 Mbit/s) still get their parts within [`PULL_TIMEOUT`].
+pub const PART_MAX: size::Bytes = size::Bytes(64 * 1024);
 /// Greatest total size of the files of a revision, names included.
 pub const SET_MAX: size::Bytes = size::Bytes(16 * 1024 * 1024);
 
