Test harness: an instance has an IP address of its own, and a failure shows its output

Its output was thrown away. Suspected: the port it was given, free a moment before, was taken by another listener (in runs of five processes that shared their settings files instances ended with 'Address already in use'; that sharing was my doing).

--- a/tests/command_line_instance.rs
+++ b/tests/command_line_instance.rs
@@ -1,11 +1,12 @@
 //! Subcommands and metrics of a running instance, with a stand-in for the platform.
 #![allow(clippy::unwrap_used)]
 
-use std::fs;
+use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering::Relaxed};
 use std::thread;
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
     child: Child,
     admin: SocketAddr,
     token_file: PathBuf,
+    /// What the process has written.
+    log: PathBuf,
 }
 
 impl Drop for Instance {
@@ -52,7 +55,9 @@
 impl Instance {
     /// Starts an instance that reads `platform` and sends metrics to `statsd`.
     fn start(name: &str, platform: SocketAddr, statsd: SocketAddr) -> Self {
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("instance").join(name);
+        let process = std::process::id().to_string();
+        let folder =
+            Path::new(env!("CARGO_TARGET_TMPDIR")).join("instance").join(process).join(name);
         fs::create_dir_all(&folder).unwrap();
         let [front, peer, admin] = free_addresses();
         let settings = format!(
@@ -64,8 +69,12 @@
         fs::write(&file, settings).unwrap();
         fs::write(&token_file, format!("{TOKEN}\n")).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_mustardway"));
-        command.arg("run").arg("--settings").arg(file).stderr(Stdio::null());
-        Instance { child: command.spawn().unwrap(), admin, token_file }
+        let log = folder.join("log");
+        command.arg("run").arg("--settings").arg(file);
+        command
+            .stdout(File::create(&log).unwrap())
+            .stderr(Stdio::from(File::options().append(true).open(&log).unwrap()));
+        Instance { child: command.spawn().unwrap(), admin, token_file, log }
     }
 
     /// Runs a subcommand with the instance's address and token.
@@ -93,7 +102,7 @@
             }
             thread::sleep(POLL_INTERVAL);
         }
-        panic!("never {state}: {seen}");
+        panic!("never {state}: {seen}; {}", fs::read_to_string(&self.log).unwrap());
     }
 
     /// Returns the status line of `/ready`, which needs no token.
@@ -125,10 +134,13 @@
     }
 }
 
-/// Returns three addresses that were free a moment ago.
+/// Returns three addresses of an IP address that no other instance has. A port that was
+/// only free a moment ago may be taken before the instance listens.
 fn free_addresses() -> [SocketAddr; 3] {
-    let listen = || TcpListener::bind("127.0.7.2:0").unwrap();
-    [listen(), listen(), listen()].map(|listener| listener.local_addr().unwrap())
+    static SECOND_OCTET: AtomicU8 = AtomicU8::new(100);
+    let [.., third, fourth] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, SECOND_OCTET.fetch_add(1, Relaxed), third, fourth);
+    [7_001, 7_002, 7_003].map(|port| SocketAddr::from((ip, port)))
 }
 
 fn stderr(output: &Output) -> &str {
