--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -152,8 +152,7 @@
         if let Some(age) = self.mirror.age(now) {
             metrics.published_age.set(age.as_seconds());
         }
-        let era = self.mirror.replica().version().era;
-        metrics.published_era.set(gauge_value(era.0));
+        metrics.published_era.set(gauge_value(self.mirror.replica().version().era.0));
         metrics.count_peer_traffic(self.context.mesh.counters());
     }
 
@@ -412,8 +411,11 @@
             match action {
                 front::Action::Reset(reset) => self.send_reset(&reset),
                 front::Action::Probe(probe) => {
-                    let prober = self.context.adapter.prober.as_ref();
-                    probes::spawn(prober, probe, self.context.inputs.clone());
+                    probes::spawn(
+                        &*self.context.adapter.prober,
+                        probe,
+                        self.context.inputs.clone(),
+                    );
                 }
                 front::Action::TellPeers { target, is_lost } => {
                     self.broadcast_status(&target, is_lost);
