--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -411,11 +411,7 @@
             match action {
                 front::Action::Reset(reset) => self.send_reset(&reset),
                 front::Action::Probe(probe) => {
-                    probes::spawn(
-                        &*self.context.adapter.prober,
-                        probe,
-                        self.context.inputs.clone(),
-                    );
+                    probes::spawn(&self.context.adapter, probe, self.context.inputs.clone());
                 }
                 front::Action::TellPeers { target, is_lost } => {
                     self.broadcast_status(&target, is_lost);
