Test harness: instances of platform_faults have IP addresses of their own

Cause, traced: the harness chose ports that were free a moment before, and started the instance seconds later; another test had taken one. Each instance has an IP address of its own now, from the process id and a counter, and fixed ports.

--- a/tests/platform_faults.rs
+++ b/tests/platform_faults.rs
@@ -4,9 +4,10 @@
 #![allow(clippy::unwrap_used)]
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU8, Ordering::Relaxed};
 use std::thread;
 use std::time::Duration;
 
@@ -61,8 +62,11 @@
 
 impl Instance {
     fn new(name: &'static str) -> Self {
-        let listeners = [(); 3].map(|()| TcpListener::bind("127.0.7.4:0").unwrap());
-        let [front, peer, admin] = listeners.map(|listener| listener.local_addr().unwrap());
+        // A port that was free a moment ago may be taken before the instance listens.
+        static SECOND_OCTET: AtomicU8 = AtomicU8::new(150);
+        let [.., third, fourth] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, SECOND_OCTET.fetch_add(1, Relaxed), third, fourth);
+        let [front, peer, admin] = [7_001, 7_002, 7_003].map(|port| SocketAddr::from((ip, port)));
         Instance { name, front, peer, admin, child: None }
     }
 
@@ -74,13 +78,20 @@
             "[instance]\nname = {name}\ndomain = rosario\nfront = {front}\npeer = {peer}\n\
              admin = {admin}\n[platform]\naddresses = {platform}\n"
         );
-        let file = folder.join(format!("{name}-{}.ini", admin.port()));
+        let file = folder.join(format!("{name}-{}.ini", admin.ip()));
         fs::write(&file, settings).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_mustardway"));
-        command.arg("run").arg("--settings").arg(file).stderr(Stdio::null());
+        command.arg("run").arg("--settings").arg(file);
+        command.stderr(fs::File::create(self.error_file()).unwrap());
         self.child = Some(command.spawn().unwrap());
     }
 
+    /// Returns the file with the error output of the process.
+    fn error_file(&self) -> PathBuf {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("platform_lost");
+        folder.join(format!("{}-{}.errors", self.name, self.admin.ip()))
+    }
+
     /// Runs the query and returns its JSON answer, or `None` if there is none yet.
     fn query(&self, query: &str) -> Option<Value> {
         let mut command = Command::new(env!("CARGO_BIN_EXE_mustardway"));
@@ -97,7 +108,8 @@
             }
             thread::sleep(POLL_INTERVAL);
         }
-        panic!("{}: {:?}", self.name, self.query(query));
+        let errors = fs::read_to_string(self.error_file()).unwrap();
+        panic!("{}: {:?}; {errors}", self.name, self.query(query));
     }
 
     /// Returns the entry of this instance in the platform's list.
