--- /dev/null
+++ b/crates/mustardway_load/src/estimate.rs
@@ -0,0 +1,276 @@
+//! Estimates from sums. Old sums lose weight, so that a target that has recovered gets
+//! its share of the flows again and can show it.
+
+use std::collections::BTreeMap;
+
+use mustardway_types::time::{Instant, Span};
+use rustc_hash::FxHashMap;
+
+use crate::key;
+use crate::sums::{self, Sums};
+use crate::view::{RouteLoad, TargetLoad, USUAL};
+
+/// Time constant with which samples of a target lose weight. At 14 requests per second
+/// and target, about 56 samples count.
+const TARGET_TIME_CONSTANT: Span = Span::seconds(4);
+/// Time constant of the usual time of a route, which changes only with the work.
+const BASE_TIME_CONSTANT: Span = Span::seconds(10);
+/// Time constant of the rates, the crowding and the late share of a route: a burst that
+/// has ended is forgotten within a second.
+const RECENT_TIME_CONSTANT: Span = Span::millis(700);
+/// Weight of the assumption that a target has the usual speed, in samples.
+const PRIOR_SAMPLES: f64 = 3.0;
+/// Range in which the slowness counts as usual, so that chance differences do not change
+/// the placement.
+const USUAL_RANGE: (f64, f64) = (0.75, 1.33);
+/// Least slowness: a target that answers faster than that does other work.
+const SLOWNESS_MIN: f64 = 0.5;
+/// Number of instances that have to have seen a target for its slowness to count. One
+/// instance alone may be the slow part itself.
+const CONTRIBUTORS_MIN: usize = 2;
+/// Weight of an estimate that another root made, in samples.
+const INHERITED_SAMPLES: f64 = 10.0;
+/// Number of short answers from which on their share counts.
+const SHORT_MIN: f64 = 5.0;
+/// Weight below which a target is forgotten, in answers.
+const WEIGHT_MIN: f64 = 0.05;
+/// Requests per second below which a route is not in use.
+const RATE_MIN: f64 = 0.01;
+
+/// Decayed sums of one target.
+#[derive(Debug, Clone, Copy, Default)]
+struct Target {
+    updated: Instant,
+    answers: f64,
+    samples: f64,
+    ratio: f64,
+    short: f64,
+    contributors: Window,
+}
+
+/// The instances that contributed during the current and the previous time constant.
+#[derive(Debug, Clone, Copy, Default)]
+struct Window {
+    since: Instant,
+    current: u64,
+    previous: u64,
+}
+
+impl Window {
+    fn add(&mut self, contributors: u64, now: Instant) {
+        if now.since(self.since) >= TARGET_TIME_CONSTANT {
+            self.previous = std::mem::take(&mut self.current);
+            self.since = now;
+        }
+        self.current |= contributors;
+    }
+
+    fn count(&self) -> usize {
+        (self.current | self.previous).count_ones() as usize
+    }
+}
+
+impl Target {
+    fn decay(&mut self, now: Instant) {
+        let kept = kept(now.since(self.updated), TARGET_TIME_CONSTANT);
+        self.updated = now;
+        self.answers *= kept;
+        self.samples *= kept;
+        self.ratio *= kept;
+        self.short *= kept;
+    }
+
+    fn load(&self, members: usize) -> TargetLoad {
+        let mean = (self.ratio + PRIOR_SAMPLES * USUAL) / (self.samples + PRIOR_SAMPLES);
+        let is_confirmed = self.contributors.count() >= CONTRIBUTORS_MIN.min(members);
+        let is_usual = (USUAL_RANGE.0..=USUAL_RANGE.1).contains(&mean);
+        let slowness = if is_usual || !is_confirmed { USUAL } else { mean.max(SLOWNESS_MIN) };
+        let has_short = self.short >= SHORT_MIN && is_confirmed;
+        let short_share = if has_short { self.short / self.answers.max(1.0) } else { 0.0 };
+        TargetLoad { slowness, short_share, updated: self.updated }
+    }
+}
+
+/// Decayed sums of one route.
+#[derive(Debug, Clone, Copy, Default)]
+struct Route {
+    opens: f64,
+    requests: f64,
+    refused: f64,
+    answers: f64,
+    late: f64,
+    /// Recent time at targets, with and without waiting, in microseconds.
+    time: f64,
+    work: f64,
+    /// Time without waiting in microseconds, and its number of answers, over a longer time.
+    base: f64,
+    timed: f64,
+}
+
+impl Route {
+    fn decay(&mut self, passed: Span) {
+        let recent = kept(passed, RECENT_TIME_CONSTANT);
+        for value in [
+            &mut self.opens,
+            &mut self.requests,
+            &mut self.refused,
+            &mut self.answers,
+            &mut self.late,
+            &mut self.time,
+            &mut self.work,
+        ] {
+            *value *= recent;
+        }
+        let base = kept(passed, BASE_TIME_CONSTANT);
+        self.base *= base;
+        self.timed *= base;
+    }
+
+    fn load(&self, flows: u32) -> RouteLoad {
+        // A decayed sum of a constant rate is the rate times the time constant.
+        let rate = |sum: f64| sum / RECENT_TIME_CONSTANT.as_seconds();
+        let base_time = if self.timed > 0.0 { self.base / self.timed } else { 0.0 };
+        RouteLoad {
+            opens: rate(self.opens),
+            requests: rate(self.requests),
+            refused: rate(self.refused),
+            flows: f64::from(flows),
+            base_time: Span(base_time as u64),
+            crowding: if self.work > 0.0 { self.time / self.work } else { 1.0 },
+            late_share: if self.answers > 0.0 { self.late / self.answers } else { 0.0 },
+        }
+    }
+}
+
+/// Decayed sums of all targets and routes.
+#[derive(Debug, Clone, Default)]
+pub struct Estimates {
+    targets: FxHashMap<key::Target, Target>,
+    routes: BTreeMap<key::Route, Route>,
+    /// Time up to which the routes have decayed.
+    routes_updated: Instant,
+}
+
+impl Estimates {
+    /// Adds sums that arrive `now`.
+    pub fn record(&mut self, sums: &Sums, now: Instant) {
+        self.decay_routes(now);
+        for (key, sums) in &sums.targets {
+            self.record_target(*key, sums, now);
+        }
+        for (key, sums) in &sums.routes {
+            let route = self.routes.entry(*key).or_default();
+            route.opens += f64::from(sums.opens);
+            route.requests += f64::from(sums.requests);
+            route.refused += f64::from(sums.refused);
+            route.answers += f64::from(sums.answers);
+            route.late += f64::from(sums.late);
+            route.time += sums.time.0 as f64;
+            route.work += sums.work.0 as f64;
+            route.base += sums.work.0 as f64;
+            route.timed += f64::from(sums.timed);
+        }
+    }
+
+    fn record_target(&mut self, key: key::Target, sums: &sums::Target, now: Instant) {
+        let target = self.targets.entry(key).or_default();
+        target.decay(now);
+        target.answers += f64::from(sums.answers);
+        target.samples += f64::from(sums.samples);
+        target.ratio += sums.ratio;
+        target.short += f64::from(sums.short);
+        target.contributors.add(sums.contributors, now);
+    }
+
+    /// Takes over the estimate that another instance made of a target, unless samples of
+    /// the target are known.
+    pub fn inherit_target(&mut self, key: key::Target, load: &TargetLoad, now: Instant) {
+        let target = self.targets.entry(key).or_default();
+        target.decay(now);
+        if target.samples > PRIOR_SAMPLES || load.slowness == USUAL {
+            return;
+        }
+        target.answers += INHERITED_SAMPLES;
+        target.samples += INHERITED_SAMPLES;
+        target.ratio += INHERITED_SAMPLES * load.slowness;
+        target.contributors.add(u64::MAX, now);
+    }
+
+    /// Takes over the usual time of a route that another instance has estimated.
+    pub fn inherit_route(&mut self, key: key::Route, load: &RouteLoad) {
+        let route = self.routes.entry(key).or_default();
+        if route.timed < INHERITED_SAMPLES {
+            route.timed += INHERITED_SAMPLES;
+            route.base += INHERITED_SAMPLES * load.base_time.0 as f64;
+        }
+    }
+
+    /// Returns the usual time of a route, if any answer is known.
+    pub fn base_time(&self, route: key::Route) -> Option<Span> {
+        let route = self.routes.get(&route).filter(|route| route.timed > 0.0)?;
+        Some(Span((route.base / route.timed) as u64))
+    }
+
+    /// Returns the estimates of all targets, from `members` instances that could have
+    /// contributed.
+    pub fn targets(&mut self, members: usize, now: Instant) -> Vec<(key::Target, TargetLoad)> {
+        let mut loads = Vec::new();
+        self.targets.retain(|_, target| {
+            target.decay(now);
+            target.answers >= WEIGHT_MIN
+        });
+        for (key, target) in &self.targets {
+            loads.push((*key, target.load(members)));
+        }
+        loads.sort_unstable_by_key(|(key, _)| *key);
+        loads
+    }
+
+    /// Returns the load of all routes in use. `flows` are the open flows.
+    pub fn routes(
+        &mut self,
+        flows: &BTreeMap<key::Route, u32>,
+        now: Instant,
+    ) -> BTreeMap<key::Route, RouteLoad> {
+        self.decay_routes(now);
+        let mut loads = BTreeMap::new();
+        for (key, route) in &self.routes {
+            let load = route.load(flows.get(key).copied().unwrap_or_default());
+            if load.requests + load.opens + load.refused >= RATE_MIN || load.flows > 0.0 {
+                loads.insert(*key, load);
+            }
+        }
+        loads
+    }
+
+    /// Returns the ratio of the slowest to the fastest tenth of the targets with enough
+    /// samples.
+    pub fn spread(&self) -> f64 {
+        let mut means = Vec::new();
+        for target in self.targets.values() {
+            if target.samples >= PRIOR_SAMPLES {
+                means.push(target.ratio / target.samples);
+            }
+        }
+        means.sort_unstable_by(f64::total_cmp);
+        let tenth = means.len() / 10;
+        match (means.get(tenth), means.len().checked_sub(tenth + 1).and_then(|at| means.get(at))) {
+            (Some(fast), Some(slow)) if *fast > 0.0 => slow / fast,
+            _ => USUAL,
+        }
+    }
+
+    fn decay_routes(&mut self, now: Instant) {
+        let passed = now.since(self.routes_updated);
+        self.routes_updated = now;
+        for route in self.routes.values_mut() {
+            route.decay(passed);
+        }
+        self.routes.retain(|_, route| route.timed + route.requests + route.opens >= RATE_MIN);
+    }
+}
+
+/// Returns the share of a value that is left after `passed`.
+fn kept(passed: Span, time_constant: Span) -> f64 {
+    (-passed.as_seconds() / time_constant.as_seconds()).exp()
+}
--- /dev/null
+++ b/crates/mustardway_load/src/sample.rs
@@ -0,0 +1,36 @@
+//! What one instance observes of the flows that it forwards.
+
+use mustardway_types::time::Span;
+
+use crate::key;
+
+/// One observation.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Sample {
+    /// A request was answered.
+    Answered(Answer),
+    /// A caller sent a request.
+    Requested(key::Route),
+    /// A new flow was placed.
+    Opened(key::Route),
+    /// A new flow was refused.
+    Refused(key::Route),
+}
+
+/// An answered request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Answer {
+    /// The target that answered.
+    pub target: key::Target,
+    /// The route of the request.
+    pub route: key::Route,
+    /// Time that the request spent at the target, from its last byte to the first part of
+    /// the answer, without the round trip.
+    pub time: Span,
+    /// Estimated number of requests per slot at the target when the request was sent.
+    pub crowding: f64,
+    /// Whether the answer had far fewer bytes than usual for its route, as an error has.
+    pub is_short: bool,
+    /// Whether the answer came after the target latency of its route.
+    pub is_late: bool,
+}
--- /dev/null
+++ b/crates/mustardway_load/src/sums.rs
@@ -0,0 +1,178 @@
+//! Sums of samples. Sums of several instances are added up, so each sample counts once.
+
+use std::collections::BTreeMap;
+
+use mustardway_types::time::Span;
+use rustc_hash::FxHashMap;
+
+use crate::key;
+use crate::sample::{Answer, Sample};
+
+/// Greatest ratio that one sample counts with: the work of requests has a heavy tail, and
+/// no single one may make a target look slow.
+pub const RATIO_MAX: f64 = 8.0;
+
+/// Returns the time of an answer without the wait at the target.
+fn work(answer: &Answer) -> Span {
+    Span((answer.time.0 as f64 / answer.crowding.max(1.0)) as u64)
+}
+
+/// Returns the ratio of the time of an answer to the `usual` time of its route, if the
+/// answer shows the speed of its target.
+pub fn ratio(answer: &Answer, usual: Option<Span>) -> Option<f64> {
+    let usual = usual.filter(|usual| *usual > Span::ZERO && !answer.is_short)?;
+    Some((work(answer).0 as f64 / usual.0 as f64).min(RATIO_MAX))
+}
+
+/// Sums of the samples of one target.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Target {
+    /// Number of answers.
+    pub answers: u32,
+    /// Number of answers that show the speed of the target.
+    pub samples: u32,
+    /// Sum of the ratios of these samples to the usual time of their routes.
+    pub ratio: f64,
+    /// Number of short answers.
+    pub short: u32,
+    /// Set of the instances that contributed, by 64 hash values.
+    pub contributors: u64,
+}
+
+impl Target {
+    fn add(&mut self, other: &Target) {
+        self.answers = self.answers.saturating_add(other.answers);
+        self.samples = self.samples.saturating_add(other.samples);
+        self.ratio += other.ratio;
+        self.short = self.short.saturating_add(other.short);
+        self.contributors |= other.contributors;
+    }
+}
+
+/// Sums of the samples of one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Route {
+    /// Number of flows that were placed.
+    pub opens: u32,
+    /// Number of requests.
+    pub requests: u32,
+    /// Number of flows that were refused.
+    pub refused: u32,
+    /// Number of answers.
+    pub answers: u32,
+    /// Number of late answers.
+    pub late: u32,
+    /// Number of answers whose times are in `time` and `work`.
+    pub timed: u32,
+    /// Time that the requests spent at targets.
+    pub time: Span,
+    /// The same without the time that they waited there.
+    pub work: Span,
+    /// Number of open flows now. It is not a sum over time, so adding sums leaves it out.
+    pub flows: u32,
+}
+
+impl Route {
+    fn add(&mut self, other: &Route) {
+        self.opens = self.opens.saturating_add(other.opens);
+        self.requests = self.requests.saturating_add(other.requests);
+        self.refused = self.refused.saturating_add(other.refused);
+        self.answers = self.answers.saturating_add(other.answers);
+        self.late = self.late.saturating_add(other.late);
+        self.timed = self.timed.saturating_add(other.timed);
+        self.time = self.time + other.time;
+        self.work = self.work + other.work;
+    }
+}
+
+/// Sums by target and by route.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Sums {
+    /// Sums of each target.
+    pub targets: FxHashMap<key::Target, Target>,
+    /// Sums of each route.
+    pub routes: BTreeMap<key::Route, Route>,
+}
+
+impl Sums {
+    /// Adds a sample. `usual` is the usual time of its route, if that is known, and
+    /// `contributor` is the hash value of this instance.
+    pub fn record(&mut self, sample: &Sample, usual: Option<Span>, contributor: u64) {
+        match sample {
+            Sample::Answered(answer) => self.record_answer(answer, usual, contributor),
+            Sample::Requested(route) => self.route(*route).requests += 1,
+            Sample::Opened(route) => self.route(*route).opens += 1,
+            Sample::Refused(route) => self.route(*route).refused += 1,
+        }
+    }
+
+    fn route(&mut self, route: key::Route) -> &mut Route {
+        self.routes.entry(route).or_default()
+    }
+
+    fn record_answer(&mut self, answer: &Answer, usual: Option<Span>, contributor: u64) {
+        let route = self.route(answer.route);
+        route.answers += 1;
+        route.late += u32::from(answer.is_late);
+        let target = self.targets.entry(answer.target).or_default();
+        target.answers += 1;
+        target.contributors |= contributor;
+        if answer.is_short {
+            target.short += 1;
+            return;
+        }
+        let route = self.routes.entry(answer.route).or_default();
+        route.timed += 1;
+        route.time = route.time + answer.time;
+        route.work = route.work + work(answer);
+        let Some(ratio) = ratio(answer, usual) else { return };
+        target.samples += 1;
+        target.ratio += ratio;
+    }
+
+    /// Adds the sums of another instance.
+    pub fn add(&mut self, other: &Sums) {
+        for (key, target) in &other.targets {
+            self.targets.entry(*key).or_default().add(target);
+        }
+        for (key, route) in &other.routes {
+            self.routes.entry(*key).or_default().add(route);
+        }
+    }
+
+    /// Removes everything that shows the speed of targets.
+    pub fn remove_speeds(&mut self) {
+        self.targets.clear();
+        for route in self.routes.values_mut() {
+            route.timed = 0;
+            route.time = Span::ZERO;
+            route.work = Span::ZERO;
+        }
+    }
+
+    /// Returns whether there are no sums.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty() && self.routes.is_empty()
+    }
+
+    /// Removes and returns at most `targets_max` targets, those with the most answers, and
+    /// `routes_max` routes, those with the most requests.
+    #[must_use]
+    pub fn take(&mut self, targets_max: usize, routes_max: usize) -> Sums {
+        let mut taken = std::mem::take(self);
+        if taken.targets.len() > targets_max {
+            let mut ranked: Vec<(key::Target, Target)> = taken.targets.drain().collect();
+            ranked.sort_unstable_by_key(|(key, sums)| (std::cmp::Reverse(sums.answers), *key));
+            self.targets = ranked.split_off(targets_max).into_iter().collect();
+            taken.targets = ranked.into_iter().collect();
+        }
+        if taken.routes.len() > routes_max {
+            let mut ranked: Vec<(key::Route, Route)> =
+                std::mem::take(&mut taken.routes).into_iter().collect();
+            ranked.sort_unstable_by_key(|(key, sums)| (std::cmp::Reverse(sums.requests), *key));
+            self.routes = ranked.split_off(routes_max).into_iter().collect();
+            taken.routes = ranked.into_iter().collect();
+        }
+        taken
+    }
+}
