--- a/crates/mustardway_admission/src/callers.rs
+++ b/crates/mustardway_admission/src/callers.rs
@@ -56,6 +56,8 @@
     wanted: Vec<f64>,
     /// New flows that each caller may open in an epoch; a fraction is a probability.
     level: f64,
+    /// Mean number of flows that a caller wanted in the previous epoch.
+    mean_wanted: f64,
 }
 
 impl Callers {
@@ -74,20 +76,15 @@
     fn begin_epoch(&mut self, epoch: u64) {
         self.epoch = epoch;
         self.wanted = self.counts.drain().map(|(_, count)| count.wanted()).collect();
+        self.mean_wanted = self.wanted.iter().sum::<f64>() / self.wanted.len().max(1) as f64;
         self.set_share(self.share);
     }
 
-    /// Returns the mean number of flows that a caller wanted in the previous epoch.
-    fn mean_wanted(&self) -> f64 {
-        self.wanted.iter().sum::<f64>() / self.wanted.len().max(1) as f64
-    }
-
     /// Decides on a new flow of `caller`, and counts it.
     pub fn decide(&mut self, route: key::Route, caller: Ipv4Addr, epoch: u64) -> Verdict {
         if epoch != self.epoch {
             self.begin_epoch(epoch);
         }
-        let mean_wanted = self.mean_wanted();
         let hash = hash::seeded(SEED, &caller.octets());
         let drawn = hash::unit(hash::mix(hash::mix(hash, route.0), epoch));
         let whole = self.level.floor();
@@ -100,7 +97,7 @@
             return Verdict::Admit;
         }
         count.refused = count.refused.saturating_add(1);
-        if count.admitted > 0 && count.wanted() > 2.0 * mean_wanted {
+        if count.admitted > 0 && count.wanted() > 2.0 * self.mean_wanted {
             return Verdict::ExceedsShare;
         }
         Verdict::Refuse
