--- a/crates/mustardway_load/src/node.rs
+++ b/crates/mustardway_load/src/node.rs
@@ -166,13 +166,9 @@
         self.own.record(sample, usual, self.contributor);
     }
 
-    /// Sets the number of open flows of a route at this instance.
-    pub fn set_flows(&mut self, route: key::Route, count: u32) {
-        if count == 0 {
-            self.own_flows.remove(&route);
-        } else {
-            self.own_flows.insert(route, count);
-        }
+    /// Sets the numbers of open flows at this instance.
+    pub fn set_flows(&mut self, flows: BTreeMap<key::Route, u32>) {
+        self.own_flows = flows;
     }
 
     /// Handles one event and appends the resulting actions to `actions`.
@@ -245,6 +241,7 @@
             self.summarise(now, actions);
         } else if self.view.age(now).is_none_or(|age| age >= SUMMARY_AGE_MAX) {
             self.use_own_samples(now);
+            actions.push(Action::Updated);
         }
     }
 
