Flow: shared load estimates weight the placement, and full services refuse new flows

Enabled by Front::with_load; without it nothing changes. The time of a request is that from its last data to the first acknowledgement of its answer, without the round trip that opening the flow took.

--- a/crates/mustardway_flow/src/directory.rs
+++ b/crates/mustardway_flow/src/directory.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use mustardway_load::key;
 use mustardway_mirror::departed::RETENTION;
 use mustardway_mirror::publication::{
     Change, Configuration, Departure, Item, Key, Registration, Route,
@@ -31,6 +32,10 @@
     pub registration: Registration,
     /// Identifier of the target inside packets.
     pub token: Token,
+    /// Identifier of this lifetime of the target in load estimates.
+    pub key: key::Target,
+    /// Ratio of the expected time until a proper answer to that of an unknown target.
+    pub time_factor: f64,
     /// Whether a target with a lesser name has the same token. The target then gets
     /// no flows.
     pub is_shadowed: bool,
@@ -50,6 +55,8 @@
     fn new(registration: Registration, now: Instant) -> Self {
         Target {
             token: Token::of(&registration.id),
+            key: key::Target::of(&registration.id, registration.born),
+            time_factor: 1.0,
             is_shadowed: false,
             unregistered_at: None,
             cold_until: now + registration.cold,
@@ -116,6 +123,11 @@
         }
     }
 
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.configuration.as_deref()
+    }
+
     /// Returns whether a configuration is known.
     pub fn is_configured(&self) -> bool {
         self.configuration.is_some()
@@ -250,6 +262,8 @@
         let is_restarted = was.born != known.registration.born;
         if is_restarted {
             known.health = Tracker::default();
+            known.key = key::Target::of(&known.registration.id, known.registration.born);
+            known.time_factor = 1.0;
             known.observation.deprioritised_until = None;
         }
         if was.service != known.registration.service {
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -2,6 +2,7 @@
 //! verdicts and actions out.
 
 mod established;
+mod load;
 mod open;
 mod probing;
 
@@ -9,6 +10,7 @@
 use std::net::SocketAddrV4;
 
 use compact_str::CompactString;
+use mustardway_load::{message as load_message, node as load_node, topology};
 use mustardway_mirror::publication::{Change, Departure};
 use mustardway_types::time::{Instant, Span};
 use mustardway_types::{domain, instance, target};
@@ -19,6 +21,7 @@
 use crate::demand::Demand;
 use crate::directory::Directory;
 use crate::health::Outcome;
+use crate::load::Load;
 use crate::note::{DropReason, Note, ResetReason, Wait};
 use crate::opening::Queue;
 use crate::packet::{Flow, Packet, Reset};
@@ -88,6 +91,15 @@
         /// Whether the target is lost; otherwise it answers again.
         is_lost: bool,
     },
+    /// A peer sent load estimates or what they are made from.
+    Load {
+        /// The peer.
+        from: instance::Id,
+        /// The message.
+        message: load_message::Message,
+    },
+    /// The peers with which load estimates are exchanged have changed.
+    LoadTopology(topology::Topology),
 }
 
 /// An output of the state machine other than a verdict.
@@ -104,6 +116,13 @@
         /// Whether the target is lost; otherwise it answers again.
         is_lost: bool,
     },
+    /// Send load estimates, or what they are made from, to a peer.
+    SendLoad {
+        /// The peer.
+        to: instance::Id,
+        /// The message.
+        message: load_message::Message,
+    },
     /// Log a decision.
     Note(Note),
     /// Record how long a caller waited.
@@ -155,6 +174,8 @@
     unmet_since: Option<Instant>,
     next_sweep: Instant,
     policy: Box<dyn Policy>,
+    /// Shared load estimates, if they are used.
+    load: Option<Box<Load>>,
     rng: Pcg32,
 }
 
@@ -182,6 +203,7 @@
             unmet_since: None,
             next_sweep: Instant::default(),
             policy: Box::new(Score(WEIGHTS)),
+            load: None,
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -242,13 +264,23 @@
                 self.known = known;
                 self.neighbours = neighbours;
             }
-            Event::Paused => self.is_clearing_backlog = true,
+            Event::Paused => {
+                self.is_clearing_backlog = true;
+                self.handle_load(load_node::Event::Paused, now, actions);
+            }
             Event::BacklogCleared => self.is_clearing_backlog = false,
             Event::ProbeConnected(target) => self.probe_connected(&target, now),
             Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
             Event::PeerReport { from, target, is_lost } => {
                 self.reported(from, &target, is_lost, now, actions);
             }
+            Event::Load { from, message } => {
+                let event = load_node::Event::Received { from, message };
+                self.handle_load(event, now, actions);
+            }
+            Event::LoadTopology(topology) => {
+                self.handle_load(load_node::Event::Topology(topology), now, actions);
+            }
         }
     }
 
@@ -302,7 +334,10 @@
 
     /// Removes a flow from the flow table and from the counts of its target.
     fn untrack(&mut self, flow: &Flow, now: Instant) -> Option<Record> {
-        let record = self.table.remove(flow)?;
+        let mut record = self.table.remove(flow)?;
+        if let Some(answer) = record.measurement.take_answer(record.acknowledged) {
+            self.record_answer(record.target, flow.route, &answer);
+        }
         if let Some(target) = self.directory.get_mut(record.target)
             && record.stage != Stage::Ended
         {
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -1,8 +1,11 @@
 //! Packets of established flows. Each goes to the target that its token names.
 
-use mustardway_types::time::Instant;
+use mustardway_load::key;
+use mustardway_load::sample::Sample;
+use mustardway_types::time::{Instant, Span};
 
 use super::{Action, FRESHNESS_MAX, Front, Verdict};
+use crate::load::Load;
 use crate::note::{DropReason, Note, ResetReason, Wait};
 use crate::observation::RESPONSE_TIMEOUT;
 use crate::packet::{Flow, Packet, is_after};
@@ -92,6 +95,9 @@
     fn observe(&mut self, packet: &Packet, index: usize, now: Instant, actions: &mut Vec<Action>) {
         let flow = packet.flow();
         self.sync_record(&flow, packet, index, now);
+        let crowding = if packet.length > 0 { self.crowding(index, now) } else { 0.0 };
+        let usual_round_trip = self.load().map_or(Span::ZERO, Load::usual_round_trip);
+        let mut round_trip = None;
         let Some(record) = self.table.get_mut(&flow) else { return };
         record.last_packet = now;
         let mut responded = false;
@@ -100,7 +106,12 @@
             record.acknowledged = packet.acknowledgement;
             responded = true;
             if record.opening.is_some() {
-                actions.push(Action::Waited(Wait::Open(now.since(record.placed))));
+                let waited = now.since(record.placed);
+                actions.push(Action::Waited(Wait::Open(waited)));
+                if !record.is_ambiguous {
+                    record.measurement.record_round_trip(waited);
+                    round_trip = Some(waited);
+                }
             }
         }
         if is_after(packet.acknowledgement, record.acknowledged) {
@@ -110,21 +121,33 @@
         let waited = if responded { record.request_since.take() } else { None };
         if let Some(since) = waited {
             actions.push(Action::Waited(Wait::Answer(now.since(since))));
+            record.measurement.record_answer(now.since(since), usual_round_trip, now);
         }
         let mut progress = Progress { responded, answered: waited.is_some(), requested: false };
         let mut unanswered_since = None;
+        let mut previous = None;
         if packet.length > 0 {
             let end = packet.sequence.wrapping_add(u32::from(packet.length));
             let is_new = record.sent_end.is_none_or(|sent_end| is_after(end, sent_end));
             if is_new {
                 record.sent_end = Some(end);
                 progress.requested = record.request_since.is_none();
+                if progress.requested {
+                    previous = record.measurement.take_answer(record.acknowledged);
+                    record.measurement.begin_request(record.acknowledged, crowding, now);
+                } else {
+                    record.measurement.continue_request(now);
+                }
                 record.request_since = record.request_since.or(Some(now));
             } else {
                 unanswered_since = record.request_since;
             }
         }
         let ended = packet.flags.finishes || packet.flags.resets;
+        if let Some(answer) = previous {
+            self.record_answer(index, flow.route, &answer);
+        }
+        self.record_progress(&flow, &progress, round_trip);
         self.update_target(index, &progress, now, actions);
         if progress.requested && !responded && self.is_unregistered_and_silent(index) {
             self.suspect(index, Some(flow), now, actions);
@@ -137,6 +160,32 @@
         }
     }
 
+    /// Records what one packet shows about the load.
+    fn record_progress(&mut self, flow: &Flow, progress: &Progress, round_trip: Option<Span>) {
+        let Some(load) = &mut self.load else { return };
+        let route = key::Route::of(flow.route);
+        if let Some(round_trip) = round_trip {
+            load.record_round_trip(round_trip);
+        }
+        if progress.requested {
+            load.node.record(&Sample::Requested(route));
+        }
+        // The size of an answer is known once the next request begins or the flow ends,
+        // unless the first part of the answer shows that it is not short.
+        if !progress.answered {
+            return;
+        }
+        let Some(record) = self.table.get_mut(flow) else { return };
+        let is_long = record
+            .measurement
+            .answer(record.acknowledged)
+            .is_some_and(|answer| load.is_long(route, &answer));
+        if is_long && let Some(answer) = record.measurement.take_answer(record.acknowledged) {
+            let index = record.target;
+            self.record_answer(index, flow.route, &answer);
+        }
+    }
+
     /// Returns whether a target is unregistered and has not responded to any caller
     /// since then.
     fn is_unregistered_and_silent(&self, index: usize) -> bool {
--- /dev/null
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -0,0 +1,269 @@
+//! The use of the shared load estimates: what packets show is recorded, and the estimates
+//! update the targets and the admission of new flows.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use mustardway_admission::controller::{Decision, Opening, Reason};
+use mustardway_admission::service as offered;
+use mustardway_load::sample::Sample;
+use mustardway_load::{key, node};
+use mustardway_types::service;
+use mustardway_types::time::Instant;
+
+use super::{Action, Front, Verdict};
+use crate::directory::Target;
+use crate::health::Status;
+use crate::load::{self, Admission, Load, Placement};
+use crate::measurement;
+use crate::note::{Note, ResetReason};
+use crate::packet::Packet;
+use crate::table::Stage;
+
+/// Greatest share of short answers that counts. A target that answers all requests with
+/// errors still gets a flow now and then, to show that it has recovered.
+const SHORT_SHARE_MAX: f64 = 0.95;
+/// Attempts of a caller at a request that is refused: the first one and two retries.
+const ATTEMPTS: f64 = 3.0;
+/// Share of a cold target's slots that counts as capacity.
+const COLD_CAPACITY: f64 = 0.5;
+
+impl Front {
+    /// Enables shared load estimates for what `settings` say.
+    #[must_use]
+    pub fn with_load(mut self, settings: load::Settings, now: Instant) -> Self {
+        if settings.is_used() {
+            self.load = Some(Box::new(Load::new(&self.me, settings, now)));
+        }
+        self
+    }
+
+    /// Returns the load, if its estimates are used.
+    pub fn load(&self) -> Option<&Load> {
+        self.load.as_deref()
+    }
+
+    /// Passes an event to the node of the load and carries out its actions.
+    pub(super) fn handle_load(
+        &mut self,
+        event: node::Event,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(load) = &mut self.load else { return };
+        let mut node_actions = Vec::new();
+        load.node.handle(now, event, &mut node_actions);
+        let mut is_updated = false;
+        for action in node_actions {
+            match action {
+                node::Action::Send { to, message } => {
+                    actions.push(Action::SendLoad { to, message });
+                }
+                node::Action::Updated => is_updated = true,
+            }
+        }
+        if is_updated {
+            self.apply_estimates(now, actions);
+        }
+    }
+
+    /// Records an observation.
+    pub(super) fn record_sample(&mut self, sample: &Sample) {
+        if let Some(load) = &mut self.load {
+            load.node.record(sample);
+        }
+    }
+
+    /// Estimates the requests per slot at a target.
+    pub(super) fn crowding(&self, index: usize, now: Instant) -> f64 {
+        let Some(target) = self.directory.get(index).filter(|_| self.load.is_some()) else {
+            return 0.0;
+        };
+        let waiting = target.observation.estimate_outstanding(self.neighbours.len(), now);
+        (waiting + 1.0) / f64::from(target.registration.slots.max(1))
+    }
+
+    /// Records an answer of the target at `index` whose size is known.
+    pub(super) fn record_answer(
+        &mut self,
+        index: usize,
+        route: SocketAddrV4,
+        answer: &measurement::Answer,
+    ) {
+        let aim = self.directory.route(route).map(|route| route.aim);
+        let (Some(load), Some(target)) = (&mut self.load, self.directory.get(index)) else {
+            return;
+        };
+        let is_late = aim.is_some_and(|aim| answer.wait > aim);
+        load.record_answer(target.key, key::Route::of(route), answer, is_late);
+    }
+
+    /// Decides whether a new flow to a service is admitted. Copies of an opening packet
+    /// are, since a target may have got the first one from another instance.
+    pub(super) fn admit(&mut self, packet: &Packet, service: &service::Name) -> Decision {
+        let everything = Decision::Admit { avoid_reserved: false };
+        let Some(load) = &mut self.load else { return everything };
+        if load.settings.admission == Admission::Off || packet.acknowledgement > 0 {
+            return everything;
+        }
+        let route = key::Route::of(packet.destination);
+        let caller = *packet.source.ip();
+        let epoch = load.node.view().epoch();
+        load.controller.decide(service, &Opening { route, caller, epoch })
+    }
+
+    /// Refuses a new flow. No target has seen its opening packet.
+    pub(super) fn refuse(
+        &mut self,
+        packet: &Packet,
+        service: &service::Name,
+        reason: Reason,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> Verdict {
+        if let Some(load) = &mut self.load {
+            load.count_refused(service, reason);
+            load.node.record(&Sample::Refused(key::Route::of(packet.destination)));
+        }
+        let reason = match reason {
+            Reason::Overloaded => ResetReason::Overloaded,
+            Reason::CallerShare => ResetReason::CallerShare,
+        };
+        self.reset(packet, reason, now, actions)
+    }
+
+    /// Returns the share of the targets of a service that is reserved for urgent flows.
+    pub(super) fn reserved_share(&self, service: &service::Name) -> f64 {
+        let status = self.load.as_ref().and_then(|load| load.controller.status(service));
+        status.map_or(0.0, |status| status.reserved)
+    }
+
+    /// Returns the mean number of requests in progress on an open flow to a service.
+    pub(super) fn busy_share(&self, service: &service::Name) -> f64 {
+        let load = self.load.as_ref();
+        load.and_then(|load| load.busy_shares.get(service)).copied().unwrap_or_default()
+    }
+
+    /// Reports the number of open flows of each route.
+    pub(super) fn report_flows(&mut self) {
+        let Some(load) = &mut self.load else { return };
+        let mut flows: BTreeMap<key::Route, u32> = BTreeMap::new();
+        for (flow, record) in self.table.iter() {
+            if record.stage == Stage::Open {
+                *flows.entry(key::Route::of(flow.route)).or_default() += 1;
+            }
+        }
+        load.node.set_flows(flows);
+    }
+
+    /// Updates the targets, the admission and what long flows bring from the estimates.
+    fn apply_estimates(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        self.update_time_factors(actions);
+        let Some(load) = &mut self.load else { return };
+        let is_current = load.node.view().age(now).is_some_and(|age| age < node::SUMMARY_AGE_MAX);
+        if !is_current {
+            load.controller.reset();
+            return;
+        }
+        for (service, offered) in self.offered_loads(now) {
+            let Some(load) = &mut self.load else { return };
+            if let Some(change) = load.controller.update(&service, &offered, now) {
+                actions.push(Action::Note(Note::Contention { service, change }));
+            }
+        }
+    }
+
+    /// Updates the expected time of each target relative to the others.
+    fn update_time_factors(&mut self, actions: &mut Vec<Action>) {
+        let Some(load) = &self.load else { return };
+        if load.settings.placement != Placement::ExpectedTime {
+            return;
+        }
+        let view = load.node.view();
+        let indexes: Vec<usize> = self.directory.indexes().collect();
+        for index in indexes {
+            let Some(target) = self.directory.get_mut(index) else { continue };
+            let slowness = view.slowness(target.key);
+            let short_share = view.short_share(target.key).min(SHORT_SHARE_MAX);
+            let time_factor = slowness / (1.0 - short_share);
+            let was_usual = target.time_factor == 1.0;
+            target.time_factor = time_factor;
+            if was_usual != (time_factor == 1.0) {
+                let target = target.registration.id.clone();
+                actions.push(Action::Note(Note::Slow { target, slowness, short_share }));
+            }
+        }
+    }
+
+    /// Returns the load that callers offer to each service that has any.
+    fn offered_loads(&mut self, now: Instant) -> BTreeMap<service::Name, offered::Load> {
+        let mut loads: BTreeMap<service::Name, offered::Load> = BTreeMap::new();
+        let mut busy: BTreeMap<service::Name, (f64, f64)> = BTreeMap::new();
+        let (Some(load), Some(configuration)) = (&mut self.load, self.directory.configuration())
+        else {
+            return loads;
+        };
+        load.update_routes(configuration);
+        for (route_key, estimate) in load.node.view().routes() {
+            let address = load.routes.get(&route_key).map(|route| route.address);
+            let Some(route) = address.and_then(|address| self.directory.route(address)) else {
+                continue;
+            };
+            let base_time = estimate.base_time.as_seconds();
+            let per_open = if estimate.opens > 0.0 {
+                (estimate.requests / estimate.opens).max(1.0)
+            } else {
+                1.0
+            };
+            let refused = estimate.refused / ATTEMPTS * per_open;
+            let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+            for share in &route.shares {
+                let part = f64::from(share.weight) / total.max(1) as f64;
+                let offered = (estimate.requests + refused) * base_time * part;
+                let in_progress = busy.entry(share.service.clone()).or_default();
+                in_progress.0 += estimate.requests * base_time * part;
+                in_progress.1 += estimate.flows * part;
+                loads.entry(share.service.clone()).or_default().routes.push(offered::Route {
+                    route: route_key,
+                    urgency: route.urgency,
+                    offered,
+                    crowding: estimate.crowding,
+                    late_share: estimate.late_share,
+                });
+            }
+        }
+        load.busy_shares.clear();
+        for (service, (in_progress, flows)) in busy {
+            if flows >= 1.0 {
+                load.busy_shares.insert(service, (in_progress / flows).min(1.0));
+            }
+        }
+        for (service, load) in &mut loads {
+            load.slots = self.usable_slots(service, now);
+        }
+        loads
+    }
+
+    /// Returns the slots of a service's usable targets. A slot of a target that takes
+    /// twice the usual time counts as a half.
+    fn usable_slots(&self, service: &service::Name, now: Instant) -> f64 {
+        let Some(load) = &self.load else { return 0.0 };
+        let mut slots = 0.0;
+        for index in self.directory.indexes_of_service(service) {
+            let Some(target) = self.directory.get(*index) else { continue };
+            if !self.is_usable(target, now) {
+                continue;
+            }
+            let cold = if now < target.cold_until { COLD_CAPACITY } else { 1.0 };
+            let slowness = load.node.view().slowness(target.key);
+            slots += f64::from(target.registration.slots) * cold / slowness;
+        }
+        slots
+    }
+
+    fn is_usable(&self, target: &Target, now: Instant) -> bool {
+        self.is_eligible(target)
+            && target.health.status(now) == Status::Healthy
+            && !self.reachability.silent.contains(&target.registration.domain)
+    }
+}
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -4,6 +4,9 @@
 //! has not answered within the time after which a caller sends a copy, another target
 //! is chosen.
 
+use mustardway_admission::controller::{Decision, Reason, is_reserved};
+use mustardway_load::key;
+use mustardway_load::sample::Sample;
 use mustardway_mirror::publication::Share;
 use mustardway_types::service;
 use mustardway_types::time::{Instant, Span};
@@ -16,7 +19,7 @@
 use crate::observation::{DEPRIORITISED_FOR, RESPONSE_TIMEOUT};
 use crate::opening::Opening;
 use crate::packet::Packet;
-use crate::placement::{Candidate, Grade};
+use crate::placement::{Candidate, Grade, WEIGHTS};
 use crate::slow_start;
 use crate::table::{Record, Stage};
 
@@ -47,9 +50,12 @@
             EarlierCopy::Unknown => self.retried_target(packet, now),
         };
         match self.place(packet, avoid, now) {
-            Some(index) => self.send_to(packet, index, now, actions),
-            None if self.is_withdrawing(packet, now) => Verdict::Drop(DropReason::Withdrawing),
-            None => self.reset(packet, ResetReason::NoTarget, now, actions),
+            Placed::At(index) => self.send_to(packet, index, now, actions),
+            Placed::Refused(service, reason) => self.refuse(packet, &service, reason, now, actions),
+            Placed::Nowhere if self.is_withdrawing(packet, now) => {
+                Verdict::Drop(DropReason::Withdrawing)
+            }
+            Placed::Nowhere => self.reset(packet, ResetReason::NoTarget, now, actions),
         }
     }
 
@@ -129,6 +135,9 @@
         record.opening = Some(packet.sequence);
         record.is_ambiguous = is_ambiguous;
         self.track(flow, record, now);
+        if packet.acknowledgement == 0 {
+            self.record_sample(&Sample::Opened(key::Route::of(packet.destination)));
+        }
         self.openings.add(Opening { flow, placed: now });
         self.count_cold_flow(index, now);
         let age = self.age(now);
@@ -144,27 +153,47 @@
         verdict
     }
 
-    /// Chooses the target of a new flow and returns its directory index.
-    fn place(
-        &mut self,
-        packet: &Packet,
-        avoid: Option<Unresponsive>,
-        now: Instant,
-    ) -> Option<usize> {
-        let mut shares = self.directory.route(packet.destination)?.shares.clone();
+    /// Chooses the target of a new flow.
+    fn place(&mut self, packet: &Packet, avoid: Option<Unresponsive>, now: Instant) -> Placed {
+        let route = self.directory.route(packet.destination);
+        let mut shares = route.map_or_else(Vec::new, |route| route.shares.clone());
+        let mut placed = Placed::Nowhere;
         while !shares.is_empty() {
             let share = shares.swap_remove(self.draw_share(&shares));
             self.demand.count(&share.service, now);
+            let avoid_reserved = match self.admit(packet, &share.service) {
+                Decision::Admit { avoid_reserved } => avoid_reserved,
+                Decision::Refuse(reason) => {
+                    placed = Placed::Refused(share.service, reason);
+                    continue;
+                }
+            };
             let mut candidates = self.candidates(&share.service, now);
+            if avoid_reserved {
+                self.avoid_reserved(&share.service, &mut candidates);
+            }
             if let Some(avoid) = avoid {
                 self.avoid_unresponsive(avoid, &mut candidates);
             }
             let flow = packet.flow();
             if let Some(index) = self.policy.choose(&flow, &candidates, &mut self.rng) {
-                return Some(index);
+                return Placed::At(index);
             }
         }
-        None
+        placed
+    }
+
+    /// Removes the targets that are reserved for urgent flows from the candidates, unless
+    /// no other one is good.
+    fn avoid_reserved(&self, service: &service::Name, candidates: &mut Vec<Candidate>) {
+        let reserved = self.reserved_share(service);
+        let is_open = |candidate: &Candidate| {
+            let target = self.directory.get(candidate.index);
+            target.is_some_and(|target| !is_reserved(target.key, reserved))
+        };
+        if candidates.iter().any(|it| it.grade == Grade::Good && is_open(it)) {
+            candidates.retain(is_open);
+        }
     }
 
     /// Removes an unresponsive target from the candidates, unless it is the only one,
@@ -204,6 +233,7 @@
     /// Returns the targets of a service that accept new flows.
     fn candidates(&self, service: &service::Name, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
+        let flow_weight = (self.busy_share(service) / WEIGHTS.idle_flow).max(1.0);
         for index in self.directory.indexes_of_service(service) {
             let Some(target) = self.directory.get(*index) else { continue };
             if !self.accepts_now(target, now) {
@@ -218,8 +248,11 @@
                 is_local: target.registration.domain == self.home,
                 is_cold: now < target.cold_until,
                 waiting: target.observation.estimate_outstanding(self.neighbours.len(), now),
-                idle: f64::from(target.observation.idle_flows()) * self.neighbours.len() as f64,
+                idle: f64::from(target.observation.idle_flows())
+                    * self.neighbours.len() as f64
+                    * flow_weight,
                 slots: target.registration.slots,
+                time_factor: target.time_factor,
             });
         }
         candidates
@@ -245,7 +278,7 @@
                     .is_none_or(|rate| rate > 0.0 && target.pacer.is_open(now)))
     }
 
-    fn is_eligible(&self, target: &Target) -> bool {
+    pub(super) fn is_eligible(&self, target: &Target) -> bool {
         let registration = &target.registration;
         if registration.leaving || target.is_shadowed {
             return false;
@@ -295,6 +328,16 @@
         && !target.observation.has_responded_after(now - UNREGISTERED_RESPONSE_AGE_MAX)
 }
 
+/// The result of placing a new flow.
+enum Placed {
+    /// At the target with this directory index.
+    At(usize),
+    /// Nowhere, since the service is full.
+    Refused(service::Name, Reason),
+    /// Nowhere, since no target accepts it.
+    Nowhere,
+}
+
 /// The result of looking up an earlier copy of an opening packet.
 enum EarlierCopy {
     /// No earlier copy is known.
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -375,6 +375,7 @@
     /// entries.
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.check_openings(now, actions);
+        self.handle_load(mustardway_load::node::Event::Tick, now, actions);
         self.update_reachability(now, actions);
         let is_useful = !self.responsiveness.is_isolated(now)
             && self.demand.is_met(|service| self.can_place(service));
@@ -390,6 +391,7 @@
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
+        self.report_flows();
         for flow in self.table.expired(self.directory.idle_timeout(), now) {
             self.untrack(&flow, now);
         }
--- a/crates/mustardway_flow/src/lib.rs
+++ b/crates/mustardway_flow/src/lib.rs
@@ -21,6 +21,8 @@
 //! - [`health`]: the health status of a target and the schedule of its probes.
 //! - [`slow_start`]: the rate of new flows to a target that has just started.
 //! - [`opening`]: opening packets that wait for the caller's next packet.
+//! - [`measurement`]: the time that a target takes for the requests of one flow.
+//! - [`load`]: shared load estimates and admission control, as this crate uses them.
 //! - [`placement`]: the load-balancing policy for new flows.
 //! - [`table`]: the flow table.
 //! - [`front`]: the state machine that joins these parts.
@@ -30,6 +32,8 @@
 pub mod directory;
 pub mod front;
 pub mod health;
+pub mod load;
+pub mod measurement;
 pub mod note;
 pub mod observation;
 pub mod opening;
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -1,8 +1,9 @@
 //! Decisions to log, and the reasons for which packets are dropped and flows reset.
 
 use displaydoc::Display;
+use mustardway_admission::controller::Change;
 use mustardway_types::time::Span;
-use mustardway_types::{domain, target};
+use mustardway_types::{domain, service, target};
 
 use crate::health::Evidence;
 use crate::packet::Flow;
@@ -65,16 +66,22 @@
     TargetLost,
     /// its token names no known target
     UnknownToken,
+    /// the service is full
+    Overloaded,
+    /// the service is full, and the caller has used up its share
+    CallerShare,
 }
 
 impl ResetReason {
     /// All reasons, in the order of declaration.
-    pub const ALL: [ResetReason; 5] = [
+    pub const ALL: [ResetReason; 7] = [
         ResetReason::NoRoute,
         ResetReason::RouteRemoved,
         ResetReason::NoTarget,
         ResetReason::TargetLost,
         ResetReason::UnknownToken,
+        ResetReason::Overloaded,
+        ResetReason::CallerShare,
     ];
 
     /// Returns the label value used in metrics.
@@ -85,6 +92,8 @@
             ResetReason::NoTarget => "no-target",
             ResetReason::TargetLost => "target-lost",
             ResetReason::UnknownToken => "unknown-token",
+            ResetReason::Overloaded => "overloaded",
+            ResetReason::CallerShare => "caller-share",
         }
     }
 }
@@ -190,4 +199,21 @@
         /// Whether the failure domain is evacuated and gets no new flows.
         out: bool,
     },
+    /// A service became full, or has spare capacity again.
+    Contention {
+        /// The service.
+        service: service::Name,
+        /// Its new state, with the load.
+        change: Change,
+    },
+    /// A target became slower or faster than usual, began or stopped to send short answers,
+    /// or is as usual again.
+    Slow {
+        /// The target.
+        target: target::Id,
+        /// Mean ratio of its times to the usual ones.
+        slowness: f64,
+        /// Share of its answers that are short.
+        short_share: f64,
+    },
 }
--- a/crates/mustardway_flow/src/placement.rs
+++ b/crates/mustardway_flow/src/placement.rs
@@ -1,7 +1,8 @@
 //! The load-balancing policy for new flows.
 //!
 //! Each candidate's score is its outstanding work per slot, plus a penalty for
-//! another failure domain and some noise. The noise keeps instances that see the same
+//! another failure domain and some noise. Where the time that a target takes is known, the
+//! work counts by the expected time until an answer. The noise keeps instances that see the same
 //! state from all choosing the same target. This spreads bursts of new flows and
 //! limits traffic between failure domains.
 
@@ -39,6 +40,8 @@
     pub idle: f64,
     /// Number of requests that the target handles concurrently.
     pub slots: u32,
+    /// Ratio of the expected time until a proper answer to that of an unknown target.
+    pub time_factor: f64,
 }
 
 /// Weights of the score, in waiting requests per slot.
@@ -88,6 +91,8 @@
 fn score(candidate: &Candidate, weights: &Weights) -> f64 {
     let work = candidate.waiting + weights.idle_flow * candidate.idle;
     let mut score = work / f64::from(candidate.slots.max(1));
+    // Work per slot, and the request itself, take longer at a slow target.
+    score += (candidate.time_factor - 1.0) * (1.0 + score);
     if !candidate.is_local {
         score += weights.distance;
     }
--- a/crates/mustardway_flow/src/table.rs
+++ b/crates/mustardway_flow/src/table.rs
@@ -3,10 +3,11 @@
 use mustardway_types::time::{Instant, Span};
 use rustc_hash::FxHashMap;
 
+use crate::measurement::Measurement;
 use crate::observation::RESPONSE_TIMEOUT;
 use crate::packet::Flow;
 
-/// Maximum number of flows in the table: 96 bytes each, less than 4 MB in total.
+/// Maximum number of flows in the table: 160 bytes each, less than 7 MB in total.
 /// Other flows are still forwarded by their tokens.
 const FLOWS_MAX: usize = 40_000;
 /// Time for which a flow is kept after it ended, to recognise copies of its last
@@ -50,6 +51,8 @@
     pub sent_end: Option<u32>,
     /// Time since which a request waits for its answer.
     pub request_since: Option<Instant>,
+    /// Times of the latest request.
+    pub measurement: Measurement,
 }
 
 impl Record {
@@ -77,6 +80,7 @@
             acknowledged: 0,
             sent_end: None,
             request_since: None,
+            measurement: Measurement::default(),
         }
     }
 }
@@ -139,6 +143,11 @@
         expired
     }
 
+    /// Returns all flows, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (&Flow, &Record)> {
+        self.flows.iter()
+    }
+
     /// Returns the number of flows in the table.
     pub fn len(&self) -> usize {
         self.flows.len()
