--- a/crates/mustardway_command/src/commands/front.rs
+++ b/crates/mustardway_command/src/commands/front.rs
@@ -5,8 +5,9 @@
 use std::process::ExitCode;
 use std::time::SystemTime;
 
+use mustardway_flow::load;
 use mustardway_front::run::{self, ReloadableSettings, SettingsSource};
-use mustardway_settings::front::Front;
+use mustardway_settings::front::{Admission, Front, Placement};
 use mustardway_telemetry::log;
 use mustardway_types::instance::Incarnation;
 use slog::Logger;
@@ -97,11 +98,26 @@
         seeds: settings.seeds.clone(),
         metrics: settings.metrics,
         grace: settings.grace,
+        load: load_settings(settings),
         incarnation: Incarnation(seed),
         seed,
     })
 }
 
+/// Returns what load estimates are used for.
+fn load_settings(settings: &Front) -> load::Settings {
+    load::Settings {
+        placement: match settings.placement {
+            Placement::Outstanding => load::Placement::Outstanding,
+            Placement::ExpectedTime => load::Placement::ExpectedTime,
+        },
+        admission: match settings.admission {
+            Admission::Off => load::Admission::Off,
+            Admission::Priority => load::Admission::ByPriority,
+        },
+    }
+}
+
 /// Modification time and length of a file. A difference means that the file has changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Stamp {
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -7,6 +7,8 @@
 
 use bytes::Bytes;
 use mustardway_flow::front::{self, Front, Verdict};
+use mustardway_flow::load;
+use mustardway_load::{message as load_message, topology as load_topology};
 use mustardway_membership::{action, event, member, message as membership_message, node, roster};
 use mustardway_mirror::node as mirror;
 use mustardway_mirror::{message as mirror_message, topology};
@@ -26,7 +28,7 @@
 use crate::input::Input;
 use crate::metrics::{Metrics, gauge_value};
 use crate::pause::Detector;
-use crate::peers::{MEMBERSHIP, MIRROR, TARGET_STATUS, TargetStatus};
+use crate::peers::{LOAD, MEMBERSHIP, MIRROR, TARGET_STATUS, TargetStatus};
 use crate::probes;
 use crate::report::Report;
 
@@ -58,6 +60,8 @@
     pub metrics: Arc<Metrics>,
     /// Logger of this instance.
     pub logger: Logger,
+    /// What load estimates are used for.
+    pub load: load::Settings,
     /// Seed of the random number generators.
     pub seed: u64,
 }
@@ -85,7 +89,8 @@
     pub fn new(context: Context) -> Self {
         let now = context.clock.now();
         Dispatcher {
-            front: Front::new(context.id.clone(), context.domain.clone(), context.seed),
+            front: Front::new(context.id.clone(), context.domain.clone(), context.seed)
+                .with_load(context.load, now),
             mirror: mirror::Node::new(context.seed, now),
             report: Report::new(context.logger.clone(), Arc::clone(&context.metrics)),
             pause_detector: Detector::new(now),
@@ -275,6 +280,10 @@
                     now,
                 );
             }),
+            LOAD => load_message::Message::decode(body).map(|message| {
+                let event = front::Event::Load { from: from.clone(), message };
+                self.handle_front_event(event, now);
+            }),
             _ => TargetStatus::decode(body)
                 .map(|status| self.handle_target_status(from, &status, now)),
         };
@@ -337,13 +346,16 @@
                 self.peers.insert(member.id.clone(), member.address);
             }
         }
-        let topology = topology::Topology::new(&self.context.id, &self.context.domain, live);
+        let (me, domain) = (&self.context.id, &self.context.domain);
+        let load_topology = load_topology::Topology::new(me, domain, live.iter().copied());
+        let topology = topology::Topology::new(me, domain, live);
         slog::debug!(self.context.logger, "live instances changed"; "live" => self.peers.len() + 1,
             "known" => known.len(), "rank" => topology.fleet_rank);
         self.domain_instances.clone_from(&topology.neighbours);
         self.handle_mirror_event(mirror::Event::Topology(topology), now);
         let neighbours = self.domain_instances.clone();
         self.handle_front_event(front::Event::Peers { known, neighbours }, now);
+        self.handle_front_event(front::Event::LoadTopology(load_topology), now);
     }
 
     fn handle_mirror_event(&mut self, event: mirror::Event, now: Instant) {
@@ -416,6 +428,10 @@
                 front::Action::TellPeers { target, is_lost } => {
                     self.broadcast_status(&target, is_lost);
                 }
+                front::Action::SendLoad { to, message } => {
+                    let Some(address) = self.peers.get(&to).copied() else { continue };
+                    self.send_message(&to, address, Priority::Bulk, LOAD, &message);
+                }
                 front::Action::Note(note) => self.report.log_decision(&note, now),
                 front::Action::Waited(wait) => self.report.metrics().observe_wait(wait),
             }
--- a/crates/mustardway_front/src/metrics.rs
+++ b/crates/mustardway_front/src/metrics.rs
@@ -269,7 +269,9 @@
             | Note::Unregistered { .. }
             | Note::Useful { .. }
             | Note::Reachable { .. }
-            | Note::Evacuated { .. } => {}
+            | Note::Evacuated { .. }
+            | Note::Contention { .. }
+            | Note::Slow { .. } => {}
         }
     }
 
--- a/crates/mustardway_front/src/peers.rs
+++ b/crates/mustardway_front/src/peers.rs
@@ -15,12 +15,18 @@
 pub const MIRROR: Kind = Kind(17);
 /// Frame kind of [`TargetStatus`] messages.
 pub const TARGET_STATUS: Kind = Kind(18);
+/// Frame kind of messages that share load estimates.
+pub const LOAD: Kind = Kind(19);
 /// Every frame kind that an instance accepts.
-pub const KINDS: [Kind; 3] = [MEMBERSHIP, MIRROR, TARGET_STATUS];
+pub const KINDS: [Kind; 4] = [MEMBERSHIP, MIRROR, TARGET_STATUS, LOAD];
 
 /// Label values of the frame kinds in metrics.
-pub const KIND_NAMES: [(Kind, &str); 3] =
-    [(MEMBERSHIP, "membership"), (MIRROR, "mirror"), (TARGET_STATUS, "target-status")];
+pub const KIND_NAMES: [(Kind, &str); 4] = [
+    (MEMBERSHIP, "membership"),
+    (MIRROR, "mirror"),
+    (TARGET_STATUS, "target-status"),
+    (LOAD, "load"),
+];
 
 /// Tells a peer whether the sender found a target lost or answering again.
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/mustardway_front/src/report.rs
+++ b/crates/mustardway_front/src/report.rs
@@ -165,6 +165,15 @@
                 slog::info!(log, "failure domain evacuated"; "domain" => %domain, "out" => out,
                     "skipped" => skipped);
             }
+            Note::Contention { service, change } => {
+                slog::warn!(log, "service contended"; "service" => %service,
+                    "state" => %change.state, "offered" => change.offered,
+                    "slots" => change.slots, "skipped" => skipped);
+            }
+            Note::Slow { target, slowness, short_share } => {
+                slog::info!(log, "target slow"; "target" => %target, "slowness" => slowness,
+                    "short_share" => short_share, "skipped" => skipped);
+            }
         }
     }
 }
@@ -195,5 +204,7 @@
         Note::Useful { .. } => "useful",
         Note::Reachable { .. } => "reachable",
         Note::Evacuated { .. } => "evacuated",
+        Note::Contention { .. } => "contention",
+        Note::Slow { .. } => "slow",
     }
 }
--- a/crates/mustardway_front/src/run.rs
+++ b/crates/mustardway_front/src/run.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use mustardway_flow::load;
 use mustardway_membership::{event, member, node, roster};
 use mustardway_peer::mesh::Mesh;
 use mustardway_types::clock::Clock;
@@ -63,6 +64,8 @@
     pub metrics: Option<SocketAddr>,
     /// Grace period: time from the stop signal until the process is killed.
     pub grace: Span,
+    /// What load estimates are used for.
+    pub load: load::Settings,
     /// Incarnation number, greater at every start.
     pub incarnation: Incarnation,
     /// Seed of the random number generators.
@@ -200,6 +203,7 @@
         inputs,
         metrics,
         logger: logger.clone(),
+        load: settings.load,
         seed: settings.seed,
     }))
 }
--- a/crates/mustardway_settings/src/front.rs
+++ b/crates/mustardway_settings/src/front.rs
@@ -15,21 +15,49 @@
 use crate::settings::Log;
 
 /// Keys of each section.
-const SECTION_KEYS: [(&str, Choices); 5] = [
+const SECTION_KEYS: [(&str, Choices); 6] = [
     ("instance", Choices(&["name", "domain", "packets", "ready", "peer", "advertise", "seeds"])),
     ("platform", Choices(&["address"])),
     ("timing", Choices(&["grace"])),
+    ("load", Choices(&["placement", "admission"])),
     ("metrics", Choices(&["address"])),
     ("log", Choices(&["level", "form"])),
 ];
 /// Names of all sections, as listed in problems.
 const SECTION_NAMES: Choices =
-    Choices(&["[instance]", "[platform]", "[timing]", "[metrics]", "[log]"]);
+    Choices(&["[instance]", "[platform]", "[timing]", "[load]", "[metrics]", "[log]"]);
 /// Default time from the order to stop until the process is killed.
 const GRACE_DEFAULT: time::Span = time::Span::seconds(6);
 /// Least and greatest time from the order to stop until the process is killed.
 const GRACE_RANGE: (time::Span, time::Span) = (time::Span::seconds(1), time::Span::seconds(600));
 
+const PLACEMENT_WORDS: &[&str] = &["outstanding", "expected-time"];
+const PLACEMENTS: [(&str, Placement); 2] =
+    [("outstanding", Placement::Outstanding), ("expected-time", Placement::ExpectedTime)];
+const ADMISSION_WORDS: &[&str] = &["off", "priority"];
+const ADMISSIONS: [(&str, Admission); 2] =
+    [("off", Admission::Off), ("priority", Admission::Priority)];
+
+/// How new flows are placed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Placement {
+    /// By outstanding requests per slot.
+    #[default]
+    Outstanding,
+    /// By the expected time until an answer.
+    ExpectedTime,
+}
+
+/// Whether new flows are refused while a service is full.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Admission {
+    /// All flows are admitted.
+    #[default]
+    Off,
+    /// The least urgent flows are refused first.
+    Priority,
+}
+
 /// All settings of an instance of the packet front.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Front {
@@ -51,6 +79,10 @@
     pub platform: SocketAddr,
     /// Time from the order to stop until the process is killed.
     pub grace: time::Span,
+    /// How new flows are placed.
+    pub placement: Placement,
+    /// Whether new flows are refused while a service is full.
+    pub admission: Admission,
     /// Address on which metrics are served, if any.
     pub metrics: Option<SocketAddr>,
     /// What the instance logs.
@@ -91,6 +123,11 @@
     let mut fields = Fields::new(document, "timing", problems);
     let grace = |text: &str| value::in_range(text, GRACE_RANGE.0, GRACE_RANGE.1);
     let grace = fields.with_default("grace", GRACE_DEFAULT, grace);
+    let mut fields = Fields::new(document, "load", problems);
+    let placement = |text: &str| value::choice(text, &PLACEMENTS, PLACEMENT_WORDS);
+    let admission = |text: &str| value::choice(text, &ADMISSIONS, ADMISSION_WORDS);
+    let placement = fields.with_default("placement", Placement::default(), placement);
+    let admission = fields.with_default("admission", Admission::default(), admission);
     let mut fields = Fields::new(document, "metrics", problems);
     let metrics = fields.optional("address", value::unicast_address);
     let log = parse::parse_log(&mut Fields::new(document, "log", problems));
@@ -104,6 +141,8 @@
         seeds: seeds?,
         platform: platform?,
         grace: grace?,
+        placement: placement?,
+        admission: admission?,
         metrics: metrics?,
         log: log?,
     })
