--- a/crates/mustardway_admission/src/controller.rs
+++ b/crates/mustardway_admission/src/controller.rs
@@ -13,9 +13,6 @@
 use crate::contention::{Contention, State};
 use crate::service::Load;
 
-/// Share of the slots that a refusing service admits load for. At 1.0 the queues that
-/// built up before would never shrink.
-const ADMITTED_UTILISATION: f64 = 0.95;
 /// Reserved targets per slot that the urgent load keeps busy.
 const RESERVE_FACTOR: f64 = 1.25;
 /// Greatest share of the targets that is reserved.
@@ -113,18 +110,19 @@
         let service = self.services.entry(name.clone()).or_default();
         let before = service.contention.state();
         let offered = load.offered();
-        // Without usable targets there is nothing to share.
-        let utilisation = if load.slots > 0.0 { offered / load.slots } else { 0.0 };
-        let state = service.contention.update(utilisation, load.is_waiting(), now);
+        let state = service.contention.update(load, now);
         service.most_urgent = load.most_urgent();
         let admitted = match state {
-            State::Refusing => allocate(load.slots * ADMITTED_UTILISATION, &load.routes),
+            State::Refusing => allocate(service.contention.budget(), &load.routes),
             _ => load.routes.iter().map(|route| route.offered).collect(),
         };
         let mut routes = BTreeMap::new();
         service.callers.retain(|key, _| load.routes.iter().any(|route| route.route == *key));
         for (route, admitted) in load.routes.iter().zip(admitted) {
-            let share = if route.offered > 0.0 { admitted / route.offered } else { 1.0 };
+            // Only new flows can be refused, so these make up for all of the excess.
+            let excess = (route.offered - admitted).max(0.0);
+            let share = if route.opening > 0.0 { 1.0 - excess / route.opening } else { 1.0 };
+            let share = share.clamp(0.0, 1.0);
             let callers = service.callers.entry(route.route).or_default();
             callers.set_share(if state == State::Refusing { share } else { 1.0 });
             let (urgency, offered) = (route.urgency, route.offered);
--- a/crates/mustardway_admission/src/service.rs
+++ b/crates/mustardway_admission/src/service.rs
@@ -2,7 +2,7 @@
 
 use mustardway_load::key;
 
-/// The capacity of a service and the load that callers offer.
+/// The load that callers offer to a service, and what its targets serve of it.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Load {
     /// Usable slots. A slot of a target that takes twice the usual time counts as a half.
@@ -11,38 +11,42 @@
     pub routes: Vec<Route>,
 }
 
-/// The load that callers offer to a service on one route.
+/// The load that callers offer to a service on one route. Loads are mean numbers of slots
+/// that requests keep busy.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Route {
     /// The route.
     pub route: key::Route,
     /// Priority under overload. 0 is the most urgent.
     pub urgency: u32,
-    /// Mean number of slots that all requests would keep busy, those of refused flows
-    /// included.
+    /// Load of all requests, those of refused flows included. Retries are not.
     pub offered: f64,
-    /// Ratio of the time at a target to the time without waiting there.
-    pub crowding: f64,
-    /// Share of late answers.
-    pub late_share: f64,
+    /// Part of `offered` for which callers open a flow, the refused ones included.
+    pub opening: f64,
+    /// Load of the requests that get a proper answer.
+    pub served: f64,
+    /// Share of the requests that targets reject.
+    pub rejected_share: f64,
 }
 
-/// Crowding at which requests wait: as long as they are worked on.
-const CROWDING_WAITING: f64 = 2.0;
-/// Share of late answers at which requests wait too long.
-const LATE_WAITING: f64 = 0.05;
-
 impl Load {
     /// Returns the load that callers offer on all routes.
     pub fn offered(&self) -> f64 {
         self.routes.iter().map(|route| route.offered).sum()
     }
 
-    /// Returns whether requests wait at the targets.
-    pub fn is_waiting(&self) -> bool {
-        let is_waiting =
-            |route: &Route| route.crowding >= CROWDING_WAITING || route.late_share >= LATE_WAITING;
-        self.routes.iter().any(is_waiting)
+    /// Returns the load that gets proper answers on all routes.
+    pub fn served(&self) -> f64 {
+        self.routes.iter().map(|route| route.served).sum()
+    }
+
+    /// Returns the share of the requests that targets reject.
+    pub fn rejected_share(&self) -> f64 {
+        let mut rejected = 0.0;
+        for route in &self.routes {
+            rejected += route.rejected_share * route.offered;
+        }
+        rejected / self.offered().max(f64::MIN_POSITIVE)
     }
 
     /// Returns the urgency of the most urgent route, if there are routes of different
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -95,7 +95,6 @@
     fn observe(&mut self, packet: &Packet, index: usize, now: Instant, actions: &mut Vec<Action>) {
         let flow = packet.flow();
         self.sync_record(&flow, packet, index, now);
-        let crowding = if packet.length > 0 { self.crowding(index, now) } else { 0.0 };
         let usual_round_trip = self.load().map_or(Span::ZERO, Load::usual_round_trip);
         let mut round_trip = None;
         let Some(record) = self.table.get_mut(&flow) else { return };
@@ -134,7 +133,7 @@
                 progress.requested = record.request_since.is_none();
                 if progress.requested {
                     previous = record.measurement.take_answer(record.acknowledged);
-                    record.measurement.begin_request(record.acknowledged, crowding, now);
+                    record.measurement.begin_request(record.acknowledged, now);
                 } else {
                     record.measurement.continue_request(now);
                 }
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -74,15 +74,6 @@
         }
     }
 
-    /// Estimates the requests per slot at a target.
-    pub(super) fn crowding(&self, index: usize, now: Instant) -> f64 {
-        let Some(target) = self.directory.get(index).filter(|_| self.load.is_some()) else {
-            return 0.0;
-        };
-        let waiting = target.observation.estimate_outstanding(self.neighbours.len(), now);
-        (waiting + 1.0) / f64::from(target.registration.slots.max(1))
-    }
-
     /// Records an answer of the target at `index` whose size is known.
     pub(super) fn record_answer(
         &mut self,
@@ -210,16 +201,16 @@
                 continue;
             };
             let base_time = estimate.base_time.as_seconds();
-            let per_open = if estimate.opens > 0.0 {
-                (estimate.requests / estimate.opens).max(1.0)
-            } else {
-                1.0
-            };
-            let refused = estimate.refused / ATTEMPTS * per_open;
+            // Callers retry rejected requests at once, as they do refused flows.
+            let rejected = estimate.short_share;
+            let tries = 1.0 + rejected + rejected * rejected;
+            let requests = estimate.requests / tries;
+            let refused = estimate.refused / ATTEMPTS;
             let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
             for share in &route.shares {
                 let part = f64::from(share.weight) / total.max(1) as f64;
-                let offered = (estimate.requests + refused) * base_time * part;
+                let opening = (estimate.opens / tries + refused) * base_time * part;
+                let offered = (requests + refused) * base_time * part;
                 let in_progress = busy.entry(share.service.clone()).or_default();
                 in_progress.0 += estimate.requests * base_time * part;
                 in_progress.1 += estimate.flows * part;
@@ -227,8 +218,9 @@
                     route: route_key,
                     urgency: route.urgency,
                     offered,
-                    crowding: estimate.crowding,
-                    late_share: estimate.late_share,
+                    opening: opening.min(offered),
+                    served: estimate.answers * base_time * part,
+                    rejected_share: estimate.short_share,
                 });
             }
         }
--- a/crates/mustardway_flow/src/load.rs
+++ b/crates/mustardway_flow/src/load.rs
@@ -20,6 +20,8 @@
 /// Share of the usual bytes up to which an answer is short. Of answers of different sizes
 /// with a spread of 0.6 of the mean, one in 30 has less.
 const SHORT_BYTES: f64 = 0.3;
+/// Greatest number of bytes of a short answer: an error fits in one packet.
+const SHORT_BYTES_MAX: f64 = 1_200.0;
 /// Share of the usual bytes up to which a fast answer is short.
 const SHORT_BYTES_FAST: f64 = 0.5;
 /// Share of the usual time below which an answer is fast.
@@ -142,7 +144,9 @@
     /// Returns whether an answer has so many bytes already that it is not short.
     pub(crate) fn is_long(&self, route: key::Route, answer: &measurement::Answer) -> bool {
         let usual = self.usual_bytes.get(&route);
-        usual.is_some_and(|usual| f64::from(answer.bytes) > usual * SHORT_BYTES_FAST)
+        usual.is_some_and(|usual| {
+            f64::from(answer.bytes) > (usual * SHORT_BYTES_FAST).min(SHORT_BYTES_MAX)
+        })
     }
 
     /// Records an answer from `target` whose size is known.
@@ -158,13 +162,12 @@
         let is_fast = (answer.time.0 as f64) < base_time.0 as f64 * FAST_TIME;
         let usual = self.usual_bytes.entry(route).or_insert(bytes);
         let limit = if is_fast { SHORT_BYTES_FAST } else { SHORT_BYTES };
-        let is_short = bytes <= *usual * limit;
+        let is_short = bytes <= (*usual * limit).min(SHORT_BYTES_MAX);
         *usual += (bytes - *usual) * if is_short { SHORT_BYTES_WEIGHT } else { BYTES_WEIGHT };
         self.node.record(&Sample::Answered(sample::Answer {
             target,
             route,
             time: answer.time,
-            crowding: answer.crowding,
             is_short,
             is_late,
         }));
--- a/crates/mustardway_flow/src/measurement.rs
+++ b/crates/mustardway_flow/src/measurement.rs
@@ -10,8 +10,6 @@
     pub time: Span,
     /// Time from the first byte of the request to the first part of the answer.
     pub wait: Span,
-    /// Estimated number of requests per slot at the target when the request began.
-    pub crowding: f64,
     /// Number of bytes of the answer that the caller has acknowledged.
     pub bytes: u32,
 }
@@ -23,7 +21,6 @@
     round_trip: Option<Span>,
     /// Time of the latest new data of the request.
     last_data: Instant,
-    crowding: f32,
     /// Sequence number up to which the caller had received when it sent the request.
     acknowledged_before: u32,
     /// Time and wait of the answer, until its size is known.
@@ -37,9 +34,8 @@
     }
 
     /// Records the begin of a request.
-    pub fn begin_request(&mut self, acknowledged: u32, crowding: f64, now: Instant) {
+    pub fn begin_request(&mut self, acknowledged: u32, now: Instant) {
         self.acknowledged_before = acknowledged;
-        self.crowding = crowding as f32;
         self.last_data = now;
         self.answered = None;
     }
@@ -59,7 +55,7 @@
     pub fn answer(&self, acknowledged: u32) -> Option<Answer> {
         let (time, wait) = self.answered?;
         let bytes = acknowledged.wrapping_sub(self.acknowledged_before);
-        Some(Answer { time, wait, crowding: f64::from(self.crowding), bytes })
+        Some(Answer { time, wait, bytes })
     }
 
     /// Removes and returns the answer.
--- a/crates/mustardway_load/src/estimate.rs
+++ b/crates/mustardway_load/src/estimate.rs
@@ -15,8 +15,8 @@
 const TARGET_TIME_CONSTANT: Span = Span::seconds(4);
 /// Time constant of the usual time of a route, which changes only with the work.
 const BASE_TIME_CONSTANT: Span = Span::seconds(10);
-/// Time constant of the rates, the crowding and the late share of a route: a burst that
-/// has ended is forgotten within a second.
+/// Time constant of the rates and the shares of late and short answers of a route: a burst
+/// that has ended is forgotten within a second.
 const RECENT_TIME_CONSTANT: Span = Span::millis(700);
 /// Weight of the assumption that a target has the usual speed, in samples.
 const PRIOR_SAMPLES: f64 = 3.0;
@@ -99,11 +99,9 @@
     refused: f64,
     answers: f64,
     late: f64,
-    /// Recent time at targets, with and without waiting, in microseconds.
+    short: f64,
+    /// Time at targets in microseconds, and its number of answers, over a longer time.
     time: f64,
-    work: f64,
-    /// Time without waiting in microseconds, and its number of answers, over a longer time.
-    base: f64,
     timed: f64,
 }
 
@@ -116,28 +114,29 @@
             &mut self.refused,
             &mut self.answers,
             &mut self.late,
-            &mut self.time,
-            &mut self.work,
+            &mut self.short,
         ] {
             *value *= recent;
         }
         let base = kept(passed, BASE_TIME_CONSTANT);
-        self.base *= base;
+        self.time *= base;
         self.timed *= base;
     }
 
     fn load(&self, flows: u32) -> RouteLoad {
         // A decayed sum of a constant rate is the rate times the time constant.
         let rate = |sum: f64| sum / RECENT_TIME_CONSTANT.as_seconds();
-        let base_time = if self.timed > 0.0 { self.base / self.timed } else { 0.0 };
+        let base_time = if self.timed > 0.0 { self.time / self.timed } else { 0.0 };
+        let share = |sum: f64| if self.answers > 0.0 { sum / self.answers } else { 0.0 };
         RouteLoad {
             opens: rate(self.opens),
             requests: rate(self.requests),
             refused: rate(self.refused),
             flows: f64::from(flows),
             base_time: Span(base_time as u64),
-            crowding: if self.work > 0.0 { self.time / self.work } else { 1.0 },
-            late_share: if self.answers > 0.0 { self.late / self.answers } else { 0.0 },
+            answers: rate((self.answers - self.short).max(0.0)),
+            late_share: share(self.late),
+            short_share: share(self.short),
         }
     }
 }
@@ -165,9 +164,8 @@
             route.refused += f64::from(sums.refused);
             route.answers += f64::from(sums.answers);
             route.late += f64::from(sums.late);
+            route.short += f64::from(sums.short);
             route.time += sums.time.0 as f64;
-            route.work += sums.work.0 as f64;
-            route.base += sums.work.0 as f64;
             route.timed += f64::from(sums.timed);
         }
     }
@@ -201,14 +199,14 @@
         let route = self.routes.entry(key).or_default();
         if route.timed < INHERITED_SAMPLES {
             route.timed += INHERITED_SAMPLES;
-            route.base += INHERITED_SAMPLES * load.base_time.0 as f64;
+            route.time += INHERITED_SAMPLES * load.base_time.0 as f64;
         }
     }
 
     /// Returns the usual time of a route, if any answer is known.
     pub fn base_time(&self, route: key::Route) -> Option<Span> {
         let route = self.routes.get(&route).filter(|route| route.timed > 0.0)?;
-        Some(Span((route.base / route.timed) as u64))
+        Some(Span((route.time / route.timed) as u64))
     }
 
     /// Returns the estimates of all targets, from `members` instances that could have
--- a/crates/mustardway_load/src/message.rs
+++ b/crates/mustardway_load/src/message.rs
@@ -14,7 +14,7 @@
 const COUNT_MAX: u32 = 10_000_000;
 /// Greatest mean time of a request that is accepted.
 const TIME_MAX: Span = Span::seconds(60);
-/// Greatest slowness, crowding and spread that is accepted.
+/// Greatest slowness and spread that is accepted.
 const FACTOR_MAX: f64 = 64.0;
 
 /// One message between instances.
@@ -100,9 +100,9 @@
     /// Time at targets, in microseconds.
     #[prost(uint64, tag = "8")]
     pub time_micros: u64,
-    /// Time at targets without waiting, in microseconds.
-    #[prost(uint64, tag = "9")]
-    pub work_micros: u64,
+    /// Number of short answers.
+    #[prost(uint32, tag = "9")]
+    pub short: u32,
     /// Number of open flows.
     #[prost(uint32, tag = "10")]
     pub flows: u32,
@@ -157,15 +157,18 @@
     /// Open flows.
     #[prost(uint32, tag = "5")]
     pub flows: u32,
-    /// Mean time of a request without waiting, in microseconds.
+    /// Mean time of a request at a target, in microseconds.
     #[prost(uint64, tag = "6")]
     pub base_micros: u64,
-    /// Ratio of the mean time to that, in thousandths.
-    #[prost(uint32, tag = "7")]
-    pub crowding_millis: u32,
+    /// Answers that are not short.
+    #[prost(uint64, tag = "7")]
+    pub answers_millis: u64,
     /// Share of late answers, in thousandths.
     #[prost(uint32, tag = "8")]
     pub late_millis: u32,
+    /// Share of short answers, in thousandths.
+    #[prost(uint32, tag = "9")]
+    pub short_millis: u32,
 }
 
 impl Report {
@@ -193,7 +196,7 @@
                 late: sums.late,
                 timed: sums.timed,
                 time_micros: sums.time.0,
-                work_micros: sums.work.0,
+                short: sums.short,
                 flows: sums.flows,
             });
         }
@@ -241,7 +244,7 @@
         let is_valid = counts.iter().all(|count| *count <= COUNT_MAX)
             && self.late <= self.answers
             && self.timed <= self.answers
-            && self.work_micros <= self.time_micros
+            && self.short <= self.answers
             && self.time_micros <= u64::from(self.timed) * TIME_MAX.0;
         is_valid.then_some(sums::Route {
             opens: self.opens,
@@ -251,7 +254,7 @@
             late: self.late,
             timed: self.timed,
             time: Span(self.time_micros),
-            work: Span(self.work_micros),
+            short: self.short,
             flows: self.flows,
         })
     }
@@ -271,12 +274,17 @@
                     && entry.short_millis <= 1_000
             })
             && self.routes.iter().all(|entry| {
-                let rates = [entry.opens_millis, entry.requests_millis, entry.refused_millis];
+                let rates = [
+                    entry.opens_millis,
+                    entry.requests_millis,
+                    entry.refused_millis,
+                    entry.answers_millis,
+                ];
                 rates.iter().all(|rate| *rate <= u64::from(COUNT_MAX) * 1_000)
                     && entry.flows <= COUNT_MAX
                     && entry.base_micros <= TIME_MAX.0
-                    && is_factor(entry.crowding_millis)
                     && entry.late_millis <= 1_000
+                    && entry.short_millis <= 1_000
             })
     }
 }
@@ -291,8 +299,9 @@
             refused_millis: to_millis(load.refused),
             flows: load.flows as u32,
             base_micros: load.base_time.0.min(TIME_MAX.0),
-            crowding_millis: to_factor_millis(load.crowding),
+            answers_millis: to_millis(load.answers),
             late_millis: to_factor_millis(load.late_share),
+            short_millis: to_factor_millis(load.short_share),
         }
     }
 
@@ -304,8 +313,9 @@
             refused: from_millis(self.refused_millis),
             flows: f64::from(self.flows),
             base_time: Span(self.base_micros),
-            crowding: from_millis(u64::from(self.crowding_millis)),
+            answers: from_millis(self.answers_millis),
             late_share: from_millis(u64::from(self.late_millis)),
+            short_share: from_millis(u64::from(self.short_millis)),
         }
     }
 }
--- a/crates/mustardway_load/src/sample.rs
+++ b/crates/mustardway_load/src/sample.rs
@@ -24,11 +24,9 @@
     pub target: key::Target,
     /// The route of the request.
     pub route: key::Route,
-    /// Time that the request spent at the target, from its last byte to the first part of
-    /// the answer, without the round trip.
+    /// Time that the request spent at the target, waiting there included, from its last byte
+    /// to the first part of the answer, without the round trip.
     pub time: Span,
-    /// Estimated number of requests per slot at the target when the request was sent.
-    pub crowding: f64,
     /// Whether the answer had far fewer bytes than usual for its route, as an error has.
     pub is_short: bool,
     /// Whether the answer came after the target latency of its route.
--- a/crates/mustardway_load/src/sums.rs
+++ b/crates/mustardway_load/src/sums.rs
@@ -12,16 +12,11 @@
 /// no single one may make a target look slow.
 pub const RATIO_MAX: f64 = 8.0;
 
-/// Returns the time of an answer without the wait at the target.
-fn work(answer: &Answer) -> Span {
-    Span((answer.time.0 as f64 / answer.crowding.max(1.0)) as u64)
-}
-
 /// Returns the ratio of the time of an answer to the `usual` time of its route, if the
 /// answer shows the speed of its target.
 pub fn ratio(answer: &Answer, usual: Option<Span>) -> Option<f64> {
     let usual = usual.filter(|usual| *usual > Span::ZERO && !answer.is_short)?;
-    Some((work(answer).0 as f64 / usual.0 as f64).min(RATIO_MAX))
+    Some((answer.time.0 as f64 / usual.0 as f64).min(RATIO_MAX))
 }
 
 /// Sums of the samples of one target.
@@ -62,12 +57,12 @@
     pub answers: u32,
     /// Number of late answers.
     pub late: u32,
-    /// Number of answers whose times are in `time` and `work`.
+    /// Number of answers whose times are in `time`: those that are not short.
     pub timed: u32,
+    /// Number of short answers.
+    pub short: u32,
     /// Time that the requests spent at targets.
     pub time: Span,
-    /// The same without the time that they waited there.
-    pub work: Span,
     /// Number of open flows now. It is not a sum over time, so adding sums leaves it out.
     pub flows: u32,
 }
@@ -81,7 +76,7 @@
         self.late = self.late.saturating_add(other.late);
         self.timed = self.timed.saturating_add(other.timed);
         self.time = self.time + other.time;
-        self.work = self.work + other.work;
+        self.short = self.short.saturating_add(other.short);
     }
 }
 
@@ -114,6 +109,7 @@
         let route = self.route(answer.route);
         route.answers += 1;
         route.late += u32::from(answer.is_late);
+        route.short += u32::from(answer.is_short);
         let target = self.targets.entry(answer.target).or_default();
         target.answers += 1;
         target.contributors |= contributor;
@@ -124,7 +120,6 @@
         let route = self.routes.entry(answer.route).or_default();
         route.timed += 1;
         route.time = route.time + answer.time;
-        route.work = route.work + work(answer);
         let Some(ratio) = ratio(answer, usual) else { return };
         target.samples += 1;
         target.ratio += ratio;
@@ -146,7 +141,6 @@
         for route in self.routes.values_mut() {
             route.timed = 0;
             route.time = Span::ZERO;
-            route.work = Span::ZERO;
         }
     }
 
--- a/crates/mustardway_load/src/view.rs
+++ b/crates/mustardway_load/src/view.rs
@@ -21,12 +21,14 @@
     pub refused: f64,
     /// Open flows.
     pub flows: f64,
-    /// Mean time that a request takes at a target, without waiting there.
+    /// Answers that are not short.
+    pub answers: f64,
+    /// Mean time that a request takes at a target.
     pub base_time: Span,
-    /// Ratio of the mean time at a target to `base_time`.
-    pub crowding: f64,
     /// Share of the answers that are late.
     pub late_share: f64,
+    /// Share of the answers that are far shorter than usual, as errors and rejections are.
+    pub short_share: f64,
 }
 
 /// The estimates for one target.
