--- a/crates/mustardway_emulator/src/host.rs
+++ b/crates/mustardway_emulator/src/host.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use mustardway_flow::front::Front;
+use mustardway_load::message as load_message;
 use mustardway_membership::{event, member, message, node, roster, settings};
 use mustardway_mirror::message as mirror_message;
 use mustardway_mirror::node as mirror;
@@ -26,6 +27,7 @@
 pub(crate) enum Frame {
     Membership(message::Message),
     Mirror(mirror_message::Message),
+    Load(load_message::Message),
     /// Report of a target's health within a failure domain.
     PeerReport {
         target: target::Id,
@@ -40,6 +42,7 @@
             + match self {
                 Frame::Membership(message) => message.encoded_len(),
                 Frame::Mirror(message) => message.encoded_len(),
+                Frame::Load(message) => message.encoded_len(),
                 Frame::PeerReport { target, .. } => target.as_str().len(),
             }
     }
--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -3,6 +3,7 @@
 
 use mustardway_flow::front::{self, Action};
 use mustardway_flow::health::Outcome;
+use mustardway_load::topology as load_topology;
 use mustardway_membership::{action, event, member};
 use mustardway_mirror::node::{self as mirror, Answer, Failure, Query};
 use mustardway_mirror::topology::Topology;
@@ -57,6 +58,9 @@
             Frame::Mirror(message) => {
                 self.deliver_to_mirror(to, mirror::Event::Received { from, message });
             }
+            Frame::Load(message) => {
+                self.deliver_to_front(to, front::Event::Load { from, message });
+            }
             Frame::PeerReport { target, is_lost } => {
                 self.deliver_to_front(to, front::Event::PeerReport { from, target, is_lost });
             }
@@ -158,11 +162,14 @@
                 live.push((&record.member.id, &record.member.domain));
             }
         }
-        let topology = Topology::new(&instance.id, &self.domain_names[instance.domain], live);
+        let (me, domain) = (&instance.id, &self.domain_names[instance.domain]);
+        let load_topology = load_topology::Topology::new(me, domain, live.iter().copied());
+        let topology = Topology::new(me, domain, live);
         instance.neighbours.clone_from(&topology.neighbours);
         let neighbours = instance.neighbours.clone();
         self.deliver_to_mirror(host, mirror::Event::Topology(topology));
         self.deliver_to_front(host, front::Event::Peers { known, neighbours });
+        self.deliver_to_front(host, front::Event::LoadTopology(load_topology));
     }
 
     /// Passes an event to the mirror of an instance and executes the actions that it
@@ -237,6 +244,11 @@
                         }
                     }
                 }
+                Action::SendLoad { to, message } => {
+                    if let Some(to) = host::index(&to) {
+                        self.send_frame(host, to, Frame::Load(message));
+                    }
+                }
                 Action::Waited(_) => {}
                 Action::Note(note) => {
                     let at = self.now.since(self.traffic_start);
