--- a/crates/mustardway_admission/src/contention.rs
+++ b/crates/mustardway_admission/src/contention.rs
@@ -1,9 +1,11 @@
 //! Whether a service is full, and how much load it is given then.
 //!
-//! The capacity of a full service is what its targets serve. While the targets stay full,
-//! the budget follows that; as soon as they are not, it rises again, so that nothing is
-//! refused for long while there is room. Entering a state needs more load than staying in
-//! it, so that a load near a threshold does not flap.
+//! A target whose queue is full rejects a request without running it, and its caller tries
+//! another one at once. That serves callers well until retries fail too. Flows are
+//! therefore refused only while the most urgent requests are rejected often, or nearly all
+//! are: then the budget falls step by step, and the least urgent flows with it. It rises
+//! again as soon as there is room. Entering a state needs more load than staying in it, so
+//! that a load near a threshold does not flap.
 
 use displaydoc::Display;
 use mustardway_types::time::{Instant, Span};
@@ -15,20 +17,29 @@
 const RESERVE_ABOVE: f64 = 0.7;
 /// Requests in progress per slot below which no targets are reserved any more.
 const RESERVE_BELOW: f64 = 0.6;
-/// Share of rejected requests from which on targets are full: with two retries, one request
-/// in 37 then fails.
-const FULL_ABOVE: f64 = 0.3;
-/// Share of rejected requests below which targets are not full any more: one request in
-/// 125 fails.
-const FULL_BELOW: f64 = 0.2;
+/// Requests in progress per slot from which on rejections show that targets are full.
+/// Below that they come from failing targets, and refusing flows would not help.
+const FULL_ABOVE: f64 = 0.9;
+/// Share of the most urgent requests that may be rejected: with two retries, one in 300 then
+/// fails.
+const URGENT_REJECTED_MAX: f64 = 0.15;
+/// Share of the most urgent requests below which the budget rises again.
+const URGENT_REJECTED_LOW: f64 = 0.08;
+/// Share of all requests that may be rejected: with two retries, one in 16 then fails.
+const REJECTED_MAX: f64 = 0.4;
+/// Share of all requests below which the budget rises again: one in 37 fails.
+const REJECTED_LOW: f64 = 0.3;
 /// Time for which targets have to be full before flows are refused. Callers' retries get
 /// over a shorter burst.
 const REFUSE_AFTER: Span = Span::seconds(1);
-/// Factor by which the budget rises with each update while the targets are not full.
-const BUDGET_RISE: f64 = 1.05;
-/// Part of the distance to the served load by which the budget changes with each update
-/// while the targets are full.
-const BUDGET_STEP: f64 = 0.5;
+/// Factors by which the budget changes with each update.
+const BUDGET_FALL: f64 = 0.96;
+const BUDGET_RISE: f64 = 1.04;
+/// Least budget, as a part of the capacity. Slots would be idle at less.
+const BUDGET_MIN: f64 = 0.85;
+/// Factor by which the known capacity falls with each update in which less is served: by
+/// half in 35 s.
+const CAPACITY_DECAY: f64 = 0.99;
 
 /// What a service does with new flows.
 #[derive(Debug, Display, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -46,9 +57,10 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Contention {
     state: State,
-    is_full: bool,
     /// Time since which the targets are full.
     full_since: Option<Instant>,
+    /// Greatest load that was served lately.
+    capacity: f64,
     /// Load that is admitted while flows are refused.
     budget: f64,
 }
@@ -67,20 +79,21 @@
     /// Updates the state. Called with each new estimate of the load.
     pub fn update(&mut self, load: &Load, now: Instant) -> State {
         let (offered, served) = (load.offered(), load.served());
-        let rejected = load.rejected_share();
-        self.is_full = rejected >= if self.is_full { FULL_BELOW } else { FULL_ABOVE };
-        if self.is_full {
+        let utilisation = if load.slots > 0.0 { offered / load.slots } else { 0.0 };
+        self.capacity = served.max(self.capacity * CAPACITY_DECAY);
+        let (rejected, urgent) = (load.rejected_share(), load.urgent_rejected_share());
+        let is_full = utilisation >= FULL_ABOVE
+            && (rejected > REJECTED_MAX
+                || urgent.is_some_and(|urgent| urgent > URGENT_REJECTED_MAX));
+        let has_room =
+            rejected < REJECTED_LOW && urgent.is_none_or(|urgent| urgent < URGENT_REJECTED_LOW);
+        if is_full {
             self.full_since.get_or_insert(now);
         } else {
             self.full_since = None;
         }
-        let utilisation = if load.slots > 0.0 { offered / load.slots } else { 0.0 };
         if self.state == State::Refusing {
-            if self.is_full {
-                self.budget += (served - self.budget) * BUDGET_STEP;
-            } else {
-                self.budget *= BUDGET_RISE;
-            }
+            self.adjust_budget(is_full, has_room || utilisation < FULL_ABOVE);
             if offered <= self.budget {
                 self.state = State::Reserving;
             }
@@ -98,4 +111,12 @@
         }
         self.state
     }
+
+    fn adjust_budget(&mut self, is_full: bool, has_room: bool) {
+        if is_full {
+            self.budget = (self.budget * BUDGET_FALL).max(self.capacity * BUDGET_MIN);
+        } else if has_room {
+            self.budget *= BUDGET_RISE;
+        }
+    }
 }
--- a/crates/mustardway_admission/src/controller.rs
+++ b/crates/mustardway_admission/src/controller.rs
@@ -13,7 +13,8 @@
 use crate::contention::{Contention, State};
 use crate::service::Load;
 
-/// Reserved targets per slot that the urgent load keeps busy.
+/// Ratio of the reserved share of the targets to the share that urgent requests have of the
+/// load.
 const RESERVE_FACTOR: f64 = 1.25;
 /// Greatest share of the targets that is reserved.
 const RESERVED_MAX: f64 = 0.5;
@@ -40,14 +41,22 @@
     CallerShare,
 }
 
+/// How a new flow uses targets that are reserved for urgent ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reserved {
+    /// Like others.
+    Ignore,
+    /// Only if no other target is available.
+    Avoid,
+    /// Rather than others.
+    Prefer,
+}
+
 /// The decision on a new flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
     /// The flow is admitted.
-    Admit {
-        /// Whether the flow should not go to a target that is reserved for urgent ones.
-        avoid_reserved: bool,
-    },
+    Admit(Reserved),
     /// The flow is refused.
     Refuse(Reason),
 }
@@ -142,17 +151,18 @@
     /// Decides on a new flow to a service.
     pub fn decide(&mut self, name: &service::Name, opening: &Opening) -> Decision {
         let Some(service) = self.services.get_mut(name) else {
-            return Decision::Admit { avoid_reserved: false };
+            return Decision::Admit(Reserved::Ignore);
         };
         let state = service.contention.state();
         if state == State::Open {
-            return Decision::Admit { avoid_reserved: false };
+            return Decision::Admit(Reserved::Ignore);
         }
         let status = service.status.as_ref();
         let urgency = status.and_then(|status| status.routes.get(&opening.route));
-        let is_ordinary = match (urgency, service.most_urgent) {
-            (Some(route), Some(most_urgent)) => route.urgency > most_urgent,
-            _ => false,
+        let reserved = match (urgency, service.most_urgent) {
+            (Some(route), Some(most_urgent)) if route.urgency > most_urgent => Reserved::Avoid,
+            (Some(_), Some(_)) => Reserved::Prefer,
+            _ => Reserved::Ignore,
         };
         if state == State::Refusing
             && let Some(callers) = service.callers.get_mut(&opening.route)
@@ -163,7 +173,7 @@
                 Verdict::ExceedsShare => return Decision::Refuse(Reason::CallerShare),
             }
         }
-        Decision::Admit { avoid_reserved: is_ordinary }
+        Decision::Admit(reserved)
     }
 
     /// Returns the status of a service, if its load is known.
@@ -184,7 +194,7 @@
     };
     let urgent = load.routes.iter().filter(|route| route.urgency == most_urgent);
     let urgent: f64 = urgent.map(|route| route.offered).sum();
-    (urgent / load.slots.max(f64::MIN_POSITIVE) * RESERVE_FACTOR).min(RESERVED_MAX)
+    (urgent / load.offered().max(f64::MIN_POSITIVE) * RESERVE_FACTOR).min(RESERVED_MAX)
 }
 
 /// Returns whether a target is among the share `reserved` of the targets that are
--- a/crates/mustardway_admission/src/service.rs
+++ b/crates/mustardway_admission/src/service.rs
@@ -42,11 +42,14 @@
 
     /// Returns the share of the requests that targets reject.
     pub fn rejected_share(&self) -> f64 {
-        let mut rejected = 0.0;
-        for route in &self.routes {
-            rejected += route.rejected_share * route.offered;
-        }
-        rejected / self.offered().max(f64::MIN_POSITIVE)
+        rejected_share(self.routes.iter())
+    }
+
+    /// Returns the share of the requests on the most urgent routes that targets reject, if
+    /// routes differ in urgency.
+    pub fn urgent_rejected_share(&self) -> Option<f64> {
+        let most_urgent = self.most_urgent()?;
+        Some(rejected_share(self.routes.iter().filter(|route| route.urgency == most_urgent)))
     }
 
     /// Returns the urgency of the most urgent route, if there are routes of different
@@ -56,3 +59,13 @@
         self.routes.iter().any(|route| route.urgency > least).then_some(least)
     }
 }
+
+/// Returns the share of the requests on `routes` that targets reject.
+fn rejected_share<'a>(routes: impl Iterator<Item = &'a Route>) -> f64 {
+    let (mut rejected, mut offered) = (0.0, 0.0);
+    for route in routes {
+        rejected += route.rejected_share * route.offered;
+        offered += route.offered;
+    }
+    rejected / offered.max(f64::MIN_POSITIVE)
+}
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-use mustardway_admission::controller::{Decision, Opening, Reason};
+use mustardway_admission::controller::{Decision, Opening, Reason, Reserved};
 use mustardway_admission::service as offered;
 use mustardway_load::sample::Sample;
 use mustardway_load::{key, node};
@@ -92,7 +92,7 @@
     /// Decides whether a new flow to a service is admitted. Copies of an opening packet
     /// are, since a target may have got the first one from another instance.
     pub(super) fn admit(&mut self, packet: &Packet, service: &service::Name) -> Decision {
-        let everything = Decision::Admit { avoid_reserved: false };
+        let everything = Decision::Admit(Reserved::Ignore);
         let Some(load) = &mut self.load else { return everything };
         if load.settings.admission == Admission::Off || packet.acknowledgement > 0 {
             return everything;
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -4,7 +4,7 @@
 //! has not answered within the time after which a caller sends a copy, another target
 //! is chosen.
 
-use mustardway_admission::controller::{Decision, Reason, is_reserved};
+use mustardway_admission::controller::{Decision, Reason, Reserved, is_reserved};
 use mustardway_load::key;
 use mustardway_load::sample::Sample;
 use mustardway_mirror::publication::Share;
@@ -30,6 +30,10 @@
 /// each every 500 ms, and a margin for instances that notice later.
 const ROUTER_NOTICE_MAX: Span = Span::millis(1_500);
 
+/// Penalty of a target that is not reserved for urgent flows, for these, in waiting
+/// requests per slot.
+const UNRESERVED_PENALTY: f64 = 0.5;
+
 impl Front {
     /// Decides what to do with an opening packet.
     pub(super) fn open_flow(
@@ -161,17 +165,15 @@
         while !shares.is_empty() {
             let share = shares.swap_remove(self.draw_share(&shares));
             self.demand.count(&share.service, now);
-            let avoid_reserved = match self.admit(packet, &share.service) {
-                Decision::Admit { avoid_reserved } => avoid_reserved,
+            let reserved = match self.admit(packet, &share.service) {
+                Decision::Admit(reserved) => reserved,
                 Decision::Refuse(reason) => {
                     placed = Placed::Refused(share.service, reason);
                     continue;
                 }
             };
             let mut candidates = self.candidates(&share.service, now);
-            if avoid_reserved {
-                self.avoid_reserved(&share.service, &mut candidates);
-            }
+            self.apply_reservation(&share.service, reserved, &mut candidates);
             if let Some(avoid) = avoid {
                 self.avoid_unresponsive(avoid, &mut candidates);
             }
@@ -183,14 +185,30 @@
         placed
     }
 
-    /// Removes the targets that are reserved for urgent flows from the candidates, unless
-    /// no other one is good.
-    fn avoid_reserved(&self, service: &service::Name, candidates: &mut Vec<Candidate>) {
-        let reserved = self.reserved_share(service);
+    /// Keeps ordinary flows away from the targets that are reserved for urgent ones, unless
+    /// no other target is good, and urgent flows at them, unless these have more work.
+    fn apply_reservation(
+        &self,
+        service: &service::Name,
+        reserved: Reserved,
+        candidates: &mut Vec<Candidate>,
+    ) {
+        if reserved == Reserved::Ignore {
+            return;
+        }
+        let share = self.reserved_share(service);
         let is_open = |candidate: &Candidate| {
             let target = self.directory.get(candidate.index);
-            target.is_some_and(|target| !is_reserved(target.key, reserved))
+            target.is_some_and(|target| !is_reserved(target.key, share))
         };
+        if reserved == Reserved::Prefer {
+            for candidate in candidates {
+                if is_open(candidate) {
+                    candidate.penalty += UNRESERVED_PENALTY;
+                }
+            }
+            return;
+        }
         if candidates.iter().any(|it| it.grade == Grade::Good && is_open(it)) {
             candidates.retain(is_open);
         }
@@ -253,6 +271,7 @@
                     * flow_weight,
                 slots: target.registration.slots,
                 time_factor: target.time_factor,
+                penalty: 0.0,
             });
         }
         candidates
