--- a/crates/mustardway_admission/src/contention.rs
+++ b/crates/mustardway_admission/src/contention.rs
@@ -1,11 +1,10 @@
 //! Whether a service is full, and how much load it is given then.
 //!
 //! A target whose queue is full rejects a request without running it, and its caller tries
-//! another one at once. That serves callers well until retries fail too. Flows are
-//! therefore refused only while the most urgent requests are rejected often, or nearly all
-//! are: then the budget falls step by step, and the least urgent flows with it. It rises
-//! again as soon as there is room. Entering a state needs more load than staying in it, so
-//! that a load near a threshold does not flap.
+//! another one at once. While that happens often, or answers are late, the budget of the
+//! service falls step by step, and the least urgent flows with it, so that what is admitted
+//! is served in time. It rises again as soon as there is room. Entering a state needs more
+//! load than staying in it, so that a load near a threshold does not flap.
 
 use displaydoc::Display;
 use mustardway_types::time::{Instant, Span};
@@ -20,15 +19,12 @@
 /// Requests in progress per slot from which on rejections show that targets are full.
 /// Below that they come from failing targets, and refusing flows would not help.
 const FULL_ABOVE: f64 = 0.9;
-/// Share of the most urgent requests that may be rejected: with two retries, one in 300 then
-/// fails.
-const URGENT_REJECTED_MAX: f64 = 0.15;
-/// Share of the most urgent requests below which the budget rises again.
-const URGENT_REJECTED_LOW: f64 = 0.08;
-/// Share of all requests that may be rejected: with two retries, one in 16 then fails.
-const REJECTED_MAX: f64 = 0.4;
-/// Share of all requests below which the budget rises again: one in 37 fails.
-const REJECTED_LOW: f64 = 0.3;
+/// Shares of rejected requests above which targets are full, and below which they have
+/// room again. Each rejection costs its caller a try, and a part of its time.
+const REJECTED_RANGE: (f64, f64) = (0.05, 0.10);
+/// Shares of late answers above which targets are full, and below which they have room
+/// again.
+const LATE_RANGE: (f64, f64) = (0.02, 0.05);
 /// Time for which targets have to be full before flows are refused. Callers' retries get
 /// over a shorter burst.
 const REFUSE_AFTER: Span = Span::seconds(1);
@@ -38,8 +34,8 @@
 /// Least budget, as a part of the capacity. Slots would be idle at less.
 const BUDGET_MIN: f64 = 0.85;
 /// Factor by which the known capacity falls with each update in which less is served: by
-/// half in 35 s.
-const CAPACITY_DECAY: f64 = 0.99;
+/// half in 3 minutes.
+const CAPACITY_DECAY: f64 = 0.998;
 
 /// What a service does with new flows.
 #[derive(Debug, Display, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -81,12 +77,10 @@
         let (offered, served) = (load.offered(), load.served());
         let utilisation = if load.slots > 0.0 { offered / load.slots } else { 0.0 };
         self.capacity = served.max(self.capacity * CAPACITY_DECAY);
-        let (rejected, urgent) = (load.rejected_share(), load.urgent_rejected_share());
-        let is_full = utilisation >= FULL_ABOVE
-            && (rejected > REJECTED_MAX
-                || urgent.is_some_and(|urgent| urgent > URGENT_REJECTED_MAX));
-        let has_room =
-            rejected < REJECTED_LOW && urgent.is_none_or(|urgent| urgent < URGENT_REJECTED_LOW);
+        let (rejected, late) = (load.rejected_share(), load.late_share());
+        let is_full =
+            utilisation >= FULL_ABOVE && (rejected > REJECTED_RANGE.1 || late > LATE_RANGE.1);
+        let has_room = rejected < REJECTED_RANGE.0 && late < LATE_RANGE.0;
         if is_full {
             self.full_since.get_or_insert(now);
         } else {
--- a/crates/mustardway_admission/src/service.rs
+++ b/crates/mustardway_admission/src/service.rs
@@ -27,6 +27,8 @@
     pub served: f64,
     /// Share of the requests that targets reject.
     pub rejected_share: f64,
+    /// Share of late answers.
+    pub late_share: f64,
 }
 
 impl Load {
@@ -42,14 +44,22 @@
 
     /// Returns the share of the requests that targets reject.
     pub fn rejected_share(&self) -> f64 {
-        rejected_share(self.routes.iter())
+        self.mean(|route| route.rejected_share)
     }
 
-    /// Returns the share of the requests on the most urgent routes that targets reject, if
-    /// routes differ in urgency.
-    pub fn urgent_rejected_share(&self) -> Option<f64> {
-        let most_urgent = self.most_urgent()?;
-        Some(rejected_share(self.routes.iter().filter(|route| route.urgency == most_urgent)))
+    /// Returns the share of late answers.
+    pub fn late_share(&self) -> f64 {
+        self.mean(|route| route.late_share)
+    }
+
+    /// Returns the mean over all routes, weighted by their load.
+    fn mean(&self, value: impl Fn(&Route) -> f64) -> f64 {
+        let (mut sum, mut offered) = (0.0, 0.0);
+        for route in &self.routes {
+            sum += value(route) * route.offered;
+            offered += route.offered;
+        }
+        sum / offered.max(f64::MIN_POSITIVE)
     }
 
     /// Returns the urgency of the most urgent route, if there are routes of different
@@ -59,13 +69,3 @@
         self.routes.iter().any(|route| route.urgency > least).then_some(least)
     }
 }
-
-/// Returns the share of the requests on `routes` that targets reject.
-fn rejected_share<'a>(routes: impl Iterator<Item = &'a Route>) -> f64 {
-    let (mut rejected, mut offered) = (0.0, 0.0);
-    for route in routes {
-        rejected += route.rejected_share * route.offered;
-        offered += route.offered;
-    }
-    rejected / offered.max(f64::MIN_POSITIVE)
-}
--- a/crates/mustardway_flow/src/directory.rs
+++ b/crates/mustardway_flow/src/directory.rs
@@ -36,6 +36,8 @@
     pub key: key::Target,
     /// Ratio of the expected time until a proper answer to that of an unknown target.
     pub time_factor: f64,
+    /// Whether this instance prefers the target while its service is nearly full.
+    pub is_preferred: bool,
     /// Whether a target with a lesser name has the same token. The target then gets
     /// no flows.
     pub is_shadowed: bool,
@@ -57,6 +59,7 @@
             token: Token::of(&registration.id),
             key: key::Target::of(&registration.id, registration.born),
             time_factor: 1.0,
+            is_preferred: false,
             is_shadowed: false,
             unregistered_at: None,
             cold_until: now + registration.cold,
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
+use mustardway_admission::contention::State;
 use mustardway_admission::controller::{Decision, Opening, Reason, Reserved};
 use mustardway_admission::service as offered;
 use mustardway_load::sample::Sample;
@@ -18,6 +19,7 @@
 use crate::measurement;
 use crate::note::{Note, ResetReason};
 use crate::packet::Packet;
+use crate::rank;
 use crate::table::Stage;
 
 /// Greatest share of short answers that counts. A target that answers all requests with
@@ -25,6 +27,11 @@
 const SHORT_SHARE_MAX: f64 = 0.95;
 /// Attempts of a caller at a request that is refused: the first one and two retries.
 const ATTEMPTS: f64 = 3.0;
+/// Number of instances of a failure domain that prefer a target while its service is nearly
+/// full. Each of them sees a larger part of the target's requests, and so its queue.
+pub(super) const PREFERRED_BY: usize = 4;
+/// Seed of the rank that chooses them. It must be the same at all instances.
+const PREFERENCE_SEED: u64 = 0x7072_6566_0000_0001;
 /// Share of a cold target's slots that counts as capacity.
 const COLD_CAPACITY: f64 = 0.5;
 
@@ -129,6 +136,12 @@
         status.map_or(0.0, |status| status.reserved)
     }
 
+    /// Returns whether a service is nearly full.
+    pub(super) fn is_contended(&self, service: &service::Name) -> bool {
+        let status = self.load.as_ref().and_then(|load| load.controller.status(service));
+        status.is_some_and(|status| status.state != State::Open)
+    }
+
     /// Returns the mean number of requests in progress on an open flow to a service.
     pub(super) fn busy_share(&self, service: &service::Name) -> f64 {
         let load = self.load.as_ref();
@@ -177,6 +190,13 @@
             let slowness = view.slowness(target.key);
             let short_share = view.short_share(target.key).min(SHORT_SHARE_MAX);
             let time_factor = slowness / (1.0 - short_share);
+            target.is_preferred = rank::is_among_first(
+                PREFERENCE_SEED,
+                &self.me,
+                &self.neighbours,
+                &target.registration.id,
+                PREFERRED_BY,
+            );
             let was_usual = target.time_factor == 1.0;
             target.time_factor = time_factor;
             if was_usual != (time_factor == 1.0) {
@@ -221,6 +241,7 @@
                     opening: opening.min(offered),
                     served: estimate.answers * base_time * part,
                     rejected_share: estimate.short_share,
+                    late_share: estimate.late_share,
                 });
             }
         }
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -12,6 +12,7 @@
 use mustardway_types::time::{Instant, Span};
 use rand::RngExt;
 
+use super::load::PREFERRED_BY;
 use super::{Action, Front, Verdict};
 use crate::directory::{REGISTRATION_GRACE, Target};
 use crate::health::Status;
@@ -30,6 +31,8 @@
 /// each every 500 ms, and a margin for instances that notice later.
 const ROUTER_NOTICE_MAX: Span = Span::millis(1_500);
 
+/// Penalty of a target that other instances prefer, in waiting requests per slot.
+const UNPREFERRED_PENALTY: f64 = 0.5;
 /// Penalty of a target that is not reserved for urgent flows, for these, in waiting
 /// requests per slot.
 const UNRESERVED_PENALTY: f64 = 0.5;
@@ -251,6 +254,7 @@
     /// Returns the targets of a service that accept new flows.
     fn candidates(&self, service: &service::Name, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
+        let is_contended = self.is_contended(service);
         let flow_weight = (self.busy_share(service) / WEIGHTS.idle_flow).max(1.0);
         for index in self.directory.indexes_of_service(service) {
             let Some(target) = self.directory.get(*index) else { continue };
@@ -260,18 +264,23 @@
             let is_degraded = target.health.status(now) != Status::Healthy
                 || is_unregistered_and_silent(target, now)
                 || target.observation.is_deprioritised(now);
+            let (senders, penalty) = match (is_contended, target.is_preferred) {
+                (false, _) => (self.neighbours.len(), 0.0),
+                (true, true) => (self.neighbours.len().min(PREFERRED_BY), 0.0),
+                (true, false) => (self.neighbours.len(), UNPREFERRED_PENALTY),
+            };
             candidates.push(Candidate {
                 index: *index,
                 grade: if is_degraded { Grade::Degraded } else { Grade::Good },
                 is_local: target.registration.domain == self.home,
                 is_cold: now < target.cold_until,
-                waiting: target.observation.estimate_outstanding(self.neighbours.len(), now),
+                waiting: target.observation.estimate_outstanding(senders, now),
                 idle: f64::from(target.observation.idle_flows())
                     * self.neighbours.len() as f64
                     * flow_weight,
                 slots: target.registration.slots,
                 time_factor: target.time_factor,
-                penalty: 0.0,
+                penalty,
             });
         }
         candidates
