--- a/crates/mustardway_admission/src/contention.rs
+++ b/crates/mustardway_admission/src/contention.rs
@@ -21,18 +21,18 @@
 const FULL_ABOVE: f64 = 0.9;
 /// Shares of rejected requests above which targets are full, and below which they have
 /// room again. Each rejection costs its caller a try, and a part of its time.
-const REJECTED_RANGE: (f64, f64) = (0.05, 0.10);
+const REJECTED_RANGE: (f64, f64) = (0.05, 0.1);
 /// Shares of late answers above which targets are full, and below which they have room
 /// again.
-const LATE_RANGE: (f64, f64) = (0.02, 0.05);
+const LATE_RANGE: (f64, f64) = (0.1, 0.2);
 /// Time for which targets have to be full before flows are refused. Callers' retries get
 /// over a shorter burst.
-const REFUSE_AFTER: Span = Span::seconds(1);
+const REFUSE_AFTER: Span = Span::millis(500);
 /// Factors by which the budget changes with each update.
 const BUDGET_FALL: f64 = 0.96;
 const BUDGET_RISE: f64 = 1.04;
 /// Least budget, as a part of the capacity. Slots would be idle at less.
-const BUDGET_MIN: f64 = 0.85;
+const BUDGET_MIN: f64 = 0.9;
 /// Factor by which the known capacity falls with each update in which less is served: by
 /// half in 3 minutes.
 const CAPACITY_DECAY: f64 = 0.998;
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -239,7 +239,7 @@
                     urgency: route.urgency,
                     offered,
                     opening: opening.min(offered),
-                    served: estimate.answers * base_time * part,
+                    served: estimate.requests * (1.0 - rejected) * base_time * part,
                     rejected_share: estimate.short_share,
                     late_share: estimate.late_share,
                 });
