--- a/crates/mustardway_flow/tests/common/mod.rs
+++ b/crates/mustardway_flow/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod load;
+
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
