Admission: spread the share of callers over the epoch

Cause: a caller could use up what it may open in an epoch at its begin.

Ruled out: thinning all callers, also those that open one flow in an epoch. Their retries would get another verdict at other instances.

Change: what a caller may open is spread over the flows that it opened in the epoch before. If all callers open more than then, the allowance rises in proportion: the epoch is longer, or demand rises. A rise of one caller alone counts up to four times its earlier demand.

--- a/crates/mustardway_admission/src/callers.rs
+++ b/crates/mustardway_admission/src/callers.rs
@@ -1,10 +1,11 @@
 //! Fair shares of the callers of one route. An instance sees a random part of each
 //! caller's flows, so it can share its part of the capacity by what it sees itself.
 //!
-//! Counts are kept for one epoch. A caller that was refused retries at once, mostly
-//! through another instance; the hash of caller and epoch gives it the same verdict
-//! there. While the demand of a whole epoch is not yet known, and for callers that are
-//! not counted, the hash alone decides on all flows of a caller.
+//! Counts are kept for one epoch. What a caller may open in it is spread over the flows
+//! that it opened in the epoch before. A caller that was refused retries at once, mostly
+//! through another instance; the hash of caller and epoch gives it the same verdict there
+//! if its share is less than one flow. While the demand of a whole epoch is not yet known,
+//! and for callers that are not counted, the hash alone decides on all flows of a caller.
 
 use std::net::Ipv4Addr;
 
@@ -18,6 +19,10 @@
 pub const RETRIES: u32 = 2;
 /// Maximum number of callers that are counted. Others share by the hash alone.
 const CALLERS_MAX: usize = 4_096;
+/// Factor by which a caller's demand may exceed that of the epoch before and still count
+/// towards the length of the epoch, which is one second, or up to four if summaries are
+/// late. What exceeds it is a change of that caller alone.
+const DEMAND_RISE_MAX: f64 = 4.0;
 /// Seed of the hash of the verdicts. It must be the same at all instances.
 const SEED: u64 = 0x6164_6d69_7400_0001;
 
@@ -33,6 +38,17 @@
     fn wanted(self) -> f64 {
         f64::from(self.admitted) + f64::from(self.refused.div_ceil(RETRIES + 1))
     }
+
+    /// Returns the number of the flow that the caller opens next. Retries of a flow have its
+    /// number.
+    fn next_flow(self) -> f64 {
+        f64::from(self.admitted) + f64::from(self.refused / (RETRIES + 1)) + 1.0
+    }
+
+    /// Returns whether the next attempt is a retry.
+    fn is_retry_next(self) -> bool {
+        self.refused % (RETRIES + 1) != 0
+    }
 }
 
 /// The verdict on a new flow.
@@ -58,30 +74,34 @@
     share: f64,
     counts: FxHashMap<Ipv4Addr, Count>,
     /// Number of flows that each caller wanted in the previous epoch; empty if unknown.
-    wanted: Vec<f64>,
+    wanted: FxHashMap<Ipv4Addr, f64>,
+    /// Sum of `wanted`.
+    demand: f64,
+    /// Number of flows that callers wanted so far in this epoch, as far as it is in
+    /// proportion to `wanted`.
+    seen: f64,
     /// New flows that each caller may open in an epoch, if the demand is known. A fraction
     /// is a probability.
     level: Option<f64>,
-    /// Mean number of flows that a caller wanted in the previous epoch.
-    mean_wanted: f64,
 }
 
 impl Callers {
     /// Sets the share of the callers' flows that is admitted.
     pub fn set_share(&mut self, share: f64) {
         self.share = share;
-        let all: f64 = self.wanted.iter().sum();
-        let is_known = !self.wanted.is_empty();
-        self.level = is_known.then(|| water_level(share * all, &self.wanted));
+        let demands: Vec<f64> = self.wanted.values().copied().collect();
+        let is_known = !demands.is_empty();
+        self.level = is_known.then(|| water_level(share * self.demand, &demands));
     }
 
     /// Begins an epoch with the demand of the one before.
     fn begin_epoch(&mut self, epoch: u64) {
         let is_next = self.epoch.is_some_and(|before| epoch == before.wrapping_add(1));
-        let counts = self.counts.drain().map(|(_, count)| count.wanted());
-        let wanted: Vec<f64> = counts.collect();
-        self.wanted = if is_next && self.is_whole { wanted } else { Vec::new() };
-        self.mean_wanted = self.wanted.iter().sum::<f64>() / self.wanted.len().max(1) as f64;
+        let counts = self.counts.drain().map(|(caller, count)| (caller, count.wanted()));
+        let wanted: FxHashMap<Ipv4Addr, f64> = counts.collect();
+        self.wanted = if is_next && self.is_whole { wanted } else { FxHashMap::default() };
+        self.demand = self.wanted.values().sum();
+        self.seen = 0.0;
         self.is_whole = is_next;
         self.epoch = Some(epoch);
         self.set_share(self.share);
@@ -97,9 +117,21 @@
         let is_known = self.counts.len() < CALLERS_MAX || self.counts.contains_key(&caller);
         let mut uncounted = Count::default();
         let count = if is_known { self.counts.entry(caller).or_default() } else { &mut uncounted };
+        let wanted = self.wanted.get(&caller).copied().unwrap_or(1.0);
+        let flow = count.next_flow();
+        let is_new = !count.is_retry_next();
+        if is_new && flow <= wanted * DEMAND_RISE_MAX {
+            self.seen += 1.0;
+        }
         let is_admitted = match self.level {
             _ if self.share >= 1.0 => true,
-            Some(level) if is_known => f64::from(count.admitted) < round(level, drawn),
+            Some(level) if is_known => {
+                let allowed = round(level, drawn);
+                let by_now = (allowed * flow / allowed.max(wanted)).ceil();
+                // An epoch in which all callers open more flows is longer, or demand rises.
+                let most = (allowed * self.seen / self.demand).floor().max(allowed);
+                is_new && f64::from(count.admitted) < by_now.min(most)
+            }
             _ => drawn < self.share,
         };
         if is_admitted {
@@ -107,7 +139,8 @@
             return Verdict::Admit;
         }
         count.refused = count.refused.saturating_add(1);
-        if count.admitted > 0 && count.wanted() > 2.0 * self.mean_wanted {
+        let mean = self.demand / self.wanted.len().max(1) as f64;
+        if count.admitted > 0 && count.wanted() > 2.0 * mean {
             return Verdict::ExceedsShare;
         }
         Verdict::Refuse
--- a/crates/mustardway_admission/tests/callers.rs
+++ b/crates/mustardway_admission/tests/callers.rs
@@ -4,6 +4,8 @@
 
 use mustardway_admission::callers::{Callers, RETRIES, Verdict};
 use mustardway_load::key;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
 
 /// Number of callers that are counted at most.
 const CALLERS_MAX: u32 = 4_096;
@@ -214,3 +216,112 @@
         }
     }
 }
+
+/// Guards against a share that is used up in the first part of each epoch, so that targets are
+/// full then and idle in the rest.
+#[test]
+fn share_is_spread_over_the_epoch() {
+    let mut callers = refusing(0.5);
+    for epoch in 1..8 {
+        let first = sum(&play(&mut callers, &[10; 400], epoch)).share();
+        let second = sum(&play(&mut callers, &[10; 400], epoch)).share();
+        if epoch > 2 {
+            assert!((first - 0.5).abs() < 0.1, "{first} in the first half of epoch {epoch}");
+            assert!((second - 0.5).abs() < 0.1, "{second} in the second half of epoch {epoch}");
+        }
+    }
+}
+
+/// Guards against refusals of nearly all flows in an epoch that takes longer, since summaries
+/// are late by up to 3 s.
+#[test]
+fn share_is_met_in_a_long_epoch() {
+    let mut callers = refusing(0.5);
+    for epoch in 1..5 {
+        play(&mut callers, &[10; 400], epoch);
+    }
+    for second in 1..4 {
+        let admitted = sum(&play(&mut callers, &[10; 400], 5)).share();
+        assert!((admitted - 0.5).abs() < 0.1, "{admitted} in second {second}");
+    }
+}
+
+/// Guards against a single caller with exploding demand that makes an epoch look longer.
+#[test]
+fn caller_whose_demand_explodes_within_an_epoch_gets_no_more_than_before() {
+    let mut callers = refusing(0.5);
+    for epoch in 1..5 {
+        play(&mut callers, &[10; 50], epoch);
+    }
+    let mut demands = vec![10; 50];
+    demands[7] = 2_000;
+    let epochs = play(&mut callers, &demands, 5);
+    assert!(epochs[7].admitted <= 6, "{} of 2,000", epochs[7].admitted);
+    let others = sum(&epochs).admitted - epochs[7].admitted;
+    assert!((220..=270).contains(&others), "{others} of 490");
+}
+
+/// Plays one epoch at `instances`: flows and their retries go to random ones. Returns the
+/// admitted flows of each caller.
+fn play_fleet(
+    instances: &mut [Callers],
+    demands: &[u32],
+    epoch: u64,
+    rng: &mut Pcg32,
+) -> Vec<Epoch> {
+    let mut epochs = vec![Epoch::default(); demands.len()];
+    for round in 0..demands.iter().copied().max().unwrap_or_default() {
+        for (number, demand) in demands.iter().enumerate() {
+            if round >= *demand {
+                continue;
+            }
+            epochs[number].wanted += 1;
+            for _ in 0..=RETRIES {
+                let instance = rng.random_range(0..instances.len());
+                let verdict = instances[instance].decide(route(), caller(number as u32), epoch);
+                if verdict == Verdict::Admit {
+                    epochs[number].admitted += 1;
+                    break;
+                }
+            }
+        }
+    }
+    epochs
+}
+
+/// Returns the admitted shares of all flows, and of the flows of all callers but the first,
+/// in epochs 4 to 11 at 40 instances.
+fn fleet_shares(share: f64, demands: &[u32]) -> (f64, f64) {
+    let mut rng = Pcg32::seed_from_u64(1);
+    let mut instances: Vec<Callers> = (0..40).map(|_| refusing(share)).collect();
+    let (mut all, mut others) = (Epoch::default(), Epoch::default());
+    for epoch in 1..12 {
+        let epochs = play_fleet(&mut instances, demands, epoch, &mut rng);
+        if epoch < 4 {
+            continue;
+        }
+        for (number, played) in epochs.iter().enumerate() {
+            all.wanted += played.wanted;
+            all.admitted += played.admitted;
+            if number > 0 {
+                others.wanted += played.wanted;
+                others.admitted += played.admitted;
+            }
+        }
+    }
+    (all.share(), others.share())
+}
+
+/// Guards against retries through other instances that undo the refusals.
+#[test]
+fn fleet_meets_the_share() {
+    for share in [0.3, 0.5, 0.8] {
+        for demand in [1, 4, 40] {
+            let (all, _) = fleet_shares(share, &[demand; 500]);
+            println!("{share} {demand} {all}");
+        }
+    }
+    let mut demands = vec![4; 500];
+    demands[0] = 2_000;
+    println!("{:?}", fleet_shares(0.5, &demands));
+}
