Admission: one verdict for all flows of an ordinary caller in an epoch

Cause: callers got an allowance of flows at each instance. A caller that had used it up at one instance retried at another one, where it had not.

Ruled out: counting a third of each refusal instead of rounding up.

Change: the hash of caller and epoch decides on all flows of a caller with up to three times the mean demand, where at least 50 callers are known. Callers with more, and each of fewer callers, keep the allowance.

--- a/crates/mustardway_admission/src/callers.rs
+++ b/crates/mustardway_admission/src/callers.rs
@@ -1,11 +1,13 @@
 //! Fair shares of the callers of one route. An instance sees a random part of each
 //! caller's flows, so it can share its part of the capacity by what it sees itself.
 //!
-//! Counts are kept for one epoch. What a caller may open in it is spread over the flows
-//! that it opened in the epoch before. A caller that was refused retries at once, mostly
-//! through another instance; the hash of caller and epoch gives it the same verdict there
-//! if its share is less than one flow. While the demand of a whole epoch is not yet known,
-//! and for callers that are not counted, the hash alone decides on all flows of a caller.
+//! Counts are kept for one epoch. A caller that was refused retries at once, mostly
+//! through another instance. So the hash of caller and epoch decides on all flows of an
+//! ordinary caller, with the same verdict at all instances. A caller with much more demand
+//! than the others, and each of a few callers, may open as many flows in an epoch as
+//! max-min fairness gives it, spread over those that it opened in the epoch before.
+//! While the demand of a whole epoch is not yet known, and for callers that are not
+//! counted, the hash decides alone.
 
 use std::net::Ipv4Addr;
 
@@ -23,6 +25,12 @@
 /// towards the length of the epoch, which is one second, or up to four if summaries are
 /// late. What exceeds it is a change of that caller alone.
 const DEMAND_RISE_MAX: f64 = 4.0;
+/// Multiple of the mean demand up to which the demand of a caller is ordinary: callers that
+/// open one flow per epoch at each instance on average seldom open more than three.
+const ORDINARY_DEMAND: f64 = 3.0;
+/// Number of callers from which on the hash decides on the flows of ordinary ones. All flows
+/// of a caller get the same verdict then, so few callers would miss the share by much.
+const HASHED_CALLERS_MIN: usize = 50;
 /// Seed of the hash of the verdicts. It must be the same at all instances.
 const SEED: u64 = 0x6164_6d69_7400_0001;
 
@@ -47,7 +55,7 @@
 
     /// Returns whether the next attempt is a retry.
     fn is_retry_next(self) -> bool {
-        self.refused % (RETRIES + 1) != 0
+        !self.refused.is_multiple_of(RETRIES + 1)
     }
 }
 
@@ -83,6 +91,10 @@
     /// New flows that each caller may open in an epoch, if the demand is known. A fraction
     /// is a probability.
     level: Option<f64>,
+    /// Number of flows in an epoch up to which the demand of a caller is ordinary.
+    ordinary: f64,
+    /// Share of the flows of ordinary callers that is admitted.
+    ordinary_share: f64,
 }
 
 impl Callers {
@@ -91,7 +103,14 @@
         self.share = share;
         let demands: Vec<f64> = self.wanted.values().copied().collect();
         let is_known = !demands.is_empty();
-        self.level = is_known.then(|| water_level(share * self.demand, &demands));
+        let level = water_level(share * self.demand, &demands);
+        self.level = is_known.then_some(level);
+        let (mut admitted, mut wanted) = (0.0, 0.0);
+        for demand in demands.into_iter().filter(|demand| *demand <= self.ordinary) {
+            admitted += demand.min(level);
+            wanted += demand;
+        }
+        self.ordinary_share = if wanted > 0.0 { admitted / wanted } else { share };
     }
 
     /// Begins an epoch with the demand of the one before.
@@ -101,6 +120,7 @@
         let wanted: FxHashMap<Ipv4Addr, f64> = counts.collect();
         self.wanted = if is_next && self.is_whole { wanted } else { FxHashMap::default() };
         self.demand = self.wanted.values().sum();
+        self.ordinary = ORDINARY_DEMAND * self.demand / self.wanted.len().max(1) as f64;
         self.seen = 0.0;
         self.is_whole = is_next;
         self.epoch = Some(epoch);
@@ -123,13 +143,17 @@
         if is_new && flow <= wanted * DEMAND_RISE_MAX {
             self.seen += 1.0;
         }
+        // An epoch in which all callers open more flows is longer, or demand rises.
+        let pace = (self.seen / self.demand.max(1.0)).max(1.0);
+        let is_ordinary = flow.max(wanted) <= self.ordinary * pace;
+        let is_hashed = self.wanted.len() >= HASHED_CALLERS_MIN && is_ordinary;
         let is_admitted = match self.level {
             _ if self.share >= 1.0 => true,
+            Some(_) if is_known && is_hashed => drawn < self.ordinary_share,
             Some(level) if is_known => {
                 let allowed = round(level, drawn);
                 let by_now = (allowed * flow / allowed.max(wanted)).ceil();
-                // An epoch in which all callers open more flows is longer, or demand rises.
-                let most = (allowed * self.seen / self.demand).floor().max(allowed);
+                let most = (allowed * pace).floor();
                 is_new && f64::from(count.admitted) < by_now.min(most)
             }
             _ => drawn < self.share,
@@ -139,8 +163,7 @@
             return Verdict::Admit;
         }
         count.refused = count.refused.saturating_add(1);
-        let mean = self.demand / self.wanted.len().max(1) as f64;
-        if count.admitted > 0 && count.wanted() > 2.0 * mean {
+        if count.admitted > 0 && count.wanted() > self.ordinary * pace {
             return Verdict::ExceedsShare;
         }
         Verdict::Refuse
--- a/crates/mustardway_admission/tests/callers.rs
+++ b/crates/mustardway_admission/tests/callers.rs
@@ -218,16 +218,18 @@
 }
 
 /// Guards against a share that is used up in the first part of each epoch, so that targets are
-/// full then and idle in the rest.
+/// full then and idle in the rest, with few callers and with many.
 #[test]
 fn share_is_spread_over_the_epoch() {
-    let mut callers = refusing(0.5);
-    for epoch in 1..8 {
-        let first = sum(&play(&mut callers, &[10; 400], epoch)).share();
-        let second = sum(&play(&mut callers, &[10; 400], epoch)).share();
-        if epoch > 2 {
-            assert!((first - 0.5).abs() < 0.1, "{first} in the first half of epoch {epoch}");
-            assert!((second - 0.5).abs() < 0.1, "{second} in the second half of epoch {epoch}");
+    for demands in [vec![10; 20], vec![10; 400]] {
+        let mut callers = refusing(0.5);
+        for epoch in 1..8 {
+            let first = sum(&play(&mut callers, &demands, epoch)).share();
+            let second = sum(&play(&mut callers, &demands, epoch)).share();
+            if epoch > 2 {
+                assert!((first - 0.5).abs() < 0.1, "{first} in the first half of epoch {epoch}");
+                assert!((second - 0.5).abs() < 0.1, "{second} in the second half of {epoch}");
+            }
         }
     }
 }
@@ -236,13 +238,15 @@
 /// are late by up to 3 s.
 #[test]
 fn share_is_met_in_a_long_epoch() {
-    let mut callers = refusing(0.5);
-    for epoch in 1..5 {
-        play(&mut callers, &[10; 400], epoch);
-    }
-    for second in 1..4 {
-        let admitted = sum(&play(&mut callers, &[10; 400], 5)).share();
-        assert!((admitted - 0.5).abs() < 0.1, "{admitted} in second {second}");
+    for demands in [vec![10; 20], vec![10; 400]] {
+        let mut callers = refusing(0.5);
+        for epoch in 1..5 {
+            play(&mut callers, &demands, epoch);
+        }
+        for second in 1..4 {
+            let admitted = sum(&play(&mut callers, &demands, 5)).share();
+            assert!((admitted - 0.5).abs() < 0.1, "{admitted} in second {second}");
+        }
     }
 }
 
@@ -312,16 +316,25 @@
     (all.share(), others.share())
 }
 
-/// Guards against retries through other instances that undo the refusals.
+/// Guards against retries through other instances that undo the refusals. Instances see from
+/// one flow of a caller in 40 epochs to four in each.
 #[test]
 fn fleet_meets_the_share() {
     for share in [0.3, 0.5, 0.8] {
-        for demand in [1, 4, 40] {
+        for demand in [1, 4, 40, 160] {
             let (all, _) = fleet_shares(share, &[demand; 500]);
-            println!("{share} {demand} {all}");
+            assert!((all - share).abs() < 0.05, "{all} of {share} at {demand} flows");
         }
     }
+}
+
+/// Guards against a caller with exploding demand that takes the share of the others by its
+/// retries through other instances.
+#[test]
+fn exploding_caller_leaves_the_others_their_share_in_a_fleet() {
     let mut demands = vec![4; 500];
     demands[0] = 2_000;
-    println!("{:?}", fleet_shares(0.5, &demands));
+    let (all, others) = fleet_shares(0.5, &demands);
+    assert!((all - 0.5).abs() < 0.05, "{all}");
+    assert!(others > 0.95, "{others}");
 }
