Admission and placement: mended what the tests of the front found

Cause: usual sizes learned from the first part of long answers, measurements that went on over a pause, samples of an earlier lifetime of a target, no round trip at a new instance, a request outstanding after the end of its flow, refusal of a duplicated opening packet. Budget: by rejections and late answers, served load from the requests. Ruled out: capacity from slots and speeds (refused a quarter too much), refusing on 5% of rejections without a least budget (the budget fell on and on).

--- a/crates/mustardway_admission/src/contention.rs
+++ b/crates/mustardway_admission/src/contention.rs
@@ -27,7 +27,7 @@
 const LATE_RANGE: (f64, f64) = (0.1, 0.2);
 /// Time for which targets have to be full before flows are refused. Callers' retries get
 /// over a shorter burst.
-const REFUSE_AFTER: Span = Span::millis(500);
+const REFUSE_AFTER: Span = Span::seconds(1);
 /// Factors by which the budget changes with each update.
 const BUDGET_FALL: f64 = 0.96;
 const BUDGET_RISE: f64 = 1.04;
--- a/crates/mustardway_admission/tests/allocation.rs
+++ b/crates/mustardway_admission/tests/allocation.rs
@@ -21,6 +21,7 @@
         opening: offered,
         served: 0.0,
         rejected_share: 0.0,
+        late_share: 0.0,
     }
 }
 
--- a/crates/mustardway_flow/src/directory.rs
+++ b/crates/mustardway_flow/src/directory.rs
@@ -34,6 +34,8 @@
     pub token: Token,
     /// Identifier of this lifetime of the target in load estimates.
     pub key: key::Target,
+    /// Time at which this instance learned of this lifetime, if another one was known.
+    pub started: Instant,
     /// Ratio of the expected time until a proper answer to that of an unknown target.
     pub time_factor: f64,
     /// Whether this instance prefers the target while its service is nearly full.
@@ -58,6 +60,7 @@
         Target {
             token: Token::of(&registration.id),
             key: key::Target::of(&registration.id, registration.born),
+            started: Instant::default(),
             time_factor: 1.0,
             is_preferred: false,
             is_shadowed: false,
@@ -266,6 +269,7 @@
         if is_restarted {
             known.health = Tracker::default();
             known.key = key::Target::of(&known.registration.id, known.registration.born);
+            known.started = now;
             known.time_factor = 1.0;
             known.observation.deprioritised_until = None;
         }
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -169,6 +169,8 @@
     reference_probed: Instant,
     /// Whether the packets being handled were received while the process did not run.
     is_clearing_backlog: bool,
+    /// Time at which the latest pause and the handling of its packets ended.
+    resumed: Instant,
     demand: Demand,
     /// Time since which less than half of the demand can be placed.
     unmet_since: Option<Instant>,
@@ -199,6 +201,7 @@
             responsiveness: Responsiveness::default(),
             reference_probed: Instant::default(),
             is_clearing_backlog: false,
+            resumed: Instant::default(),
             demand: Demand::default(),
             unmet_since: None,
             next_sweep: Instant::default(),
@@ -268,7 +271,11 @@
                 self.is_clearing_backlog = true;
                 self.handle_load(load_node::Event::Paused, now, actions);
             }
-            Event::BacklogCleared => self.is_clearing_backlog = false,
+            Event::BacklogCleared => {
+                if std::mem::take(&mut self.is_clearing_backlog) {
+                    self.resumed = now;
+                }
+            }
             Event::ProbeConnected(target) => self.probe_connected(&target, now),
             Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
             Event::PeerReport { from, target, is_lost } => {
@@ -338,10 +345,10 @@
         if let Some(answer) = record.measurement.take_answer(record.acknowledged) {
             self.record_answer(record.target, flow.route, &answer);
         }
-        if let Some(target) = self.directory.get_mut(record.target)
-            && record.stage != Stage::Ended
-        {
-            target.observation.flows = target.observation.flows.saturating_sub(1);
+        if let Some(target) = self.directory.get_mut(record.target) {
+            if record.stage != Stage::Ended {
+                target.observation.flows = target.observation.flows.saturating_sub(1);
+            }
             if record.request_since.is_some() {
                 target.observation.finish_request(now);
             }
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -97,6 +97,7 @@
         self.sync_record(&flow, packet, index, now);
         let usual_round_trip = self.load().map_or(Span::ZERO, Load::usual_round_trip);
         let mut round_trip = None;
+        let is_measurable = |since: Instant| !self.is_clearing_backlog && since > self.resumed;
         let Some(record) = self.table.get_mut(&flow) else { return };
         record.last_packet = now;
         let mut responded = false;
@@ -104,10 +105,10 @@
             record.stage = Stage::Open;
             record.acknowledged = packet.acknowledgement;
             responded = true;
-            if record.opening.is_some() {
+            if record.opening.is_some() && record.placed < now {
                 let waited = now.since(record.placed);
                 actions.push(Action::Waited(Wait::Open(waited)));
-                if !record.is_ambiguous {
+                if !record.is_ambiguous && is_measurable(record.placed) {
                     record.measurement.record_round_trip(waited);
                     round_trip = Some(waited);
                 }
@@ -120,7 +121,9 @@
         let waited = if responded { record.request_since.take() } else { None };
         if let Some(since) = waited {
             actions.push(Action::Waited(Wait::Answer(now.since(since))));
-            record.measurement.record_answer(now.since(since), usual_round_trip, now);
+            if is_measurable(since) {
+                record.measurement.record_answer(now.since(since), usual_round_trip, now);
+            }
         }
         let mut progress = Progress { responded, answered: waited.is_some(), requested: false };
         let mut unanswered_since = None;
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddrV4;
 
 use mustardway_admission::contention::State;
-use mustardway_admission::controller::{Decision, Opening, Reason, Reserved};
+use mustardway_admission::controller::{Change, Decision, Opening, Reason, Reserved};
 use mustardway_admission::service as offered;
 use mustardway_load::sample::Sample;
 use mustardway_load::{key, node};
@@ -92,6 +92,9 @@
         let (Some(load), Some(target)) = (&mut self.load, self.directory.get(index)) else {
             return;
         };
+        if answer.requested <= target.started {
+            return;
+        }
         let is_late = aim.is_some_and(|aim| answer.wait > aim);
         load.record_answer(target.key, key::Route::of(route), answer, is_late);
     }
@@ -166,7 +169,16 @@
         let Some(load) = &mut self.load else { return };
         let is_current = load.node.view().age(now).is_some_and(|age| age < node::SUMMARY_AGE_MAX);
         if !is_current {
+            for (service, status) in load.controller.statuses() {
+                if status.state == State::Open {
+                    continue;
+                }
+                let (offered, slots) = (status.offered, status.slots);
+                let change = Change { state: State::Open, offered, slots };
+                actions.push(Action::Note(Note::Contention { service: service.clone(), change }));
+            }
             load.controller.reset();
+            load.busy_shares.clear();
             return;
         }
         for (service, offered) in self.offered_loads(now) {
@@ -247,7 +259,7 @@
         }
         load.busy_shares.clear();
         for (service, (in_progress, flows)) in busy {
-            if flows >= 1.0 {
+            if flows >= 1.0 && load.settings.placement == Placement::ExpectedTime {
                 load.busy_shares.insert(service, (in_progress / flows).min(1.0));
             }
         }
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -53,10 +53,11 @@
         }
         let avoid = match self.earlier_copy(packet, now, actions) {
             EarlierCopy::Follow(verdict) => return verdict,
-            EarlierCopy::Avoid(avoid) => Some(avoid),
-            EarlierCopy::Unknown => self.retried_target(packet, now),
+            EarlierCopy::Avoid(avoid) => (true, Some(avoid)),
+            EarlierCopy::Unknown => (false, self.retried_target(packet, now)),
         };
-        match self.place(packet, avoid, now) {
+        let (is_copy, avoid) = avoid;
+        match self.place(packet, is_copy, avoid, now) {
             Placed::At(index) => self.send_to(packet, index, now, actions),
             Placed::Refused(service, reason) => self.refuse(packet, &service, reason, now, actions),
             Placed::Nowhere if self.is_withdrawing(packet, now) => {
@@ -161,14 +162,24 @@
     }
 
     /// Chooses the target of a new flow.
-    fn place(&mut self, packet: &Packet, avoid: Option<Unresponsive>, now: Instant) -> Placed {
+    fn place(
+        &mut self,
+        packet: &Packet,
+        is_copy: bool,
+        avoid: Option<Unresponsive>,
+        now: Instant,
+    ) -> Placed {
         let route = self.directory.route(packet.destination);
         let mut shares = route.map_or_else(Vec::new, |route| route.shares.clone());
         let mut placed = Placed::Nowhere;
         while !shares.is_empty() {
             let share = shares.swap_remove(self.draw_share(&shares));
             self.demand.count(&share.service, now);
-            let reserved = match self.admit(packet, &share.service) {
+            let decision = match is_copy {
+                true => Decision::Admit(Reserved::Ignore),
+                false => self.admit(packet, &share.service),
+            };
+            let reserved = match decision {
                 Decision::Admit(reserved) => reserved,
                 Decision::Refuse(reason) => {
                     placed = Placed::Refused(share.service, reason);
--- a/crates/mustardway_flow/src/load.rs
+++ b/crates/mustardway_flow/src/load.rs
@@ -133,6 +133,9 @@
     }
 
     pub(crate) fn record_round_trip(&mut self, round_trip: Span) {
+        if self.usual_round_trip == 0.0 {
+            self.usual_round_trip = round_trip.0 as f64;
+        }
         let difference = round_trip.0 as f64 - self.usual_round_trip;
         self.usual_round_trip += difference * ROUND_TRIP_WEIGHT;
     }
@@ -163,7 +166,11 @@
         let usual = self.usual_bytes.entry(route).or_insert(bytes);
         let limit = if is_fast { SHORT_BYTES_FAST } else { SHORT_BYTES };
         let is_short = bytes <= (*usual * limit).min(SHORT_BYTES_MAX);
-        *usual += (bytes - *usual) * if is_short { SHORT_BYTES_WEIGHT } else { BYTES_WEIGHT };
+        // An answer that is long already when its first part arrives is recorded then, and
+        // has more bytes in the end.
+        if bytes > *usual || bytes <= SHORT_BYTES_MAX {
+            *usual += (bytes - *usual) * if is_short { SHORT_BYTES_WEIGHT } else { BYTES_WEIGHT };
+        }
         self.node.record(&Sample::Answered(sample::Answer {
             target,
             route,
--- a/crates/mustardway_flow/src/measurement.rs
+++ b/crates/mustardway_flow/src/measurement.rs
@@ -10,6 +10,8 @@
     pub time: Span,
     /// Time from the first byte of the request to the first part of the answer.
     pub wait: Span,
+    /// Time of the last byte of the request.
+    pub requested: Instant,
     /// Number of bytes of the answer that the caller has acknowledged.
     pub bytes: u32,
 }
@@ -55,7 +57,7 @@
     pub fn answer(&self, acknowledged: u32) -> Option<Answer> {
         let (time, wait) = self.answered?;
         let bytes = acknowledged.wrapping_sub(self.acknowledged_before);
-        Some(Answer { time, wait, bytes })
+        Some(Answer { time, wait, requested: self.last_data, bytes })
     }
 
     /// Removes and returns the answer.
--- a/crates/mustardway_flow/tests/load_admission.rs
+++ b/crates/mustardway_flow/tests/load_admission.rs
@@ -16,6 +16,8 @@
 
 /// Number of targets, with 4 slots each.
 const TARGETS: u64 = 5;
+/// Time of a request at a target with a full queue.
+const WAITING_MICROS: u64 = 60_000;
 
 /// Returns the estimate of a route on which `requested` flows per second with one request
 /// each are opened and `answered` are answered properly.
@@ -26,6 +28,8 @@
         requests_millis: requested * 1_000,
         answers_millis: answered * 1_000,
         flows: 100,
+        // A target that rejects requests has a full queue, in which the others wait.
+        base_micros: if rejected > 0 { WAITING_MICROS } else { idle_route(number).base_micros },
         short_millis: u32::try_from(rejected).expect("a share"),
         ..idle_route(number)
     }
