--- a/crates/mustardway_admission/src/contention.rs
+++ b/crates/mustardway_admission/src/contention.rs
@@ -75,7 +75,8 @@
     /// Updates the state. Called with each new estimate of the load.
     pub fn update(&mut self, load: &Load, now: Instant) -> State {
         let (offered, served) = (load.offered(), load.served());
-        let utilisation = if load.slots > 0.0 { offered / load.slots } else { 0.0 };
+        // Full targets leave opening packets unanswered, so all may be suspected at a time.
+        let utilisation = if offered > 0.0 { offered / load.slots } else { 0.0 };
         self.capacity = served.max(self.capacity * CAPACITY_DECAY);
         let (rejected, late) = (load.rejected_share(), load.late_share());
         let is_full =
