Load estimates: rates without bias, handover between roots, values in range

Cause, each shown by a test of the previous commit or of this one: - Rates were decayed sums of batches, so that they depended on the time between the latest batch and the estimate: 40% too high for a single instance. - A new root began with the rates of its own samples alone (22 of 541 requests per second), and without the shares of short answers. A root that was new in the fleet, or had been taken for dead, was ignored until the summaries of the others were 3 s old, since its numbers were lower. - The recovery of a target was sent once. Where that was lost, the target stayed slow for 29.5 s. - After the work of a route had grown sixfold, all instances took themselves to be slow for good. - Open flows were counted at the old and at the new parent (450 instead of 300). - A summary with the greatest number made the next root overflow. One count above the accepted range made a whole report of valid sums be rejected, and so did a time above 60 s. - A root without other domains kept sums beyond 128 targets for whoever came later, and targets with few answers were never sent. Ruled out: a shorter time constant of the rates, which leaves the bias. Change: rates are means of whole intervals. Reports carry the number of the latest summary, and a root that gets a parent hands its estimates over. The usual time of a route is learned anew where less than half of the answers have times. Reports are sent in the order of the levels of the tree, so that sums reach the root within an interval. Counts are capped by the sender.

--- a/crates/mustardway_load/src/estimate.rs
+++ b/crates/mustardway_load/src/estimate.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::key;
+use crate::message::FACTOR_MAX;
 use crate::sums::{self, Sums};
 use crate::view::{RouteLoad, TargetLoad, USUAL};
 
@@ -30,6 +31,16 @@
 const CONTRIBUTORS_MIN: usize = 2;
 /// Weight of an estimate that another root made, in samples.
 const INHERITED_SAMPLES: f64 = 10.0;
+/// Weight of a share of short answers that another root made, in answers. It is so high that
+/// half of them are more than `SHORT_MIN` until reports arrive.
+const INHERITED_ANSWERS: f64 = 20.0;
+/// Time for which the rates that another root made are used: two intervals, in which each
+/// instance reports to its new parent, and that reports to the new root.
+const INHERITED_RATES_TIME: Span = Span::seconds(1);
+/// Least share of the proper answers whose times the instances send. If it is below that,
+/// most instances take themselves to be slow, so that the work of the route has changed and
+/// its usual time is learned anew.
+const TIMED_SHARE_MIN: f64 = 0.5;
 /// Number of short answers from which on their share counts.
 const SHORT_MIN: f64 = 5.0;
 /// Weight below which a target is forgotten, in answers.
@@ -91,54 +102,99 @@
     }
 }
 
-/// Decayed sums of one route.
+/// Counts or rates of one route.
 #[derive(Debug, Clone, Copy, Default)]
-struct Route {
+struct Counts {
     opens: f64,
     requests: f64,
     refused: f64,
     answers: f64,
     late: f64,
     short: f64,
+}
+
+impl Counts {
+    fn add(&mut self, sums: &sums::Route) {
+        self.opens += f64::from(sums.opens);
+        self.requests += f64::from(sums.requests);
+        self.refused += f64::from(sums.refused);
+        self.answers += f64::from(sums.answers);
+        self.late += f64::from(sums.late);
+        self.short += f64::from(sums.short);
+    }
+
+    /// Combines each value with that of `other`.
+    fn combine(&mut self, other: &Counts, combine: impl Fn(f64, f64) -> f64) {
+        self.opens = combine(self.opens, other.opens);
+        self.requests = combine(self.requests, other.requests);
+        self.refused = combine(self.refused, other.refused);
+        self.answers = combine(self.answers, other.answers);
+        self.late = combine(self.late, other.late);
+        self.short = combine(self.short, other.short);
+    }
+}
+
+/// Rates and decayed sums of one route.
+#[derive(Debug, Clone, Copy, Default)]
+struct Route {
+    /// Counts since the rates were last updated.
+    arrived: Counts,
+    /// Counts per second.
+    rates: Counts,
     /// Time at targets in microseconds, and its number of answers, over a longer time.
     time: f64,
     timed: f64,
+    /// Answers that are not short over the same time, also those without a time.
+    proper: f64,
 }
 
 impl Route {
-    fn decay(&mut self, passed: Span) {
-        let recent = kept(passed, RECENT_TIME_CONSTANT);
-        for value in [
-            &mut self.opens,
-            &mut self.requests,
-            &mut self.refused,
-            &mut self.answers,
-            &mut self.late,
-            &mut self.short,
-        ] {
-            *value *= recent;
+    fn record(&mut self, sums: &sums::Route) {
+        self.arrived.add(sums);
+        self.time += sums.time.0 as f64;
+        self.timed += f64::from(sums.timed);
+        self.proper += f64::from(sums.answers.saturating_sub(sums.short));
+        if self.timed < TIMED_SHARE_MIN * self.proper {
+            (self.time, self.timed, self.proper) = (0.0, 0.0, 0.0);
         }
+    }
+
+    fn decay(&mut self, passed: Span) {
         let base = kept(passed, BASE_TIME_CONSTANT);
         self.time *= base;
         self.timed *= base;
+        self.proper *= base;
+    }
+
+    /// Updates the rates by what has arrived during `passed`.
+    fn update_rates(&mut self, passed: Span) {
+        let kept = kept(passed, RECENT_TIME_CONSTANT);
+        let seconds = passed.as_seconds();
+        let arrived = std::mem::take(&mut self.arrived);
+        self.rates.combine(&arrived, |rate, count| rate * kept + count / seconds * (1.0 - kept));
     }
 
     fn load(&self, flows: u32) -> RouteLoad {
-        // A decayed sum of a constant rate is the rate times the time constant.
-        let rate = |sum: f64| sum / RECENT_TIME_CONSTANT.as_seconds();
+        let rates = &self.rates;
         let base_time = if self.timed > 0.0 { self.time / self.timed } else { 0.0 };
-        let share = |sum: f64| if self.answers > 0.0 { sum / self.answers } else { 0.0 };
+        let share = |rate: f64| if rates.answers > 0.0 { rate / rates.answers } else { 0.0 };
         RouteLoad {
-            opens: rate(self.opens),
-            requests: rate(self.requests),
-            refused: rate(self.refused),
+            opens: rates.opens,
+            requests: rates.requests,
+            refused: rates.refused,
             flows: f64::from(flows),
             base_time: Span(base_time as u64),
-            answers: rate((self.answers - self.short).max(0.0)),
-            late_share: share(self.late),
-            short_share: share(self.short),
+            answers: (rates.answers - rates.short).max(0.0),
+            late_share: share(rates.late),
+            short_share: share(rates.short),
         }
     }
+
+    fn is_in_use(&self) -> bool {
+        let rates = self.rates.requests + self.rates.opens + self.rates.refused;
+        let arrived = self.arrived.requests + self.arrived.opens + self.arrived.refused;
+        self.timed + rates + arrived >= RATE_MIN
+    }
 }
 
 /// Decayed sums of all targets and routes.
@@ -148,9 +204,18 @@
     routes: BTreeMap<key::Route, Route>,
     /// Time up to which the routes have decayed.
     routes_updated: Instant,
+    /// Time of the latest update of the rates.
+    rates_updated: Instant,
+    /// Time up to which the rates stay as another root has estimated them.
+    rates_held: Instant,
 }
 
 impl Estimates {
+    /// Creates estimates of an instance that starts `now`.
+    pub fn new(now: Instant) -> Self {
+        Estimates { routes_updated: now, rates_updated: now, ..Estimates::default() }
+    }
+
     /// Adds sums that arrive `now`.
     pub fn record(&mut self, sums: &Sums, now: Instant) {
         self.decay_routes(now);
@@ -158,15 +223,33 @@
             self.record_target(*key, sums, now);
         }
         for (key, sums) in &sums.routes {
-            let route = self.routes.entry(*key).or_default();
-            route.opens += f64::from(sums.opens);
-            route.requests += f64::from(sums.requests);
-            route.refused += f64::from(sums.refused);
-            route.answers += f64::from(sums.answers);
-            route.late += f64::from(sums.late);
-            route.short += f64::from(sums.short);
-            route.time += sums.time.0 as f64;
-            route.timed += f64::from(sums.timed);
+            self.routes.entry(*key).or_default().record(sums);
+        }
+    }
+
+    /// Updates the rates by what has arrived since the latest update. Sums arrive in batches,
+    /// one from each peer in the time between two reports, so that an update is due at the
+    /// same interval: otherwise the rates would depend on the time since the latest batch.
+    pub fn update_rates(&mut self, now: Instant) {
+        let passed = now.since(self.rates_updated);
+        if passed == Span::ZERO {
+            return;
+        }
+        if now < self.rates_held {
+            self.skip(now);
+            return;
+        }
+        self.rates_updated = now;
+        for route in self.routes.values_mut() {
+            route.update_rates(passed);
+        }
+    }
+
+    /// Leaves the time since the latest update out of the rates.
+    pub fn skip(&mut self, now: Instant) {
+        self.rates_updated = now;
+        for route in self.routes.values_mut() {
+            route.arrived = Counts::default();
         }
     }
 
@@ -180,27 +263,63 @@
         target.contributors.add(sums.contributors, now);
     }
 
-    /// Takes over the estimate that another instance made of a target, unless samples of
-    /// the target are known.
-    pub fn inherit_target(&mut self, key: key::Target, load: &TargetLoad, now: Instant) {
-        let target = self.targets.entry(key).or_default();
-        target.decay(now);
-        if target.samples > PRIOR_SAMPLES || load.slowness == USUAL {
+    /// Takes over the estimates of a former root. The rates stay as they are until the sums of
+    /// the whole tree arrive again.
+    pub fn inherit(
+        &mut self,
+        targets: &FxHashMap<key::Target, TargetLoad>,
+        routes: &BTreeMap<key::Route, RouteLoad>,
+        now: Instant,
+    ) {
+        for (key, load) in targets {
+            self.inherit_target(*key, load, now);
+        }
+        for (key, load) in routes {
+            self.inherit_route(*key, load);
+        }
+        if !routes.is_empty() {
+            self.rates_held = now + INHERITED_RATES_TIME;
+        }
+    }
+
+    /// Takes over the estimate that another instance made of a target, unless enough samples
+    /// of the target are known.
+    fn inherit_target(&mut self, key: key::Target, load: &TargetLoad, now: Instant) {
+        if !load.is_notable() {
             return;
         }
-        target.answers += INHERITED_SAMPLES;
-        target.samples += INHERITED_SAMPLES;
-        target.ratio += INHERITED_SAMPLES * load.slowness;
+        let target = self.targets.entry(key).or_default();
+        target.decay(now);
         target.contributors.add(u64::MAX, now);
+        if target.samples < INHERITED_SAMPLES {
+            target.samples += INHERITED_SAMPLES;
+            target.ratio += INHERITED_SAMPLES * load.slowness;
+        }
+        if target.answers < INHERITED_ANSWERS {
+            target.answers += INHERITED_ANSWERS;
+            target.short += INHERITED_ANSWERS * load.short_share;
+        }
     }
 
-    /// Takes over the usual time of a route that another instance has estimated.
-    pub fn inherit_route(&mut self, key: key::Route, load: &RouteLoad) {
+    /// Takes over the rates and the usual time of a route that another instance has
+    /// estimated. Rates that are higher here stay.
+    fn inherit_route(&mut self, key: key::Route, load: &RouteLoad) {
         let route = self.routes.entry(key).or_default();
-        if route.timed < INHERITED_SAMPLES {
+        if route.timed < INHERITED_SAMPLES && load.base_time > Span::ZERO {
             route.timed += INHERITED_SAMPLES;
+            route.proper += INHERITED_SAMPLES;
             route.time += INHERITED_SAMPLES * load.base_time.0 as f64;
         }
+        let answers = load.answers / (1.0 - load.short_share).max(0.05);
+        let inherited = Counts {
+            opens: load.opens,
+            requests: load.requests,
+            refused: load.refused,
+            answers,
+            late: answers * load.late_share,
+            short: answers * load.short_share,
+        };
+        route.rates.combine(&inherited, f64::max);
     }
 
     /// Returns the usual time of a route, if any answer is known.
@@ -224,7 +343,8 @@
         loads
     }
 
-    /// Returns the load of all routes in use. `flows` are the open flows.
+    /// Returns the load of all routes in use, as of the latest update of the rates. `flows`
+    /// are the open flows.
     pub fn routes(
         &mut self,
         flows: &BTreeMap<key::Route, u32>,
@@ -253,7 +373,7 @@
         means.sort_unstable_by(f64::total_cmp);
         let tenth = means.len() / 10;
         match (means.get(tenth), means.len().checked_sub(tenth + 1).and_then(|at| means.get(at))) {
-            (Some(fast), Some(slow)) if *fast > 0.0 => slow / fast,
+            (Some(fast), Some(slow)) if *fast > 0.0 => (slow / fast).min(FACTOR_MAX),
             _ => USUAL,
         }
     }
@@ -264,7 +384,7 @@
         for route in self.routes.values_mut() {
             route.decay(passed);
         }
-        self.routes.retain(|_, route| route.timed + route.requests + route.opens >= RATE_MIN);
+        self.routes.retain(|_, route| route.is_in_use());
     }
 }
 
--- a/crates/mustardway_load/src/lib.rs
+++ b/crates/mustardway_load/src/lib.rs
@@ -13,16 +13,20 @@
 //! - [`sample`]: what one instance observes.
 //! - [`sums`]: sums of samples.
 //! - [`estimate`]: estimates from sums, which decay over time.
+//! - [`flows`]: the open flows of an instance and of its peers.
 //! - [`view`]: the estimates as an instance uses them.
 //! - [`message`]: messages between instances.
+//! - [`schedule`]: the choice of the targets in a summary.
 //! - [`topology`]: the position of an instance in the trees.
 //! - [`node`]: the state machine of one instance.
 
 pub mod estimate;
+pub mod flows;
 pub mod key;
 pub mod message;
 pub mod node;
 pub mod sample;
+pub mod schedule;
 pub mod sums;
 pub mod topology;
 pub mod view;
--- a/crates/mustardway_load/src/message.rs
+++ b/crates/mustardway_load/src/message.rs
@@ -1,21 +1,21 @@
 //! Messages between instances. All numbers are unsigned integers; fractions are in
 //! thousandths.
 
-use mustardway_types::time::Span;
+use mustardway_types::time::{Instant, Span};
 
 use crate::key;
-use crate::sums::{self, RATIO_MAX, Sums};
-use crate::view::RouteLoad;
+use crate::sums::{self, COUNT_MAX, RATIO_MAX, Sums, TIME_MAX};
+use crate::view::{RouteLoad, TargetLoad};
 
 /// Maximum number of targets and of routes in a message.
 pub const ENTRIES_MAX: usize = 128;
-/// Greatest count that is accepted in a report: far more than one failure domain handles
-/// between two reports.
-const COUNT_MAX: u32 = 10_000_000;
-/// Greatest mean time of a request that is accepted.
-const TIME_MAX: Span = Span::seconds(60);
+/// Greatest number of a summary that is accepted: far more than a fleet ever sends, and so
+/// low that it can go on rising.
+const NUMBER_MAX: u64 = 1 << 48;
+/// Greatest rate that is accepted, in thousandths per second.
+const RATE_MILLIS_MAX: u64 = COUNT_MAX as u64 * 1_000;
 /// Greatest slowness and spread that is accepted.
-const FACTOR_MAX: f64 = 64.0;
+pub(crate) const FACTOR_MAX: f64 = 64.0;
 
 /// One message between instances.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -48,6 +48,10 @@
     /// Whether the sums are of a whole failure domain.
     #[prost(bool, tag = "3")]
     pub is_domain: bool,
+    /// Number of the latest summary that the sender knows. A new root goes on from there,
+    /// since others ignore summaries with lower numbers.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
 }
 
 /// Sums of one target, see [`sums::Target`].
@@ -172,9 +176,9 @@
 }
 
 impl Report {
-    /// Creates a report of `sums`.
-    pub fn new(sums: &Sums, is_domain: bool) -> Self {
-        let mut report = Report { is_domain, ..Report::default() };
+    /// Creates a report of `sums`. `number` is that of the latest summary.
+    pub fn new(sums: &Sums, is_domain: bool, number: u64) -> Self {
+        let mut report = Report { is_domain, number, ..Report::default() };
         for (key, sums) in &sums.targets {
             report.targets.push(TargetSums {
                 key: key.0,
@@ -197,7 +201,7 @@
                 timed: sums.timed,
                 time_micros: sums.time.0,
                 short: sums.short,
-                flows: sums.flows,
+                flows: sums.flows.min(COUNT_MAX),
             });
         }
         report
@@ -205,7 +209,8 @@
 
     /// Returns the sums, or `None` if any value is out of range.
     pub fn decode(&self) -> Option<Sums> {
-        if self.targets.len() > ENTRIES_MAX || self.routes.len() > ENTRIES_MAX {
+        let is_too_long = self.targets.len() > ENTRIES_MAX || self.routes.len() > ENTRIES_MAX;
+        if is_too_long || self.number > NUMBER_MAX {
             return None;
         }
         let mut sums = Sums::default();
@@ -234,6 +239,7 @@
             ratio,
             short: self.short,
             contributors: self.contributors,
+            waits: 0,
         })
     }
 }
@@ -265,7 +271,8 @@
     pub fn is_valid(&self) -> bool {
         let factor_max = to_millis(FACTOR_MAX);
         let is_factor = |millis: u32| u64::from(millis) <= factor_max;
-        self.targets.len() <= ENTRIES_MAX
+        self.number <= NUMBER_MAX
+            && self.targets.len() <= ENTRIES_MAX
             && self.routes.len() <= ENTRIES_MAX
             && is_factor(self.spread_millis)
             && self.targets.iter().all(|entry| {
@@ -280,7 +287,7 @@
                     entry.refused_millis,
                     entry.answers_millis,
                 ];
-                rates.iter().all(|rate| *rate <= u64::from(COUNT_MAX) * 1_000)
+                rates.iter().all(|rate| *rate <= RATE_MILLIS_MAX)
                     && entry.flows <= COUNT_MAX
                     && entry.base_micros <= TIME_MAX.0
                     && entry.late_millis <= 1_000
@@ -289,17 +296,37 @@
     }
 }
 
+impl TargetEstimate {
+    /// Creates the entry of a target.
+    pub fn new(key: key::Target, slowness: f64, short_share: f64) -> Self {
+        TargetEstimate {
+            key: key.0,
+            slowness_millis: to_factor_millis(slowness),
+            short_millis: to_factor_millis(short_share),
+        }
+    }
+
+    /// Returns the estimates, made at `updated`.
+    pub fn load(&self, updated: Instant) -> TargetLoad {
+        TargetLoad {
+            slowness: from_millis(u64::from(self.slowness_millis)),
+            short_share: from_millis(u64::from(self.short_millis)),
+            updated,
+        }
+    }
+}
+
 impl RouteEstimate {
     /// Creates the entry of a route.
     pub fn new(key: key::Route, load: &RouteLoad) -> Self {
         RouteEstimate {
             key: key.0,
-            opens_millis: to_millis(load.opens),
-            requests_millis: to_millis(load.requests),
-            refused_millis: to_millis(load.refused),
-            flows: load.flows as u32,
+            opens_millis: to_rate_millis(load.opens),
+            requests_millis: to_rate_millis(load.requests),
+            refused_millis: to_rate_millis(load.refused),
+            flows: (load.flows as u32).min(COUNT_MAX),
             base_micros: load.base_time.0.min(TIME_MAX.0),
-            answers_millis: to_millis(load.answers),
+            answers_millis: to_rate_millis(load.answers),
             late_millis: to_factor_millis(load.late_share),
             short_millis: to_factor_millis(load.short_share),
         }
@@ -331,6 +358,11 @@
     (value.max(0.0) * 1_000.0).ceil() as u64
 }
 
+/// Converts a rate to thousandths that are in range.
+fn to_rate_millis(rate: f64) -> u64 {
+    to_millis(rate).min(RATE_MILLIS_MAX)
+}
+
 /// Converts a factor to thousandths that are in range.
 pub(crate) fn to_factor_millis(value: f64) -> u32 {
     to_millis(value.min(FACTOR_MAX)) as u32
--- a/crates/mustardway_load/src/node.rs
+++ b/crates/mustardway_load/src/node.rs
@@ -9,16 +9,21 @@
 use mustardway_types::{hash, instance};
 
 use crate::estimate::Estimates;
+use crate::flows;
 use crate::key;
 use crate::message::{Body, ENTRIES_MAX, Message, Report, RouteEstimate, Summary};
-use crate::message::{TargetEstimate, from_millis, to_factor_millis};
+use crate::message::{from_millis, to_factor_millis};
 use crate::sample::Sample;
+use crate::schedule::{self, Schedule};
 use crate::sums::{self, Sums};
 use crate::topology::Topology;
-use crate::view::{TargetLoad, USUAL, View};
+use crate::view::{TargetLoad, View};
 
 /// Time between two reports, and between two summaries.
 pub const INTERVAL: Span = Span::millis(500);
+/// Number of parts of an interval, one for the reports of each level of a tree. With a
+/// fan-out of 4, instances of the fifth level exist in failure domains above 341.
+const REPORT_STEPS: u64 = 5;
 /// Number of summaries in an epoch, which then lasts about a second: callers that were
 /// refused retry at once, and get the same verdict within an epoch.
 const SUMMARIES_PER_EPOCH: u64 = 2;
@@ -27,10 +32,9 @@
 /// Time for which the estimate of a target is kept without being sent again: the time in
 /// which all targets of the largest service are sent in turn, with a margin.
 const ESTIMATE_RETENTION: Span = Span::seconds(30);
-/// Time for which the number of open flows that a peer has reported counts.
-const FLOWS_RETENTION: Span = Span::millis(1_500);
-/// Relative change of an estimate that is sent at once.
-const NOTABLE_CHANGE: f64 = 0.1;
+/// Number of summaries by which a former root may be behind its successor for its estimates
+/// to be taken over: the successor may have heard of the number from others before.
+const HANDOVER_LAG_MAX: u64 = 20;
 /// Number of latest answers by which an instance judges whether it is slow itself.
 const OWN_RATIOS: usize = 16;
 /// Lower quartile of the ratios of the latest answers above which an instance takes
@@ -83,9 +87,6 @@
     pub ignored: u64,
 }
 
-/// Open flows by route.
-type Flows = BTreeMap<key::Route, u32>;
-
 /// State machine of one instance.
 #[derive(Debug)]
 pub struct Node {
@@ -93,10 +94,9 @@
     topology: Topology,
     /// Samples of this instance since the latest report.
     own: Sums,
-    own_flows: Flows,
+    flows: flows::Table,
     /// Sums of this instance and its children that are to be sent.
     pending: Sums,
-    peer_flows: BTreeMap<instance::Id, (Instant, Flows)>,
     /// Estimates from the samples of this instance, and at a root from all sums.
     estimates: Estimates,
     /// Ratios of the latest answers to the usual times of their routes.
@@ -104,10 +104,8 @@
     view: View,
     /// Number of the latest summary.
     summary: u64,
-    /// Slowness and share of short answers as last sent, at a root.
-    sent: BTreeMap<key::Target, (f64, f64)>,
-    /// Key after which the next targets are sent in turn.
-    next_in_turn: key::Target,
+    /// Targets of the next summaries, at a root.
+    schedule: Schedule,
     next_report: Instant,
     counts: Counts,
 }
@@ -120,15 +118,13 @@
             contributor: 1 << (hash % u64::from(u64::BITS)),
             topology: Topology { members: 1, ..Topology::default() },
             own: Sums::default(),
-            own_flows: Flows::new(),
+            flows: flows::Table::default(),
             pending: Sums::default(),
-            peer_flows: BTreeMap::new(),
-            estimates: Estimates::default(),
+            estimates: Estimates::new(now),
             own_ratios: VecDeque::new(),
             view: View::default(),
             summary: 0,
-            sent: BTreeMap::new(),
-            next_in_turn: key::Target(0),
+            schedule: Schedule::default(),
             next_report: now + Span(hash % INTERVAL.0),
             counts: Counts::default(),
         }
@@ -155,10 +151,13 @@
             Sample::Answered(answer) => self.base_time(answer.route),
             _ => None,
         };
-        if let Sample::Answered(answer) = sample
-            && let Some(ratio) = sums::ratio(answer, usual)
-        {
-            self.own_ratios.push_back(ratio);
+        if let Sample::Answered(answer) = sample {
+            match sums::ratio(answer, usual) {
+                Some(ratio) => self.own_ratios.push_back(ratio),
+                // The usual time is learned anew, which the earlier ratios do not apply to.
+                None if usual.is_none() => self.own_ratios.clear(),
+                None => {}
+            }
             if self.own_ratios.len() > OWN_RATIOS {
                 self.own_ratios.pop_front();
             }
@@ -168,21 +167,25 @@
 
     /// Sets the numbers of open flows at this instance.
     pub fn set_flows(&mut self, flows: BTreeMap<key::Route, u32>) {
-        self.own_flows = flows;
+        self.flows.set_own(flows);
     }
 
     /// Handles one event and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Tick => {
-                if now >= self.next_report {
-                    self.next_report = now + INTERVAL;
-                    self.report(now, actions);
+                if now < self.next_report {
+                    return;
                 }
+                // Ticks that come late must not make the interval longer: the rates rely on
+                // one report from each peer between two updates.
+                let next = self.next_report + INTERVAL;
+                self.next_report = if next > now { next } else { now + INTERVAL };
+                self.report(now, actions);
             }
             Event::Received { from, message } => self.receive(from, message, now, actions),
-            Event::Topology(topology) => self.set_topology(topology, now),
-            Event::Paused => self.forget(),
+            Event::Topology(topology) => self.set_topology(topology, now, actions),
+            Event::Paused => self.forget(now),
         }
     }
 
@@ -192,24 +195,38 @@
     }
 
     /// Drops what was collected before a pause: its rates and times include the pause.
-    fn forget(&mut self) {
+    fn forget(&mut self, now: Instant) {
+        self.estimates.skip(now);
         self.own = Sums::default();
         self.pending = Sums::default();
         self.own_ratios.clear();
-        self.peer_flows.clear();
+        self.flows.clear_peers();
     }
 
-    /// A new root goes on with the estimates of the one before.
-    fn set_topology(&mut self, topology: Topology, now: Instant) {
-        if topology.is_root() && !self.topology.is_root() {
-            for (key, load) in &self.view.targets {
-                self.estimates.inherit_target(*key, load, now);
+    /// A new root goes on with the estimates of the one before. A root that gets a parent
+    /// hands its estimates over.
+    fn set_topology(&mut self, topology: Topology, now: Instant, actions: &mut Vec<Action>) {
+        let was_root = self.topology.is_root();
+        self.topology = topology;
+        self.flows.retain_peers(&self.topology);
+        match self.topology.parent.clone() {
+            None if !was_root => {
+                self.estimates.inherit(&self.view.targets, &self.view.routes, now);
+                self.schedule.restart(&self.view.targets);
             }
-            for (key, load) in &self.view.routes {
-                self.estimates.inherit_route(*key, load);
+            Some(parent) if was_root => {
+                let mut summary = self.summary();
+                let mut targets: Vec<_> = self.view.targets.iter().collect();
+                targets.sort_unstable_by(|(first_key, first), (second_key, second)| {
+                    second.slowness.total_cmp(&first.slowness).then(first_key.cmp(second_key))
+                });
+                for (key, load) in targets.into_iter().take(ENTRIES_MAX) {
+                    summary.targets.push(schedule::entry(*key, load));
+                }
+                self.send(parent, Body::Summary(summary), actions);
             }
+            _ => {}
         }
-        self.topology = topology;
     }
 
     fn report(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -218,9 +235,10 @@
             own.remove_speeds();
         }
         self.estimates.record(&own, now);
+        self.estimates.update_rates(now);
         self.pending.add(&own);
-        self.peer_flows.retain(|_, (at, _)| now.since(*at) < FLOWS_RETENTION);
-        let flows = self.domain_flows();
+        self.flows.expire(now);
+        let flows = self.flows.of_subtree();
         let mut sums = self.pending.take(ENTRIES_MAX, ENTRIES_MAX);
         for (route, count) in &flows {
             if sums.routes.len() < ENTRIES_MAX || sums.routes.contains_key(route) {
@@ -231,8 +249,12 @@
             Some(parent) => vec![parent.clone()],
             None => self.topology.roots.clone(),
         };
+        if receivers.is_empty() {
+            // A root that comes in reach later must not get old sums.
+            self.pending = Sums::default();
+        }
         if !sums.is_empty() {
-            let report = Report::new(&sums, self.topology.is_root());
+            let report = Report::new(&sums, self.topology.is_root(), self.summary);
             for to in receivers {
                 self.send(to, Body::Report(report.clone()), actions);
             }
@@ -255,87 +277,40 @@
         ratios.get(ratios.len() / 4).is_some_and(|quartile| *quartile > OWN_QUARTILE_MAX)
     }
 
-    /// Returns the open flows at this instance and below it in the tree.
-    fn domain_flows(&self) -> Flows {
-        let mut flows = self.own_flows.clone();
-        for (peer, (_, reported)) in &self.peer_flows {
-            if self.topology.roots.contains(peer) {
-                continue;
-            }
-            add_flows(&mut flows, reported);
-        }
-        flows
-    }
-
     /// Estimates from all sums, and sends the estimates down the tree.
     fn summarise(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let mut flows = self.own_flows.clone();
-        for (_, reported) in self.peer_flows.values() {
-            add_flows(&mut flows, reported);
-        }
         let loads = self.estimates.targets(self.topology.members, now);
         self.view.targets = notable(&loads);
-        self.view.routes = self.estimates.routes(&flows, now);
+        self.view.routes = self.estimates.routes(&self.flows.of_all(), now);
         self.view.spread = self.estimates.spread();
         self.summary += 1;
         self.view.updated = Some(now);
         self.view.epoch = self.summary / SUMMARIES_PER_EPOCH;
+        let targets = self.schedule.choose(&self.view.targets);
+        let summary = Summary { targets, ..self.summary() };
+        self.send_summary(&summary, actions);
+        actions.push(Action::Updated);
+    }
+
+    /// Returns the latest summary without targets.
+    fn summary(&self) -> Summary {
         let mut summary = Summary {
             number: self.summary,
             spread_millis: to_factor_millis(self.view.spread),
-            targets: self.choose_targets(),
+            targets: Vec::new(),
             routes: Vec::new(),
         };
         for (key, load) in self.view.routes.iter().take(ENTRIES_MAX) {
             summary.routes.push(RouteEstimate::new(*key, load));
         }
-        self.send_summary(&summary, actions);
-        actions.push(Action::Updated);
-    }
-
-    /// Chooses the targets of the next summary: those whose estimates have changed, and then
-    /// the other notable ones in turn.
-    fn choose_targets(&mut self) -> Vec<TargetEstimate> {
-        let mut chosen = Vec::new();
-        let was_sent: Vec<key::Target> = self.sent.keys().copied().collect();
-        for key in was_sent {
-            if self.view.targets.contains_key(&key) || chosen.len() >= ENTRIES_MAX {
-                continue;
-            }
-            self.sent.remove(&key);
-            chosen.push(entry(key, USUAL, 0.0));
-        }
-        let mut loads: BTreeMap<key::Target, TargetLoad> = BTreeMap::new();
-        loads.extend(self.view.targets.iter().map(|(key, load)| (*key, *load)));
-        for (key, load) in &loads {
-            if chosen.len() >= ENTRIES_MAX {
-                return chosen;
-            }
-            let is_unchanged = self.sent.get(key).is_some_and(|(slowness, short)| {
-                (load.slowness / slowness - 1.0).abs() <= NOTABLE_CHANGE
-                    && (load.short_share - short).abs() <= NOTABLE_CHANGE
-            });
-            if is_unchanged {
-                continue;
-            }
-            self.sent.insert(*key, (load.slowness, load.short_share));
-            chosen.push(entry(*key, load.slowness, load.short_share));
-        }
-        let free = ENTRIES_MAX - chosen.len();
-        let start = self.next_in_turn;
-        let in_turn = loads.range(start..).chain(loads.range(..start)).take(free);
-        for (key, load) in in_turn {
-            self.next_in_turn = key::Target(key.0.wrapping_add(1));
-            chosen.push(entry(*key, load.slowness, load.short_share));
-        }
-        chosen
+        summary
     }
 
     /// Replaces the estimates by those from this instance's own samples.
     fn use_own_samples(&mut self, now: Instant) {
         let loads = self.estimates.targets(1, now);
         self.view.targets = notable(&loads);
-        self.view.routes = self.estimates.routes(&self.own_flows, now);
+        self.view.routes = self.estimates.routes(self.flows.own(), now);
         self.view.spread = self.estimates.spread();
     }
 
@@ -350,7 +325,11 @@
         match message.body {
             Some(Body::Report(report)) => self.take_report(from, &report, now),
             Some(Body::Summary(summary)) if summary.is_valid() => {
-                self.take_summary(summary, now, actions);
+                if self.topology.is_root() {
+                    self.take_handover(&from, &summary, now);
+                } else {
+                    self.take_summary(&summary, now, actions);
+                }
             }
             _ => self.counts.ignored += 1,
         }
@@ -367,24 +346,43 @@
             return;
         }
         let flows = sums.routes.iter().map(|(key, sums)| (*key, sums.flows)).collect();
-        self.peer_flows.insert(from, (now, flows));
+        self.flows.set_peer(from, flows, report.is_domain, now);
         if self.topology.is_root() {
             self.estimates.record(&sums, now);
         }
+        if self.topology.is_root() && !report.is_domain {
+            self.summary = self.summary.max(report.number);
+        }
         if !report.is_domain {
             self.pending.add(&sums);
         }
     }
 
-    fn take_summary(&mut self, summary: Summary, now: Instant, actions: &mut Vec<Action>) {
+    /// Takes over the estimates of a former root that is now a child of this one, or that
+    /// knows this instance before this one knows any other.
+    fn take_handover(&mut self, from: &instance::Id, summary: &Summary, now: Instant) {
+        let is_child = self.topology.children.contains(from) || self.topology.members == 1;
+        if !is_child || summary.number + HANDOVER_LAG_MAX < self.summary {
+            return;
+        }
+        self.summary = self.summary.max(summary.number);
+        let targets = summary.targets.iter();
+        self.view.targets.extend(targets.map(|entry| (key::Target(entry.key), entry.load(now))));
+        let routes = summary.routes.iter();
+        let routes = routes.map(|entry| (key::Route(entry.key), entry.load())).collect();
+        self.estimates.inherit(&self.view.targets, &routes, now);
+        self.schedule.restart(&self.view.targets);
+    }
+
+    fn take_summary(&mut self, summary: &Summary, now: Instant, actions: &mut Vec<Action>) {
         let is_stale = self.view.age(now).is_none_or(|age| age >= SUMMARY_AGE_MAX);
-        // Instances with different lists of live instances may be each other's children.
-        if self.topology.is_root() || (summary.number <= self.summary && !is_stale) {
+        if summary.number <= self.summary && !is_stale {
             return;
         }
         if is_stale {
             self.view.targets.clear();
         }
+        self.next_report = now + self.report_offset();
         self.summary = summary.number;
         self.view.epoch = summary.number / SUMMARIES_PER_EPOCH;
         self.view.updated = Some(now);
@@ -394,11 +392,7 @@
             self.view.routes.insert(key::Route(entry.key), entry.load());
         }
         for entry in &summary.targets {
-            let load = TargetLoad {
-                slowness: from_millis(u64::from(entry.slowness_millis)),
-                short_share: from_millis(u64::from(entry.short_millis)),
-                updated: now,
-            };
+            let load = entry.load(now);
             if load.is_notable() {
                 self.view.targets.insert(key::Target(entry.key), load);
             } else {
@@ -406,10 +400,17 @@
             }
         }
         self.view.targets.retain(|_, load| now.since(load.updated) < ESTIMATE_RETENTION);
-        self.send_summary(&summary, actions);
+        self.send_summary(summary, actions);
         actions.push(Action::Updated);
     }
 
+    /// Returns the time between a summary and the next report: instances that are further from
+    /// the root report earlier, so that their sums reach the root before the next summary.
+    fn report_offset(&self) -> Span {
+        let steps = REPORT_STEPS.saturating_sub(self.topology.depth as u64).max(1);
+        Span(INTERVAL.0 * steps / REPORT_STEPS)
+    }
+
     fn send_summary(&mut self, summary: &Summary, actions: &mut Vec<Action>) {
         for to in self.topology.children.clone() {
             self.send(to, Body::Summary(summary.clone()), actions);
@@ -422,22 +423,7 @@
     }
 }
 
-fn add_flows(flows: &mut Flows, other: &Flows) {
-    for (route, count) in other {
-        let sum = flows.entry(*route).or_default();
-        *sum = sum.saturating_add(*count);
-    }
-}
-
 /// Returns the targets with notable estimates.
 fn notable(loads: &[(key::Target, TargetLoad)]) -> rustc_hash::FxHashMap<key::Target, TargetLoad> {
     loads.iter().copied().filter(|(_, load)| load.is_notable()).collect()
 }
-
-fn entry(key: key::Target, slowness: f64, short_share: f64) -> TargetEstimate {
-    TargetEstimate {
-        key: key.0,
-        slowness_millis: to_factor_millis(slowness),
-        short_millis: to_factor_millis(short_share),
-    }
-}
--- a/crates/mustardway_load/src/sums.rs
+++ b/crates/mustardway_load/src/sums.rs
@@ -12,6 +12,13 @@
 /// no single one may make a target look slow.
 pub const RATIO_MAX: f64 = 8.0;
 
+/// Greatest time that one sample counts with. Receivers accept no higher mean time.
+pub const TIME_MAX: Span = Span::seconds(60);
+
+/// Greatest count of a sum: far more than one failure domain handles between two reports.
+/// Receivers accept no higher one.
+pub const COUNT_MAX: u32 = 10_000_000;
+
 /// Returns the ratio of the time of an answer to the `usual` time of its route, if the
 /// answer shows the speed of its target.
 pub fn ratio(answer: &Answer, usual: Option<Span>) -> Option<f64> {
@@ -32,15 +39,24 @@
     pub short: u32,
     /// Set of the instances that contributed, by 64 hash values.
     pub contributors: u64,
+    /// Number of reports that left the target out. It is not sent.
+    pub waits: u32,
 }
 
 impl Target {
     fn add(&mut self, other: &Target) {
-        self.answers = self.answers.saturating_add(other.answers);
-        self.samples = self.samples.saturating_add(other.samples);
-        self.ratio += other.ratio;
-        self.short = self.short.saturating_add(other.short);
+        self.answers = add(self.answers, other.answers);
+        self.samples = add(self.samples, other.samples);
+        self.ratio = (self.ratio + other.ratio).min(RATIO_MAX * f64::from(self.samples));
+        self.short = add(self.short, other.short);
         self.contributors |= other.contributors;
+        self.waits = self.waits.max(other.waits);
+    }
+
+    /// Returns the priority in a report. It rises with the time, so that each target is sent
+    /// at some point and none is kept for good.
+    fn priority(&self) -> u32 {
+        self.answers.saturating_add(self.waits)
     }
 }
 
@@ -69,17 +85,23 @@
 
 impl Route {
     fn add(&mut self, other: &Route) {
-        self.opens = self.opens.saturating_add(other.opens);
-        self.requests = self.requests.saturating_add(other.requests);
-        self.refused = self.refused.saturating_add(other.refused);
-        self.answers = self.answers.saturating_add(other.answers);
-        self.late = self.late.saturating_add(other.late);
-        self.timed = self.timed.saturating_add(other.timed);
-        self.time = self.time + other.time;
-        self.short = self.short.saturating_add(other.short);
+        self.opens = add(self.opens, other.opens);
+        self.requests = add(self.requests, other.requests);
+        self.refused = add(self.refused, other.refused);
+        self.answers = add(self.answers, other.answers);
+        self.late = add(self.late, other.late);
+        self.timed = add(self.timed, other.timed);
+        self.time = (self.time + other.time).min(Span(u64::from(self.timed) * TIME_MAX.0));
+        self.short = add(self.short, other.short);
     }
 }
 
+/// Adds two counts up to the greatest one that receivers accept, so that one wrong count does
+/// not make them ignore all others.
+fn add(first: u32, second: u32) -> u32 {
+    first.saturating_add(second).min(COUNT_MAX)
+}
+
 /// Sums by target and by route.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Sums {
@@ -119,7 +141,7 @@
         }
         let route = self.routes.entry(answer.route).or_default();
         route.timed += 1;
-        route.time = route.time + answer.time;
+        route.time = route.time + answer.time.min(TIME_MAX);
         let Some(ratio) = ratio(answer, usual) else { return };
         target.samples += 1;
         target.ratio += ratio;
@@ -149,15 +171,18 @@
         self.targets.is_empty() && self.routes.is_empty()
     }
 
-    /// Removes and returns at most `targets_max` targets, those with the most answers, and
-    /// `routes_max` routes, those with the most requests.
+    /// Removes and returns at most `targets_max` targets, those with the most answers and the
+    /// longest wait, and `routes_max` routes, those with the most requests.
     #[must_use]
     pub fn take(&mut self, targets_max: usize, routes_max: usize) -> Sums {
         let mut taken = std::mem::take(self);
         if taken.targets.len() > targets_max {
             let mut ranked: Vec<(key::Target, Target)> = taken.targets.drain().collect();
-            ranked.sort_unstable_by_key(|(key, sums)| (std::cmp::Reverse(sums.answers), *key));
-            self.targets = ranked.split_off(targets_max).into_iter().collect();
+            ranked.sort_unstable_by_key(|(key, sums)| (std::cmp::Reverse(sums.priority()), *key));
+            for (key, mut sums) in ranked.split_off(targets_max) {
+                sums.waits = sums.waits.saturating_add(1);
+                self.targets.insert(key, sums);
+            }
             taken.targets = ranked.into_iter().collect();
         }
         if taken.routes.len() > routes_max {
--- a/crates/mustardway_load/src/topology.rs
+++ b/crates/mustardway_load/src/topology.rs
@@ -22,6 +22,8 @@
     pub roots: Vec<instance::Id>,
     /// Number of live instances in the failure domain, including this one.
     pub members: usize,
+    /// Number of hops to the root.
+    pub depth: usize,
 }
 
 impl Topology {
@@ -60,6 +62,7 @@
             children: (first_child..first_child + FANOUT).filter_map(id_at).collect(),
             roots,
             members: members.len(),
+            depth: depth(position),
         }
     }
 
@@ -69,6 +72,16 @@
     }
 }
 
+/// Returns the number of hops from a position to the root.
+fn depth(mut position: usize) -> usize {
+    let mut depth = 0;
+    while position > 0 {
+        position = (position - 1) / FANOUT;
+        depth += 1;
+    }
+    depth
+}
+
 fn rank(id: &instance::Id) -> u64 {
     hash::seeded(RANK_SEED, id.as_str().as_bytes())
 }
--- a/crates/mustardway_load/tests/common/mod.rs
+++ b/crates/mustardway_load/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 use mustardway_load::key;
 use mustardway_load::message::Message;
@@ -69,25 +70,32 @@
     pub requests: u64,
     /// Work of a request, relative to the usual.
     pub work: f64,
+    /// Number of routes with requests.
+    pub routes: u16,
     in_flight: Vec<InFlight>,
     due: f64,
     rng: Pcg32,
 }
 
+/// The route of which the tests look at the load.
 pub fn route() -> key::Route {
-    key::Route::of("10.0.0.1:80".parse().unwrap())
+    numbered_route(0)
+}
+
+fn numbered_route(number: u16) -> key::Route {
+    key::Route::of(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 80 + number))
 }
 
 pub fn id(index: usize) -> instance::Id {
-    format!("instance-{index}").parse().unwrap()
+    format!("instance-{index}").parse().expect("valid text")
 }
 
 pub fn domain_name(index: usize) -> domain::Name {
-    format!("zone-{index}").parse().unwrap()
+    format!("zone-{index}").parse().expect("valid text")
 }
 
 pub fn target_key(index: usize, born: u64) -> key::Target {
-    let id: target::Id = format!("target-{index}").parse().unwrap();
+    let id: target::Id = format!("target-{index}").parse().expect("valid text");
     key::Target::of(&id, Some(born))
 }
 
@@ -103,6 +111,7 @@
             rate: RATE,
             requests: 0,
             work: 1.0,
+            routes: 1,
             in_flight: Vec::new(),
             due: 0.0,
             rng: Pcg32::seed_from_u64(7),
@@ -158,7 +167,7 @@
         let is_root = |member: &Member| {
             member.is_up && member.domain == domain_name(domain) && member.node.topology().is_root()
         };
-        self.members.iter().position(is_root).unwrap()
+        self.members.iter().position(is_root).expect("a live root")
     }
 
     /// Returns an instance that has both a parent and children.
@@ -167,7 +176,7 @@
             let topology = member.node.topology();
             !topology.is_root() && !topology.children.is_empty()
         };
-        self.members.iter().position(is_inner).unwrap()
+        self.members.iter().position(is_inner).expect("an inner instance")
     }
 
     /// Lets time pass.
@@ -274,14 +283,15 @@
             self.requests += 1;
             let share = if is_short { 0.1 } else { 1.0 };
             let factor = self.work * noise * target.slow * share * member.factor;
-            member.node.record(&Sample::Requested(route()));
-            member.node.record(&answer(target.key, factor, is_short));
+            let route = numbered_route((self.requests % u64::from(self.routes)) as u16);
+            member.node.record(&Sample::Requested(route));
+            member.node.record(&answer(target.key, route, factor, is_short));
         }
     }
 
     /// Records an answer at one instance that took `factor` times as long as usual.
     pub fn answer(&mut self, index: usize, target: key::Target, factor: f64) {
-        self.members[index].node.record(&answer(target, factor, false));
+        self.members[index].node.record(&answer(target, route(), factor, false));
     }
 
     /// Returns the requests per second that an instance knows of.
@@ -296,7 +306,7 @@
     }
 }
 
-fn answer(target: key::Target, factor: f64, is_short: bool) -> Sample {
+fn answer(target: key::Target, route: key::Route, factor: f64, is_short: bool) -> Sample {
     let time = Span((BASE.0 as f64 * factor) as u64);
-    Sample::Answered(Answer { target, route: route(), time, is_short, is_late: false })
+    Sample::Answered(Answer { target, route, time, is_short, is_late: false })
 }
--- a/crates/mustardway_load/tests/faults.rs
+++ b/crates/mustardway_load/tests/faults.rs
@@ -4,8 +4,9 @@
 
 use std::collections::BTreeSet;
 
-use common::{Fleet, domain_name, route, target_key};
+use common::{Fleet, domain_name, id, route, target_key};
 use mustardway_load::node::{Event, SUMMARY_AGE_MAX};
+use mustardway_load::topology::Topology;
 use mustardway_types::time::Span;
 
 fn slow_fleet(instances: usize, domains: usize) -> Fleet {
@@ -156,25 +157,34 @@
 /// becomes root and makes all others forget them.
 #[test]
 fn fresh_instance_gets_the_estimates_within_two_seconds() {
-    for index in 30..60 {
+    let (ordinary, root) = (fresh_index(false), fresh_index(true));
+    for index in [ordinary, root] {
         let mut fleet = slow_fleet(30, 3);
         let epoch = fleet.members[fleet.root(0)].node.view().epoch();
         let fresh = fleet.join(index, 0);
         // The instance is alone until it has heard of the others.
         fleet.run(Span::millis(700));
         fleet.update_topologies();
-        let is_root = fleet.members[fresh].node.topology().is_root();
+        assert_eq!(fleet.members[fresh].node.topology().is_root(), index == root);
         fleet.run(Span::seconds(2));
         run_slow(&mut fleet, Span::seconds(4));
         for member in fleet.live().filter(|member| member.domain == domain_name(0)) {
             let now = member.node.view().epoch();
             assert!((epoch + 4..epoch + 9).contains(&now), "{}: {now} after {epoch}", member.id);
         }
-        if is_root {
-            return;
-        }
     }
-    panic!("no fresh instance has become root");
+}
+
+/// Returns the number of a new instance that becomes root, or not, among the instances 0 to
+/// 29 in three failure domains.
+fn fresh_index(is_root: bool) -> usize {
+    let home = domain_name(0);
+    let ids: Vec<_> = (0..30).step_by(3).map(id).collect();
+    let is_wanted = |index: &usize| {
+        let live = ids.iter().map(|id| (id, &home));
+        Topology::new(&id(*index), &home, live).is_root() == is_root
+    };
+    (30..1_000).find(is_wanted).expect("such an instance")
 }
 
 /// Guards against an update of the fleet, with half of the instances of a build that does
--- a/crates/mustardway_load/tests/own_fault.rs
+++ b/crates/mustardway_load/tests/own_fault.rs
@@ -33,12 +33,10 @@
 fn one_instance_alone_makes_no_target_slow() {
     let mut fleet = Fleet::new(6, 2, 40);
     fleet.run(Span::seconds(10));
-    let key = target_key(3, 1);
-    // All requests of the target pass through one instance.
-    let target = fleet.targets.remove(3);
+    let key = target_key(40, 1);
     for _ in 0..200 {
         fleet.run(Span::millis(50));
-        fleet.answer(2, target.key, 6.0);
+        fleet.answer(2, key, 6.0);
         for member in fleet.live() {
             assert_eq!(member.node.view().slowness(key), 1.0, "{}", member.id);
         }
--- a/crates/mustardway_load/tests/rates.rs
+++ b/crates/mustardway_load/tests/rates.rs
@@ -33,7 +33,7 @@
             let (mean, greatest) = deviations(&mut fleet, domain, expected);
             println!("{instances} in {domains}: mean {mean:.3}, greatest {greatest:.3}");
             assert!(mean.abs() <= 0.05, "{instances} instances: mean deviation {mean:.3}");
-            assert!(greatest <= 0.15, "{instances} instances: greatest deviation {greatest:.3}");
+            assert!(greatest <= 0.05, "{instances} instances: greatest deviation {greatest:.3}");
         }
     }
 }
