--- a/crates/mustardway_load/src/message.rs
+++ b/crates/mustardway_load/src/message.rs
@@ -3,19 +3,22 @@
 
 use mustardway_types::time::Span;
 
+use crate::column::{TargetEstimates, TargetSums};
 use crate::key;
-use crate::sums::{self, RATIO_MAX, Sums};
+use crate::sums::{self, COUNT_MAX, Sums, TIME_MAX};
 use crate::view::RouteLoad;
 
-/// Maximum number of targets and of routes in a message.
-pub const ENTRIES_MAX: usize = 128;
-/// Greatest count that is accepted in a report: far more than one failure domain handles
-/// between two reports.
-const COUNT_MAX: u32 = 10_000_000;
-/// Greatest mean time of a request that is accepted.
-const TIME_MAX: Span = Span::seconds(60);
+/// Maximum number of targets and of routes in a message. With three failure domains a root
+/// receives up to 6 reports in an interval, and sends 4 summaries and 2 reports. Sent and
+/// received bytes together have to stay below 28 KB/s.
+pub const ENTRIES_MAX: usize = 96;
+/// Greatest number of a summary that is accepted: far more than a fleet ever sends, and so
+/// low that it can go on rising.
+const NUMBER_MAX: u64 = 1 << 48;
+/// Greatest rate that is accepted, in thousandths per second.
+const RATE_MILLIS_MAX: u64 = COUNT_MAX as u64 * 1_000;
 /// Greatest slowness and spread that is accepted.
-const FACTOR_MAX: f64 = 64.0;
+pub(crate) const FACTOR_MAX: f64 = 64.0;
 
 /// One message between instances.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -40,37 +43,18 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Report {
     /// Sums by target.
-    #[prost(message, repeated, tag = "1")]
-    pub targets: Vec<TargetSums>,
+    #[prost(message, optional, boxed, tag = "1")]
+    pub targets: Option<Box<TargetSums>>,
     /// Sums by route.
     #[prost(message, repeated, tag = "2")]
     pub routes: Vec<RouteSums>,
     /// Whether the sums are of a whole failure domain.
     #[prost(bool, tag = "3")]
     pub is_domain: bool,
-}
-
-/// Sums of one target, see [`sums::Target`].
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct TargetSums {
-    /// Key of the target.
-    #[prost(fixed64, tag = "1")]
-    pub key: u64,
-    /// Number of answers.
-    #[prost(uint32, tag = "2")]
-    pub answers: u32,
-    /// Number of answers that show the speed.
-    #[prost(uint32, tag = "3")]
-    pub samples: u32,
-    /// Sum of the ratios, in thousandths.
+    /// Number of the latest summary that the sender knows. A new root goes on from there,
+    /// since others ignore summaries with lower numbers.
     #[prost(uint64, tag = "4")]
-    pub ratio_millis: u64,
-    /// Number of short answers.
-    #[prost(uint32, tag = "5")]
-    pub short: u32,
-    /// Set of the instances that contributed.
-    #[prost(fixed64, tag = "6")]
-    pub contributors: u64,
+    pub number: u64,
 }
 
 /// Sums of one route, see [`sums::Route`].
@@ -118,27 +102,13 @@
     #[prost(uint32, tag = "2")]
     pub spread_millis: u32,
     /// Estimates of targets. Targets that are not in it stay as they were.
-    #[prost(message, repeated, tag = "3")]
-    pub targets: Vec<TargetEstimate>,
+    #[prost(message, optional, tag = "3")]
+    pub targets: Option<TargetEstimates>,
     /// Load of all routes that are in use.
     #[prost(message, repeated, tag = "4")]
     pub routes: Vec<RouteEstimate>,
 }
 
-/// Estimates of one target.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct TargetEstimate {
-    /// Key of the target.
-    #[prost(fixed64, tag = "1")]
-    pub key: u64,
-    /// Slowness, in thousandths.
-    #[prost(uint32, tag = "2")]
-    pub slowness_millis: u32,
-    /// Share of short answers, in thousandths.
-    #[prost(uint32, tag = "3")]
-    pub short_millis: u32,
-}
-
 /// Load of one route, see [`RouteLoad`]. Rates are in thousandths per second.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct RouteEstimate {
@@ -172,20 +142,12 @@
 }
 
 impl Report {
-    /// Creates a report of `sums`.
-    pub fn new(sums: &Sums, is_domain: bool) -> Self {
-        let mut report = Report { is_domain, ..Report::default() };
-        for (key, sums) in &sums.targets {
-            report.targets.push(TargetSums {
-                key: key.0,
-                answers: sums.answers,
-                samples: sums.samples,
-                ratio_millis: to_millis(sums.ratio),
-                short: sums.short,
-                contributors: sums.contributors,
-            });
-        }
-        report.targets.sort_unstable_by_key(|entry| entry.key);
+    /// Creates a report of `sums`. `number` is that of the latest summary.
+    pub fn new(sums: &Sums, is_domain: bool, number: u64) -> Self {
+        let mut report = Report { is_domain, number, ..Report::default() };
+        let mut targets: Vec<_> = sums.targets.iter().map(|(key, sums)| (*key, *sums)).collect();
+        targets.sort_unstable_by_key(|(key, _)| *key);
+        report.targets = (!targets.is_empty()).then(|| Box::new(TargetSums::new(&targets)));
         for (key, sums) in &sums.routes {
             report.routes.push(RouteSums {
                 key: key.0,
@@ -197,7 +159,7 @@
                 timed: sums.timed,
                 time_micros: sums.time.0,
                 short: sums.short,
-                flows: sums.flows,
+                flows: sums.flows.min(COUNT_MAX),
             });
         }
         report
@@ -205,12 +167,12 @@
 
     /// Returns the sums, or `None` if any value is out of range.
     pub fn decode(&self) -> Option<Sums> {
-        if self.targets.len() > ENTRIES_MAX || self.routes.len() > ENTRIES_MAX {
+        if self.routes.len() > ENTRIES_MAX || self.number > NUMBER_MAX {
             return None;
         }
         let mut sums = Sums::default();
-        for entry in &self.targets {
-            sums.targets.insert(key::Target(entry.key), entry.decode()?);
+        if let Some(targets) = &self.targets {
+            sums.targets.extend(targets.decode()?);
         }
         for entry in &self.routes {
             sums.routes.insert(key::Route(entry.key), entry.decode()?);
@@ -219,25 +181,6 @@
     }
 }
 
-impl TargetSums {
-    fn decode(&self) -> Option<sums::Target> {
-        let ratio = from_millis(self.ratio_millis);
-        // Thousandths are rounded up.
-        let ratio_max = RATIO_MAX * f64::from(self.samples) + 1.0;
-        let is_valid = self.answers <= COUNT_MAX
-            && self.samples <= self.answers
-            && self.short <= self.answers
-            && ratio <= ratio_max;
-        is_valid.then_some(sums::Target {
-            answers: self.answers,
-            samples: self.samples,
-            ratio,
-            short: self.short,
-            contributors: self.contributors,
-        })
-    }
-}
-
 impl RouteSums {
     fn decode(&self) -> Option<sums::Route> {
         let counts = [self.opens, self.requests, self.refused, self.answers, self.flows];
@@ -263,16 +206,10 @@
 impl Summary {
     /// Returns whether all values are in range.
     pub fn is_valid(&self) -> bool {
-        let factor_max = to_millis(FACTOR_MAX);
-        let is_factor = |millis: u32| u64::from(millis) <= factor_max;
-        self.targets.len() <= ENTRIES_MAX
+        self.number <= NUMBER_MAX
             && self.routes.len() <= ENTRIES_MAX
-            && is_factor(self.spread_millis)
-            && self.targets.iter().all(|entry| {
-                entry.slowness_millis > 0
-                    && is_factor(entry.slowness_millis)
-                    && entry.short_millis <= 1_000
-            })
+            && u64::from(self.spread_millis) <= to_millis(FACTOR_MAX)
+            && self.targets.as_ref().is_none_or(TargetEstimates::is_valid)
             && self.routes.iter().all(|entry| {
                 let rates = [
                     entry.opens_millis,
@@ -280,7 +217,7 @@
                     entry.refused_millis,
                     entry.answers_millis,
                 ];
-                rates.iter().all(|rate| *rate <= u64::from(COUNT_MAX) * 1_000)
+                rates.iter().all(|rate| *rate <= RATE_MILLIS_MAX)
                     && entry.flows <= COUNT_MAX
                     && entry.base_micros <= TIME_MAX.0
                     && entry.late_millis <= 1_000
@@ -294,12 +231,12 @@
     pub fn new(key: key::Route, load: &RouteLoad) -> Self {
         RouteEstimate {
             key: key.0,
-            opens_millis: to_millis(load.opens),
-            requests_millis: to_millis(load.requests),
-            refused_millis: to_millis(load.refused),
-            flows: load.flows as u32,
+            opens_millis: to_rate_millis(load.opens),
+            requests_millis: to_rate_millis(load.requests),
+            refused_millis: to_rate_millis(load.refused),
+            flows: (load.flows as u32).min(COUNT_MAX),
             base_micros: load.base_time.0.min(TIME_MAX.0),
-            answers_millis: to_millis(load.answers),
+            answers_millis: to_rate_millis(load.answers),
             late_millis: to_factor_millis(load.late_share),
             short_millis: to_factor_millis(load.short_share),
         }
@@ -327,10 +264,15 @@
 }
 
 /// Converts a number to thousandths, rounded up.
-fn to_millis(value: f64) -> u64 {
+pub(crate) fn to_millis(value: f64) -> u64 {
     (value.max(0.0) * 1_000.0).ceil() as u64
 }
 
+/// Converts a rate to thousandths that are in range.
+fn to_rate_millis(rate: f64) -> u64 {
+    to_millis(rate).min(RATE_MILLIS_MAX)
+}
+
 /// Converts a factor to thousandths that are in range.
 pub(crate) fn to_factor_millis(value: f64) -> u32 {
     to_millis(value.min(FACTOR_MAX)) as u32
