--- a/crates/mustardway_command/src/queries/timeline.rs
+++ b/crates/mustardway_command/src/queries/timeline.rs
@@ -1,6 +1,6 @@
 //! The query that reconstructs the course of a caller's flow from log files.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read};
 use std::path::{Path, PathBuf};
 
@@ -20,6 +20,11 @@
     "demand against what can be placed",
     "changed settings are in force",
 ];
+/// Log message about a change of the load of a service.
+const CONTENTION: &str = "service contended";
+/// Reasons of `flow reset` with which a full service refuses a new flow.
+const REFUSALS: [&str; 2] =
+    ["the service is full", "the service is full, and the caller has used up its share"];
 /// Fields that are not printed: every line has them, or they add nothing to a timeline.
 const HIDDEN_FIELDS: [&str; 5] = ["msg", "ts", "level", "skipped", "flow"];
 /// Time before the first and after the last line of the flow within which lines about its
@@ -133,6 +138,33 @@
     field(line, "flow").split('>').next() == Some(caller)
 }
 
+/// Returns whether the line tells that a full service refused a new flow.
+fn is_refusal(line: &Line) -> bool {
+    line.message == "flow reset" && REFUSALS.contains(&field(line, "reason"))
+}
+
+/// Returns the indexes of the lines that state the load of each service when its instance
+/// refused the caller's flow: the latest change before the refusal, however old. A refusal
+/// does not name its service, so the state of every service that was refusing is among them.
+fn contention(lines: &[Line], caller: &str) -> BTreeSet<usize> {
+    let mut latest: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    let mut found = BTreeSet::new();
+    for (index, line) in lines.iter().enumerate() {
+        if line.message == CONTENTION {
+            latest.insert((&line.instance, field(line, "service")), index);
+        }
+        if !is_of_flow(line, caller) || !is_refusal(line) {
+            continue;
+        }
+        for ((instance, _), index) in &latest {
+            if *instance == line.instance && field(&lines[*index], "state") == "refusing" {
+                found.insert(*index);
+            }
+        }
+    }
+    found
+}
+
 /// Selects the lines about the flow, about its targets, and about the instances that
 /// logged the flow. A doubted target concerns every flow to it, so that message is
 /// selected even if it names another flow.
@@ -140,10 +172,15 @@
     let matching: Vec<&Line> = lines.iter().filter(|line| is_of_flow(line, caller)).collect();
     let (Some(first), Some(last)) = (matching.first(), matching.last()) else { return Vec::new() };
     let span = first.seconds - WINDOW_SECONDS..last.seconds + WINDOW_SECONDS;
+    let contention = contention(lines, caller);
     let targets: BTreeSet<&str> = matching.iter().map(|line| field(line, "target")).collect();
     let instances: BTreeSet<&str> = matching.iter().map(|line| line.instance.as_str()).collect();
     let mut selected = Vec::new();
-    for line in lines {
+    for (index, line) in lines.iter().enumerate() {
+        if contention.contains(&index) {
+            selected.push(line.clone());
+            continue;
+        }
         let target = field(line, "target");
         let is_about_target = !target.is_empty() && targets.contains(target);
         let is_about_other_flow = !field(line, "flow").is_empty() && !is_of_flow(line, caller);
@@ -175,12 +212,42 @@
     text
 }
 
+/// Returns a sentence on a refusal with the load of the services that were refusing then.
+fn format_refusal(reset: &Line, lines: &[Line]) -> String {
+    let mut text = format!(
+        "the flow was refused by {} before any target had it: {}",
+        reset.instance,
+        field(reset, "reason")
+    );
+    let mut latest: BTreeMap<&str, &Line> = BTreeMap::new();
+    for line in lines {
+        let is_before = line.message == CONTENTION && line.seconds <= reset.seconds;
+        if is_before && line.instance == reset.instance {
+            latest.insert(field(line, "service"), line);
+        }
+    }
+    latest.retain(|_, line| field(line, "state") == "refusing");
+    for (service, line) in latest {
+        let number = |name| line.fields.get(name).and_then(Value::as_f64).unwrap_or_default();
+        text.push_str(&format!(
+            "; {service} had been refusing since {} with {:.1} offered for {:.1} slots",
+            line.time,
+            number("offered"),
+            number("slots")
+        ));
+    }
+    text
+}
+
 /// Returns a sentence on the end of the flow as far as the lines show it.
 fn conclusion(lines: &[Line], caller: &str) -> String {
     let matching: Vec<&Line> = lines.iter().filter(|line| is_of_flow(line, caller)).collect();
     let reset = matching.iter().rev().find(|line| line.message == "flow reset");
     if let Some(reset) = reset {
         let (reason, target) = (field(reset, "reason"), field(reset, "target"));
+        if is_refusal(reset) {
+            return format_refusal(reset, lines);
+        }
         let suffix = if target.is_empty() { String::new() } else { format!(" ({target})") };
         return format!("the flow was reset by {}: {reason}{suffix}", reset.instance);
     }
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -1,34 +1,32 @@
 //! The task that owns the state machines: it routes packets, events and timer ticks
 //! to them and carries out the actions that they return.
 
+mod messages;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use mustardway_flow::front::{self, Front, Verdict};
-use mustardway_flow::load;
-use mustardway_load::{message as load_message, topology as load_topology};
-use mustardway_membership::{action, event, member, message as membership_message, node, roster};
+use mustardway_load::topology as load_topology;
+use mustardway_membership::{action, event, member, node, roster};
 use mustardway_mirror::node as mirror;
-use mustardway_mirror::{message as mirror_message, topology};
-use mustardway_peer::frame::Kind;
-use mustardway_peer::link::Peer;
+use mustardway_mirror::topology;
 use mustardway_peer::mesh::Mesh;
 use mustardway_peer::send::Priority;
 use mustardway_types::clock::Clock;
 use mustardway_types::time::{Instant, Span};
-use mustardway_types::{domain, instance, target};
-use prost::Message;
+use mustardway_types::{domain, instance};
 use slog::Logger;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::adapter::Adapter;
 use crate::input::Input;
+use crate::load::{self, Document};
 use crate::metrics::{Metrics, gauge_value};
 use crate::pause::Detector;
-use crate::peers::{LOAD, MEMBERSHIP, MIRROR, TARGET_STATUS, TargetStatus};
+use crate::peers::{LOAD, MEMBERSHIP, MIRROR};
 use crate::probes;
 use crate::report::Report;
 
@@ -61,7 +59,7 @@
     /// Logger of this instance.
     pub logger: Logger,
     /// What load estimates are used for.
-    pub load: load::Settings,
+    pub load: mustardway_flow::load::Settings,
     /// Seed of the random number generators.
     pub seed: u64,
 }
@@ -79,6 +77,9 @@
     peers: BTreeMap<instance::Id, SocketAddr>,
     /// Live instances in the same failure domain, this one included.
     domain_instances: Vec<instance::Id>,
+    /// Time at which the load is published next.
+    next_load: Instant,
+    load_documents: watch::Sender<Arc<Document>>,
     /// Time at which the latest packet arrived.
     last_packet_at: Instant,
     buffer: Vec<u8>,
@@ -97,6 +98,8 @@
             members_version: None,
             peers: BTreeMap::new(),
             domain_instances: Vec::new(),
+            next_load: now,
+            load_documents: watch::Sender::default(),
             last_packet_at: now,
             buffer: vec![0; DATAGRAM_MAX_BYTES],
             context,
@@ -118,6 +121,11 @@
         self.front.is_ready()
     }
 
+    /// Returns the load as a document that is replaced once a second.
+    pub fn load_documents(&self) -> load::Receiver {
+        self.load_documents.subscribe()
+    }
+
     /// Returns the time since the latest packet arrived.
     pub fn time_since_packet(&self) -> Span {
         self.now().since(self.last_packet_at)
@@ -146,6 +154,20 @@
         self.handle_front_event(front::Event::Tick, now);
         self.report.tick(now);
         self.update_gauges(now);
+        self.publish_load(now);
+    }
+
+    /// Updates the metrics and the document of the load, once per `load::INTERVAL`.
+    fn publish_load(&mut self, now: Instant) {
+        if now < self.next_load {
+            return;
+        }
+        self.next_load = now + load::INTERVAL;
+        if let Some(load) = self.front.load() {
+            self.report.metrics().load.update(load, now);
+        }
+        let document = Document::new(&self.front, self.context.load, now);
+        self.load_documents.send_replace(Arc::new(document));
     }
 
     /// Updates the gauges.
@@ -265,46 +287,6 @@
         }
     }
 
-    /// Decodes a message of a peer and passes it to the state machine that it is for.
-    fn handle_frame(&mut self, from: &instance::Id, kind: Kind, body: Bytes, now: Instant) {
-        let result = match kind {
-            MEMBERSHIP => membership_message::Message::decode(body).map(|message| {
-                self.handle_membership_event(
-                    event::Event::Received { from: from.clone(), message },
-                    now,
-                );
-            }),
-            MIRROR => mirror_message::Message::decode(body).map(|message| {
-                self.handle_mirror_event(
-                    mirror::Event::Received { from: from.clone(), message },
-                    now,
-                );
-            }),
-            LOAD => load_message::Message::decode(body).map(|message| {
-                let event = front::Event::Load { from: from.clone(), message };
-                self.handle_front_event(event, now);
-            }),
-            _ => TargetStatus::decode(body)
-                .map(|status| self.handle_target_status(from, &status, now)),
-        };
-        if let Err(error) = result {
-            slog::warn!(self.context.logger, "skipped a malformed message";
-                "peer" => %from, "kind" => %kind, "error" => %error);
-        }
-    }
-
-    fn handle_target_status(&mut self, from: &instance::Id, status: &TargetStatus, now: Instant) {
-        match status.target.parse() {
-            Ok(target) => {
-                let (from, is_lost) = (from.clone(), status.is_lost);
-                self.handle_front_event(front::Event::PeerReport { from, target, is_lost }, now);
-            }
-            Err(error) => {
-                slog::warn!(self.context.logger, "skipped a target status with a malformed target name"; "error" => %error);
-            }
-        }
-    }
-
     fn handle_membership_event(&mut self, event: event::Event, now: Instant) {
         let mut actions = Vec::new();
         self.context.membership.handle(now, event, &mut actions);
@@ -437,30 +419,4 @@
             }
         }
     }
-
-    /// Sends a target status to the peers in the same failure domain.
-    fn broadcast_status(&self, target: &target::Id, is_lost: bool) {
-        let status = TargetStatus { target: target.to_string(), is_lost };
-        for id in &self.domain_instances {
-            // Skips this instance itself, which is not among its peers.
-            let Some(address) = self.peers.get(id) else { continue };
-            self.send_message(id, *address, Priority::Control, TARGET_STATUS, &status);
-        }
-    }
-
-    fn send_message(
-        &self,
-        to: &instance::Id,
-        address: SocketAddr,
-        priority: Priority,
-        kind: Kind,
-        message: &impl Message,
-    ) {
-        let peer = Peer { id: to.clone(), address };
-        let body = Bytes::from(message.encode_to_vec());
-        if let Err(error) = self.context.mesh.send(&peer, priority, kind, body) {
-            slog::debug!(self.context.logger, "sending a message to a peer failed";
-                "peer" => %to, "kind" => %kind, "error" => %error);
-        }
-    }
 }
--- a/crates/mustardway_front/src/lib.rs
+++ b/crates/mustardway_front/src/lib.rs
@@ -16,6 +16,8 @@
 //! - [`pause`]: detects that the process was suspended.
 //! - [`report`]: rate-limited log lines about decisions.
 //! - [`metrics`]: counters, gauges and latency histograms.
+//! - [`load_metrics`]: metrics of the load estimates and of admission.
+//! - [`load`]: the load of services and targets as a JSON document.
 //! - [`http`]: HTTP server of the readiness check and the metrics.
 //! - [`signals`]: signals that stop the process or reload its settings.
 
@@ -23,6 +25,8 @@
 pub mod dispatcher;
 pub mod http;
 pub mod input;
+pub mod load;
+pub mod load_metrics;
 pub mod metrics;
 pub mod pause;
 pub mod peers;
--- a/crates/mustardway_front/src/metrics.rs
+++ b/crates/mustardway_front/src/metrics.rs
@@ -22,6 +22,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::http::Answer;
+use crate::load_metrics;
 use crate::peers::KIND_NAMES;
 
 /// Path at which the metrics are served.
@@ -57,6 +58,8 @@
     pushed_bytes: Family<Label, Counter>,
     peer_bytes_sent: Family<Label, Counter>,
     peer_bytes_received: Family<Label, Counter>,
+    /// The load estimates and admission, served after [`Metrics::with_load`].
+    pub load: load_metrics::Metrics,
     /// Pauses of the process.
     pub pauses: Counter,
     /// Log lines suppressed by a rate limit.
@@ -97,6 +100,7 @@
             pushed_bytes: Family::default(),
             peer_bytes_sent: Family::default(),
             peer_bytes_received: Family::default(),
+            load: load_metrics::Metrics::default(),
             pauses: Counter::default(),
             log_lines_skipped: Counter::default(),
             flows: Gauge::default(),
@@ -111,6 +115,13 @@
 }
 
 impl Metrics {
+    /// Adds the metrics of the load.
+    #[must_use]
+    pub fn with_load(mut self) -> Self {
+        self.load.register(&mut self.registry);
+        self
+    }
+
     fn register_all(mut self) -> Self {
         self.register_packets();
         self.register_targets();
@@ -337,7 +348,7 @@
 }
 
 /// Raises a counter to `total`.
-fn set_counter(counter: &Counter, total: u64) {
+pub(crate) fn set_counter(counter: &Counter, total: u64) {
     counter.inc_by(total.saturating_sub(counter.get()));
 }
 
--- a/crates/mustardway_front/src/run.rs
+++ b/crates/mustardway_front/src/run.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use mustardway_flow::load;
 use mustardway_membership::{event, member, node, roster};
 use mustardway_peer::mesh::Mesh;
 use mustardway_types::clock::Clock;
@@ -22,6 +21,7 @@
 use crate::dispatcher::{Context, Dispatcher};
 use crate::http;
 use crate::input::Input;
+use crate::load;
 use crate::metrics::Metrics;
 use crate::peers::{InboundHandler, KINDS};
 use crate::signals::{Received, Signals};
@@ -65,7 +65,7 @@
     /// Grace period: time from the stop signal until the process is killed.
     pub grace: Span,
     /// What load estimates are used for.
-    pub load: load::Settings,
+    pub load: mustardway_flow::load::Settings,
     /// Incarnation number, greater at every start.
     pub incarnation: Incarnation,
     /// Seed of the random number generators.
@@ -128,14 +128,21 @@
     let (inputs, mut input_receiver) = mpsc::channel(INPUT_QUEUE_LEN);
     let listener = TcpListener::bind(settings.ready).await?;
     tokio::spawn(adapter.readiness.serve(listener, Arc::clone(&ready)));
-    let metrics = Arc::new(Metrics::default());
+    let mut metrics = Metrics::default();
+    if settings.load.is_used() {
+        metrics = metrics.with_load();
+    }
+    let metrics = Arc::new(metrics);
+    let mut dispatcher = start(&settings, adapter, inputs, Arc::clone(&metrics), &logger).await?;
     if let Some(address) = settings.metrics {
         let listener = TcpListener::bind(address).await?;
-        let metrics = Arc::clone(&metrics);
-        let handler = move |path: &str| metrics.respond(path);
+        let documents = dispatcher.load_documents();
+        let handler = move |path: &str| match path {
+            load::PATH => load::respond(&documents),
+            _ => metrics.respond(path),
+        };
         tokio::spawn(http::serve(listener, handler, logger.clone()));
     }
-    let mut dispatcher = start(&settings, adapter, inputs, metrics, &logger).await?;
     slog::info!(logger, "started"; "id" => %settings.id, "domain" => %settings.domain,
         "packets" => %settings.packets, "peer" => %settings.peer);
     let mut ticks = tokio::time::interval(TICK_INTERVAL);
--- a/crates/mustardway_settings/tests/front_settings.rs
+++ b/crates/mustardway_settings/tests/front_settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the packet front: the example file, the defaults and every kind of problem.
 
-use mustardway_settings::front::Front;
+use mustardway_settings::front::{Admission, Front, Placement};
 use mustardway_types::time::Span;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -22,6 +22,8 @@
     // Every commented-out key has its default value.
     let with_defaults = example.replace("# advertise", "advertise");
     let with_defaults = with_defaults.replace("# seeds =", "seeds =").replace("# grace", "grace");
+    let with_defaults = with_defaults.replace("# placement", "placement");
+    let with_defaults = with_defaults.replace("# admission", "admission");
     let with_defaults = with_defaults.replace("# level", "level").replace("# form", "form");
     assert_eq!(Front::parse(&with_defaults).expect("the defaults"), front);
 }
@@ -31,6 +33,7 @@
     let front = Front::parse(MINIMAL).expect("the minimal settings");
     assert_eq!(front.grace, Span::seconds(6));
     assert_eq!(front.metrics, None);
+    assert_eq!((front.placement, front.admission), (Placement::Outstanding, Admission::Off));
     assert!(front.seeds.is_empty());
 }
 
@@ -65,6 +68,45 @@
     assert_eq!(problems(&format!("{MINIMAL}[metrics]\naddress = here\n")).len(), 1);
 }
 
+#[test]
+fn load_settings_take_each_word() {
+    let front = |text: &str| Front::parse(&format!("{MINIMAL}[load]\n{text}\n"));
+    let words =
+        [("outstanding", Placement::Outstanding), ("expected-time", Placement::ExpectedTime)];
+    for (word, placement) in words {
+        let front = front(&format!("placement = {word}")).expect("a valid word");
+        assert_eq!((front.placement, front.admission), (placement, Admission::Off), "{word}");
+    }
+    for (word, admission) in [("off", Admission::Off), ("priority", Admission::Priority)] {
+        let front = front(&format!("admission = {word}")).expect("a valid word");
+        assert_eq!(
+            (front.placement, front.admission),
+            (Placement::Outstanding, admission),
+            "{word}"
+        );
+    }
+}
+
+/// Guards against a wrong word that counts as the default: an operator would believe that
+/// admission is on.
+#[test]
+fn wrong_load_settings_name_the_key_and_the_valid_words() {
+    for (line, key, words) in [
+        ("placement = fastest", "placement", ["outstanding", "expected-time"]),
+        ("placement = Expected-Time", "placement", ["outstanding", "expected-time"]),
+        ("admission = on", "admission", ["off", "priority"]),
+        ("admission =", "admission", ["off", "priority"]),
+    ] {
+        let found = problems(&format!("{MINIMAL}[load]\n{line}\n"));
+        assert_eq!(found.len(), 1, "{line}: {found:?}");
+        assert!(found[0].contains(key), "{line}: {found:?}");
+        assert!(words.iter().all(|word| found[0].contains(word)), "{line}: {found:?}");
+    }
+    let found = problems(&format!("{MINIMAL}[load]\nspeed = 1\n"));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].contains("placement") && found[0].contains("admission"), "{found:?}");
+}
+
 /// Every text is either accepted or rejected with at least one problem.
 #[test]
 fn random_text_is_accepted_or_has_problems() {
--- a/tests/flow_timeline.rs
+++ b/tests/flow_timeline.rs
@@ -21,17 +21,27 @@
   23.9 b-2 {"msg":"started","level":"INFO","ts":"2026-03-09T00:57:59Z"}
 "#;
 
-/// Runs `timeline` for `caller` on both logs.
+/// Log of an instance that refused flows to one service while another one had become open again.
+const REFUSING: &str = r#"
+{"msg":"service contended","level":"WARN","ts":"2026-03-09T00:56:00Z","service":"ticker","state":"refusing","offered":30.2,"slots":20.0}
+{"msg":"service contended","level":"WARN","ts":"2026-03-09T00:56:30Z","service":"archive","state":"refusing","offered":4.0,"slots":3.0}
+{"msg":"service contended","level":"WARN","ts":"2026-03-09T00:56:40Z","service":"archive","state":"open","offered":1.0,"slots":3.0}
+{"msg":"flow reset","level":"INFO","ts":"2026-03-09T00:57:50Z","target":"","flow":"10.9.0.7:2000>198.18.0.1:443","reason":"the service is full","age":"90ms"}
+{"msg":"flow reset","level":"INFO","ts":"2026-03-09T00:57:51Z","target":"","flow":"10.9.0.8:2000>198.18.0.1:443","reason":"the service is full, and the caller has used up its share","age":"90ms"}
+{"msg":"service contended","level":"WARN","ts":"2026-03-09T00:57:53Z","service":"ticker","state":"open","offered":10.0,"slots":20.0}
+"#;
+
+/// Runs `timeline` for `caller` on all logs.
 fn timeline(test: &str, caller: &str) -> Output {
     let folder: PathBuf =
         std::env::temp_dir().join(format!("mustardway-{}-{test}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("folder can be created");
-    for (name, text) in [("a-1.log", FIRST), ("more.log", SECOND)] {
+    for (name, text) in [("a-1.log", FIRST), ("more.log", SECOND), ("c-3.log", REFUSING)] {
         std::fs::write(folder.join(name), text).expect("log file can be written");
     }
     let output = Command::new(env!("CARGO_BIN_EXE_mustardway"))
         .args(["timeline", caller])
-        .args([folder.join("a-1.log"), folder.join("more.log")])
+        .args([folder.join("a-1.log"), folder.join("more.log"), folder.join("c-3.log")])
         .output()
         .expect("binary can be run");
     std::fs::remove_dir_all(&folder).expect("folder can be removed");
@@ -57,6 +67,28 @@
     assert!(text.ends_with("the flow was placed at i-2; no line tells of its end\n"), "{text}");
 }
 
+/// Guards against a refusal without its cause: the change of the service's load is older than
+/// the lines around the flow, and other services and later changes do not explain it.
+#[test]
+fn timeline_of_a_refused_flow_names_the_load_of_the_full_service() {
+    for (caller, reason) in [
+        ("10.9.0.7:2000", "the service is full"),
+        ("10.9.0.8:2000", "the service is full, and the caller has used up its share"),
+    ] {
+        let output = timeline(&format!("refused{}", &caller[..8]), caller);
+        let text = String::from_utf8_lossy(&output.stdout);
+        let lines: Vec<&str> = text.lines().collect();
+        assert_eq!(lines.len(), 3, "{text}");
+        assert!(lines[0].contains("c-3 service contended offered=30.2 service=ticker"), "{text}");
+        assert!(lines[1].contains("c-3 flow reset"), "{text}");
+        let conclusion = format!(
+            "the flow was refused by c-3 before any target had it: {reason}; ticker had been \
+            refusing since 2026-03-09T00:56:00Z with 30.2 offered for 20.0 slots"
+        );
+        assert_eq!(lines[2], conclusion);
+    }
+}
+
 #[test]
 fn timeline_of_an_unknown_flow_fails() {
     let output = timeline("unknown", "10.9.0.3:1");
