--- a/tests/front_load.rs
+++ b/tests/front_load.rs
@@ -134,9 +134,8 @@
     assert_eq!(load["placement"], "expected-time");
     assert_eq!(load["admission"], "priority");
     assert_eq!((&load["services"], &load["targets"]), (&json!([]), &json!([])));
-    let metrics = instance.wait_for("/metrics", |text| {
-        text.contains("mustardway_load_summary_age_seconds 0.")
-    });
+    let metrics = instance
+        .wait_for("/metrics", |text| text.contains("mustardway_load_summary_age_seconds 0."));
     for name in ["mustardway_targets_slow 0", "mustardway_load_spread 1.0"] {
         assert!(metrics.lines().any(|line| line == name), "{name}: {metrics}");
     }
