--- a/crates/mustardway_front/src/load.rs
+++ b/crates/mustardway_front/src/load.rs
@@ -268,6 +268,6 @@
 }
 
 /// Rounds a value to three decimals.
-fn rounded(value: f64) -> f64 {
+pub(crate) fn rounded(value: f64) -> f64 {
     (value * 1_000.0).round() / 1_000.0
 }
--- a/crates/mustardway_front/src/report.rs
+++ b/crates/mustardway_front/src/report.rs
@@ -11,6 +11,7 @@
 use mustardway_types::{rate, target};
 use slog::Logger;
 
+use crate::load::rounded;
 use crate::metrics::Metrics;
 
 /// Log lines per second of each kind of decision; the rest is only counted.
@@ -167,12 +168,12 @@
             }
             Note::Contention { service, change } => {
                 slog::warn!(log, "service contended"; "service" => %service,
-                    "state" => %change.state, "offered" => change.offered,
-                    "slots" => change.slots, "skipped" => skipped);
+                    "state" => %change.state, "offered" => rounded(change.offered),
+                    "slots" => rounded(change.slots), "skipped" => skipped);
             }
             Note::Slow { target, slowness, short_share } => {
-                slog::info!(log, "target slow"; "target" => %target, "slowness" => slowness,
-                    "short_share" => short_share, "skipped" => skipped);
+                slog::info!(log, "target slow"; "target" => %target, "slowness" => rounded(*slowness),
+                    "short_share" => rounded(*short_share), "skipped" => skipped);
             }
         }
     }
