Emulator: targets of unequal speed, swinging demand, bursts and load settings

Cause: the emulator could not play the load that the shared estimates and the admission are for: all targets had one speed, the demand was constant, and the instances ran without load settings.

Change: a site has load settings, which each instance passes to its front; services have speeds that their targets take in turn; classes have an urgency, which was derived from their repeatability before, and the size of an answer's part. The demand can swing with a phase for each failure domain, and a disruption adds a burst of one class or all. A policy that knows the true work and speeds of all targets serves as a bound. Report: refused flows, busy times, bytes across failure domains and of load estimates, latencies by class. The flow of a request that expires is looked up in the request instead of searched in all flows.

Ruled out: a disruption for slow targets, since `Slow` exists. The rejection is 120 bytes instead of 2,400; only sequence numbers depend on it.

--- a/crates/mustardway_emulator/src/caller.rs
+++ b/crates/mustardway_emulator/src/caller.rs
@@ -17,8 +17,6 @@
 const RETRANSMIT_MAX: Span = Span::millis(1_600);
 /// Maximum number of retries of a request.
 pub(crate) const RETRIES_MAX: u32 = 2;
-/// Backoff before a retry.
-pub(crate) const RETRY_DELAY: Span = Span::millis(10);
 /// Number of caller addresses in each failure domain.
 const CALLERS_PER_DOMAIN: u32 = 40;
 
@@ -30,6 +28,8 @@
     /// Time at which the caller first sent the request.
     pub(crate) asked: Instant,
     pub(crate) tries: u32,
+    /// Latest flow that carried the request.
+    pub(crate) flow: Option<u32>,
     /// Number of times that targets ran the request.
     pub(crate) runs: u32,
     /// Whether the outcome is recorded.
--- a/crates/mustardway_emulator/src/disruption.rs
+++ b/crates/mustardway_emulator/src/disruption.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
-use mustardway_mirror::publication::{Configuration, Item, Key, Repeat, Route, Service, Share};
+use mustardway_mirror::publication::{Configuration, Item, Key, Route, Service, Share};
 use mustardway_types::time::{Instant, Span};
 use rand::RngExt;
 
+use crate::arrival_rate::Burst;
 use crate::network::Partition;
 use crate::scenario::Kind;
 use crate::target::Server;
@@ -42,6 +43,8 @@
     /// Crash a target for the given period, until it has crashed the given number of
     /// times.
     FlapTarget(usize, Span, usize),
+    /// End the burst that was added to `bursts` with the given number.
+    EndBurst(usize),
     /// End the delays and losses of the platform.
     RestorePlatformSpeed,
     /// Restart an instance.
@@ -87,6 +90,10 @@
                     self.schedule(lasts, FollowUp::RestoreTarget(target));
                 }
             }
+            Kind::Burst { class, factor, lasts } => {
+                self.bursts.push(Burst { class, factor });
+                self.schedule(lasts, FollowUp::EndBurst(self.bursts.len() - 1));
+            }
             Kind::Flap { service, share, period, lasts } => {
                 let turns = (lasts.0 / period.0).div_ceil(2) as usize;
                 for target in self.pick_targets(service, share) {
@@ -202,6 +209,7 @@
                     self.schedule(period + period, next);
                 }
             }
+            FollowUp::EndBurst(burst) => self.bursts[burst].factor = 1.0,
             FollowUp::RestorePlatformSpeed => {
                 self.platform.delay = Span::ZERO;
                 self.platform.loss = 0.0;
@@ -312,7 +320,8 @@
     /// Adds a target that is not running yet and returns its index.
     fn add_target(&mut self, service: usize, domain: usize) -> usize {
         let new = self.servers.len();
-        let mut server = Server::new(new, service, domain, self.now);
+        let speed = self.next_speed(service);
+        let mut server = Server::new(new, service, domain, speed, self.now);
         server.alive = false;
         self.servers.push(server);
         new
@@ -360,7 +369,7 @@
                 address: route_address(number),
                 shares: vec![Share { service, weight: 1 }],
                 repeat: class.repeat,
-                urgency: u32::from(class.repeat == Repeat::Free),
+                urgency: class.urgency,
                 aim: class.aim,
                 limit: class.limit,
             });
--- a/crates/mustardway_emulator/src/host.rs
+++ b/crates/mustardway_emulator/src/host.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use mustardway_flow::front::Front;
+use mustardway_flow::load;
 use mustardway_load::message as load_message;
 use mustardway_membership::{event, member, message, node, roster, settings};
 use mustardway_mirror::message as mirror_message;
@@ -12,6 +13,7 @@
 use mustardway_types::{domain, instance, target};
 use prost::Message as _;
 
+use crate::costs::Costs;
 use crate::network::Link;
 use crate::variant::Variant;
 
@@ -53,6 +55,8 @@
     pub(crate) id: instance::Id,
     pub(crate) domain: usize,
     pub(crate) front: Front,
+    /// True costs of the targets, as the policy of the front sees them.
+    pub(crate) costs: Costs,
     pub(crate) mirror: mirror::Node,
     pub(crate) membership: node::Node,
     pub(crate) alive: bool,
@@ -83,7 +87,7 @@
         name: &domain::Name,
         incarnation: u32,
         link: Link,
-        variant: Variant,
+        policy: (Variant, load::Settings),
         now: Instant,
     ) -> Self {
         let id = id(index);
@@ -102,8 +106,12 @@
         }
         // Membership requests no actions before its first tick.
         membership.handle(now, event::Event::Roster(entries), &mut Vec::new());
+        let (variant, load) = policy;
+        let costs = Costs::default();
+        let front = Front::new(id.clone(), name.clone(), seed);
         Host {
-            front: Front::new(id.clone(), name.clone(), seed).with_policy(variant.policy()),
+            front: front.with_policy(variant.policy(&costs)).with_load(load, now),
+            costs,
             mirror: mirror::Node::new(seed, now),
             membership,
             id,
--- a/crates/mustardway_emulator/src/lib.rs
+++ b/crates/mustardway_emulator/src/lib.rs
@@ -13,12 +13,13 @@
 //! - [`report`]: the outcome of the requests and the violations of the rules.
 //! - [`world`]: the simulation.
 //! - [`variant`]: load-balancing policies to compare.
-//! - [`experiment`]: comparison of policies over many scenarios, and minimisation of
 //!   a failing scenario.
 //! - [`plot`]: charts of a run.
 
 mod arrival;
+mod arrival_rate;
 mod caller;
+mod costs;
 pub mod defect;
 mod disruption;
 pub mod experiment;
--- a/crates/mustardway_emulator/src/report.rs
+++ b/crates/mustardway_emulator/src/report.rs
@@ -80,6 +80,15 @@
     }
 }
 
+/// A new flow that an instance refused because its service is full.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Time from the start of traffic.
+    pub at: Span,
+    /// Class of the refused request.
+    pub class: usize,
+}
+
 /// The results of one simulation run.
 #[derive(Debug, Clone, Default)]
 pub struct Report {
@@ -104,6 +113,18 @@
     /// Latency of each answered request, up to the last part of the answer, in
     /// milliseconds.
     pub latencies: Vec<u32>,
+    /// Latencies by class, as in `latencies`.
+    pub class_latencies: BTreeMap<usize, Vec<u32>>,
+    /// Refused flows, in order of time.
+    pub refusals: Vec<Refusal>,
+    /// Bytes of load estimates sent between instances while callers sent requests.
+    pub load_bytes: u64,
+    /// Bytes of callers' packets that were forwarded to targets.
+    pub forwarded_bytes: u64,
+    /// Bytes of callers' packets that were forwarded to another failure domain.
+    pub cross_domain_bytes: u64,
+    /// Sum of the times for which each target's slots were busy, by service and target.
+    pub busy: BTreeMap<(usize, usize), Span>,
     /// Number of requests that each target ran, by service and target.
     pub work: BTreeMap<(usize, usize), u32>,
 }
@@ -129,9 +150,15 @@
 
     /// Returns the counts of one class of requests.
     pub fn class(&self, class: usize) -> Counts {
+        self.class_from(class, Span::ZERO)
+    }
+
+    /// Returns the counts of the requests of one class that were sent in the windows that
+    /// start from `first` on.
+    pub fn class_from(&self, class: usize, first: Span) -> Counts {
         let mut counts = Counts::default();
-        for ((_, other), of_window) in &self.windows {
-            if *other == class {
+        for ((window, other), of_window) in &self.windows {
+            if *other == class && window * WINDOW.0 >= first.0 {
                 counts = counts + *of_window;
             }
         }
@@ -154,13 +181,24 @@
         highest
     }
 
+    /// Returns the ratio of the busiest target's busy time to the mean of its service. All
+    /// targets of a service have the same number of slots.
+    pub fn busiest(&self, service: usize) -> f64 {
+        let of_service = self.busy.iter().filter(|((other, _), _)| *other == service);
+        let times: Vec<f64> = of_service.map(|(_, busy)| busy.as_seconds()).collect();
+        let mean = times.iter().sum::<f64>() / times.len().max(1) as f64;
+        times.iter().copied().fold(0.0, f64::max) / mean.max(f64::MIN_POSITIVE)
+    }
+
     /// Returns the latency within which `share` of the answers arrived, in milliseconds.
     pub fn quantile(&self, share: f64) -> u32 {
-        let mut latencies = self.latencies.clone();
-        latencies.sort_unstable();
-        let index =
-            ((latencies.len() as f64 * share) as usize).min(latencies.len().saturating_sub(1));
-        latencies.get(index).copied().unwrap_or_default()
+        quantile(&self.latencies, share)
+    }
+
+    /// Returns the latency within which `share` of the answers to a class of requests
+    /// arrived, in milliseconds.
+    pub fn class_quantile(&self, class: usize, share: f64) -> u32 {
+        self.class_latencies.get(&class).map_or(0, |latencies| quantile(latencies, share))
     }
 }
 
@@ -201,3 +239,10 @@
         Ok(())
     }
 }
+
+fn quantile(latencies: &[u32], share: f64) -> u32 {
+    let mut latencies = latencies.to_vec();
+    latencies.sort_unstable();
+    let index = ((latencies.len() as f64 * share) as usize).min(latencies.len().saturating_sub(1));
+    latencies.get(index).copied().unwrap_or_default()
+}
--- a/crates/mustardway_emulator/src/rules.rs
+++ b/crates/mustardway_emulator/src/rules.rs
@@ -2,10 +2,11 @@
 //! the requests by outcome.
 
 use compact_str::format_compact;
+use mustardway_flow::note::{Note, ResetReason};
 use mustardway_mirror::publication::Repeat;
 use mustardway_types::time::{Instant, Span};
 
-use crate::report::{Counts, Rule, Violation, WINDOW};
+use crate::report::{Counts, Refusal, Rule, Violation, WINDOW};
 use crate::world::{World, route_address};
 
 /// Grace period after a disruption. Rules are not checked for what it affected.
@@ -132,6 +133,19 @@
         }
     }
 
+    /// Records a new flow that an instance refused because its service is full.
+    pub(crate) fn record_refusal(&mut self, note: &Note) {
+        let Note::Reset { flow, reason, .. } = note else { return };
+        if !matches!(reason, ResetReason::Overloaded | ResetReason::CallerShare) {
+            return;
+        }
+        let mut classes = 0..self.site.classes.len();
+        if let Some(class) = classes.find(|class| route_address(*class) == flow.route) {
+            let at = self.now.since(self.traffic_start);
+            self.report.refusals.push(Refusal { at, class });
+        }
+    }
+
     /// Returns whether the platform has answered all instances for the grace period.
     fn is_stable(&self) -> bool {
         self.now >= self.platform_impaired_until + IMPAIRMENT_GRACE
@@ -158,6 +172,8 @@
             true => counts.in_time += 1,
             false => counts.late += 1,
         }
-        self.report.latencies.push(u32::try_from(took.as_millis()).unwrap_or(u32::MAX));
+        let millis = u32::try_from(took.as_millis()).unwrap_or(u32::MAX);
+        self.report.latencies.push(millis);
+        self.report.class_latencies.entry(request.class).or_default().push(millis);
     }
 }
--- a/crates/mustardway_emulator/src/scenario.rs
+++ b/crates/mustardway_emulator/src/scenario.rs
@@ -50,6 +50,15 @@
         /// Duration of the slowdown.
         lasts: Span,
     },
+    /// Callers send more requests than usual.
+    Burst {
+        /// Index of the class, or `None` for all classes.
+        class: Option<usize>,
+        /// Factor on the request rates.
+        factor: f64,
+        /// Duration of the burst.
+        lasts: Span,
+    },
     /// A share of a service's targets repeatedly crash and restart.
     Flap {
         /// Index of the service.
--- a/crates/mustardway_emulator/src/target.rs
+++ b/crates/mustardway_emulator/src/target.rs
@@ -59,7 +59,9 @@
     /// Time at which the target announced that it leaves.
     pub(crate) leaving_since: Option<Instant>,
     pub(crate) cold_until: Instant,
-    /// Factor on the service time of requests.
+    /// Divisor of the service time of requests, for the whole life of the target.
+    pub(crate) speed: f64,
+    /// Factor on the service time of requests during a disruption.
     pub(crate) slowdown: f64,
     /// Number of requests that run now.
     pub(crate) running: u32,
@@ -78,7 +80,13 @@
 
 impl Server {
     /// Creates a warm, running target.
-    pub(crate) fn new(index: usize, service: usize, domain: usize, now: Instant) -> Self {
+    pub(crate) fn new(
+        index: usize,
+        service: usize,
+        domain: usize,
+        speed: f64,
+        now: Instant,
+    ) -> Self {
         let key = index as u64 + 1;
         Server {
             id: format!("t-{key:08x}").parse().expect("a generated target id is valid"),
@@ -92,6 +100,7 @@
             incarnation: 0,
             leaving_since: None,
             cold_until: now,
+            speed,
             slowdown: 1.0,
             running: 0,
             queue: VecDeque::new(),
--- a/crates/mustardway_emulator/src/variant.rs
+++ b/crates/mustardway_emulator/src/variant.rs
@@ -9,6 +9,8 @@
 use rand::RngExt;
 use rand_pcg::Pcg32;
 
+use crate::costs::Costs;
+
 /// A load-balancing policy.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Variant {
@@ -24,21 +26,26 @@
     /// The power of two choices: of two random targets, the one with fewer waiting
     /// requests.
     Pair,
+    /// The least expected time until an answer, from the true work and speeds of the
+    /// targets. No instance can know them; the policy is a bound for others.
+    Omniscient,
 }
 
 impl Variant {
-    /// All policies.
+    /// All policies that instances can apply.
     pub const ALL: [Variant; 5] =
         [Variant::Score, Variant::Anywhere, Variant::Rendezvous, Variant::Least, Variant::Pair];
 
-    /// Returns the implementation of the policy.
-    pub fn policy(self) -> Box<dyn Policy> {
+    /// Returns the implementation of the policy. `costs` are the true costs of the targets,
+    /// by their index in the directory.
+    pub(crate) fn policy(self, costs: &Costs) -> Box<dyn Policy> {
         match self {
             Variant::Score => Box::new(Score(WEIGHTS)),
             Variant::Anywhere => Box::new(Score(Weights { distance: 0.0, ..WEIGHTS })),
             Variant::Rendezvous => Box::new(Rendezvous),
             Variant::Least => Box::new(Least),
             Variant::Pair => Box::new(Pair),
+            Variant::Omniscient => Box::new(Omniscient(costs.clone())),
         }
     }
 }
@@ -51,6 +58,7 @@
             Variant::Rendezvous => "rendezvous",
             Variant::Least => "least",
             Variant::Pair => "pair",
+            Variant::Omniscient => "omniscient",
         })
     }
 }
@@ -108,6 +116,18 @@
     }
 }
 
+/// The candidate with the lowest true cost, of any grade.
+#[derive(Debug)]
+struct Omniscient(Costs);
+
+impl Policy for Omniscient {
+    fn choose(&self, _: &Flow, candidates: &[Candidate], _: &mut Pcg32) -> Option<usize> {
+        let cost = |candidate: &Candidate| self.0.get(candidate.index);
+        let least = candidates.iter().min_by(|one, other| cost(one).total_cmp(&cost(other)));
+        least.map(|candidate| candidate.index)
+    }
+}
+
 /// Returns the candidates of the best grade.
 fn best(candidates: &[Candidate]) -> impl Iterator<Item = &Candidate> {
     let grade = candidates.iter().map(|candidate| candidate.grade).min();
--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -19,6 +19,7 @@
 use rand_pcg::Pcg32;
 
 use crate::arrival::Arrival;
+use crate::arrival_rate::Burst;
 use crate::caller::{Flow, Request};
 use crate::defect::Defect;
 use crate::disruption::FollowUp;
@@ -146,6 +147,8 @@
     pub(crate) servers: Vec<Server>,
     pub(crate) requests: Vec<Request>,
     pub(crate) flows: Vec<Flow>,
+    /// Bursts that have begun, in order of time.
+    pub(crate) bursts: Vec<Burst>,
     /// Latest flow of each caller address.
     pub(crate) by_caller: BTreeMap<SocketAddrV4, u32>,
     /// Open flows without a request, by failure domain and class.
@@ -230,6 +233,7 @@
             servers: Vec::new(),
             requests: Vec::new(),
             flows: Vec::new(),
+            bursts: Vec::new(),
             by_caller: BTreeMap::new(),
             idle: BTreeMap::new(),
             report: Report::default(),
@@ -249,8 +253,8 @@
         for service in 0..self.site.services.len() {
             for (domain, count) in self.site.services[service].targets.clone().iter().enumerate() {
                 for _ in 0..*count {
-                    let target = self.servers.len();
-                    self.servers.push(Server::new(target, service, domain, self.now));
+                    let (target, speed) = (self.servers.len(), self.next_speed(service));
+                    self.servers.push(Server::new(target, service, domain, speed, self.now));
                     self.queue.add(self.now, Event::Heartbeat { target, incarnation: 0 });
                 }
             }
@@ -260,7 +264,8 @@
                 let host = self.hosts.len();
                 let link = Link::new(self.site.link_bits_per_second_of(host));
                 let name = &self.domain_names[domain];
-                self.hosts.push(Host::new(host, domain, name, 0, link, self.variant, self.now));
+                let policy = (self.variant, self.site.load);
+                self.hosts.push(Host::new(host, domain, name, 0, link, policy, self.now));
                 self.upstreams.push(Upstream::new(domain));
                 let stagger = Span(self.rng.random_range(0..TICK_INTERVAL.0));
                 self.queue.add(self.now + stagger, Event::Tick { host, incarnation: 0 });
@@ -344,10 +349,23 @@
         let (domain, incarnation) = (old.domain, old.incarnation + 1);
         let link = Link::new(self.site.link_bits_per_second_of(host));
         let name = &self.domain_names[domain];
-        self.hosts[host] = Host::new(host, domain, name, incarnation, link, self.variant, self.now);
+        let policy = (self.variant, self.site.load);
+        self.hosts[host] = Host::new(host, domain, name, incarnation, link, policy, self.now);
         self.queue.add(self.now, Event::Tick { host, incarnation });
     }
 
+    /// Returns the speed of the next target of a service.
+    pub(crate) fn next_speed(&self, service: usize) -> f64 {
+        let number = self.servers.iter().filter(|server| server.service == service).count();
+        self.site.services[service].speed(number)
+    }
+
+    /// Returns whether callers send requests now.
+    pub(crate) fn has_traffic(&self) -> bool {
+        let end = self.traffic_start + self.scenario.duration;
+        self.now >= self.traffic_start && self.now < end
+    }
+
     /// Returns whether a failure domain was cut off from the platform at any time
     /// after `since`.
     pub(crate) fn was_cut_from_platform(&self, domain: usize, since: Instant) -> bool {
--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -169,7 +169,9 @@
         let neighbours = instance.neighbours.clone();
         self.deliver_to_mirror(host, mirror::Event::Topology(topology));
         self.deliver_to_front(host, front::Event::Peers { known, neighbours });
-        self.deliver_to_front(host, front::Event::LoadTopology(load_topology));
+        if self.site.is_load_shared {
+            self.deliver_to_front(host, front::Event::LoadTopology(load_topology));
+        }
     }
 
     /// Passes an event to the mirror of an instance and executes the actions that it
@@ -251,6 +253,7 @@
                 }
                 Action::Waited(_) => {}
                 Action::Note(note) => {
+                    self.record_refusal(&note);
                     let at = self.now.since(self.traffic_start);
                     if let Some(listener) = &mut self.listener {
                         listener(at, &self.hosts[host].id, &note);
@@ -268,6 +271,9 @@
         }
         let bytes = frame.bytes();
         self.report.instance_bytes += bytes as u64;
+        if matches!(frame, Frame::Load(_)) && self.has_traffic() {
+            self.report.load_bytes += bytes as u64;
+        }
         let sent_at = self.hosts[from].outbound.send(bytes, self.now);
         let (first, second) = (self.hosts[from].domain, self.hosts[to].domain);
         if self.network.partition(first, second).is_some() {
--- a/crates/mustardway_emulator/src/world/request.rs
+++ b/crates/mustardway_emulator/src/world/request.rs
@@ -9,14 +9,15 @@
 use rand::RngExt;
 
 use super::{Event, Reply, World, route_address};
-use crate::caller::{COPY_DELAYS, Flow, OPENING_TIMEOUT, RETRIES_MAX, RETRY_DELAY, Request, Stage};
+use crate::caller::{COPY_DELAYS, Flow, OPENING_TIMEOUT, RETRIES_MAX, Request, Stage};
 use crate::router;
 use crate::target::{Admission, Stage as TargetStage};
+use crate::variant::Variant;
 
 /// Size of a request.
 const REQUEST_BYTES: u16 = 600;
-/// Size of one part of an answer.
-const PART_BYTES: u32 = 2_400;
+/// Size of the answer with which a target rejects a request.
+const REJECTION_BYTES: u32 = 120;
 /// Size of a datagram with a packet that carries no data.
 const HEADER_BYTES: usize = 68;
 /// Time between the acknowledgements of two parts of an answer.
@@ -34,14 +35,20 @@
         if self.now >= self.traffic_start + self.scenario.duration {
             return;
         }
-        let share =
-            self.site.instances[domain] as f64 / self.site.instances.iter().sum::<usize>() as f64;
-        let rate = self.site.classes[class].rate * self.scenario.load * share;
+        let rate = self.arrival_rate(domain, class);
         let gap = Span((self.exponential() / rate * 1e6) as u64);
         self.queue.add(self.now + gap, Event::NewRequest { domain, class });
         let request = self.requests.len();
         let asked = self.now;
-        self.requests.push(Request { class, domain, asked, tries: 0, runs: 0, is_finished: false });
+        self.requests.push(Request {
+            class,
+            domain,
+            asked,
+            tries: 0,
+            flow: None,
+            runs: 0,
+            is_finished: false,
+        });
         let limit = self.site.classes[class].limit;
         self.queue.add(self.now + limit, Event::RequestExpired { request });
         self.send_request(request);
@@ -61,12 +68,14 @@
         self.requests[request].tries += 1;
         let idle = self.idle.entry((domain, class)).or_default();
         if let Some(flow) = idle.pop() {
+            self.requests[request].flow = Some(flow);
             self.flows[flow as usize].request = Some(request);
             self.flows[flow as usize].reset_retransmission();
             self.send_bytes(flow);
             return;
         }
         let number = self.flows.len() as u32;
+        self.requests[request].flow = Some(number);
         let flow = Flow::new(number, domain, class, route_address(class), request, self.now);
         self.by_caller.insert(flow.address, number);
         self.flows.push(flow);
@@ -147,7 +156,10 @@
             if is_held { front::Event::Paused } else { front::Event::BacklogCleared },
             &mut actions,
         );
-        let verdict = front.packet(&packet, now, &mut actions);
+        if self.variant == Variant::Omniscient {
+            self.update_costs(host);
+        }
+        let verdict = self.hosts[host].front.packet(&packet, now, &mut actions);
         match verdict {
             Verdict::Forward { key, token, .. } => {
                 self.forward(host, key as usize - 1, flow, Packet { token, ..packet });
@@ -167,6 +179,8 @@
             self.report.placed += 1;
             self.report.cross_domain += u32::from(from != to);
         }
+        self.report.forwarded_bytes += bytes as u64;
+        self.report.cross_domain_bytes += if from == to { 0 } else { bytes as u64 };
         if self.network.partition(from, to).is_some() {
             return;
         }
@@ -247,9 +261,11 @@
         let varied = 0.5 + 0.5 * self.exponential().min(6.0);
         let server = &self.servers[target];
         let slowdown = if self.now < server.cold_until { COLD_SLOWDOWN } else { 1.0 };
-        let micros =
-            self.site.classes[class].service_time.0 as f64 * varied * server.slowdown * slowdown;
-        let (at, incarnation) = (self.now + Span(micros as u64), server.incarnation);
+        let service_time = self.site.classes[class].service_time.0 as f64;
+        let time = Span((service_time * varied * server.slowdown * slowdown / server.speed) as u64);
+        let busy = self.report.busy.entry((server.service, target)).or_default();
+        *busy = *busy + time;
+        let (at, incarnation) = (self.now + time, server.incarnation);
         self.queue.add(at, Event::RequestDone { target, incarnation, flow, request });
     }
 
@@ -303,8 +319,12 @@
             Reply::Answered { request, closes } => self.request_answered(flow, request, closes),
             Reply::Rejected { request } => {
                 if self.flows[flow as usize].request == Some(request) {
-                    self.flows[flow as usize].received += PART_BYTES;
+                    let received = &mut self.flows[flow as usize].received;
+                    *received = received.wrapping_add(REJECTION_BYTES);
                     self.acknowledge(flow, 0);
+                    if self.site.closes_rejected {
+                        self.close_flow(flow);
+                    }
                     self.fail_flow(flow, true);
                 }
             }
@@ -339,8 +359,9 @@
     fn acknowledge(&mut self, flow: u32, parts: u32) {
         for part in 0..=parts {
             let flow_state = &mut self.flows[flow as usize];
+            let part_bytes = self.site.classes[flow_state.class].part_bytes;
             flow_state.received =
-                flow_state.received.wrapping_add(if part > 0 { PART_BYTES } else { 0 });
+                flow_state.received.wrapping_add(if part > 0 { part_bytes } else { 0 });
             let packet = flow_state.packet(flow_state.sent, 0, false);
             let host = router::route(
                 &self.upstreams,
@@ -363,8 +384,8 @@
         flow_state.request = None;
         flow_state.generation += 1;
         flow_state.sent = flow_state.sent.wrapping_add(u32::from(REQUEST_BYTES));
-        flow_state.received = flow_state.received.wrapping_add(PART_BYTES);
         let class = &self.site.classes[flow_state.class];
+        flow_state.received = flow_state.received.wrapping_add(class.part_bytes);
         let parts = class.parts - 1;
         let is_kept = class.is_persistent && !closes;
         let key = (flow_state.domain, flow_state.class);
@@ -407,7 +428,7 @@
         let class = &self.site.classes[self.requests[request].class];
         let may_repeat = class.repeat == Repeat::Free || never_opened || has_not_run;
         if may_repeat && self.requests[request].tries <= RETRIES_MAX {
-            self.queue.add(self.now + RETRY_DELAY, Event::Retry { request });
+            self.queue.add(self.now + self.site.retry_delay, Event::Retry { request });
         } else {
             self.record_outcome(request, None);
         }
@@ -419,10 +440,10 @@
             return;
         }
         self.record_outcome(request, None);
-        let flow = self.flows.iter().rposition(|flow| flow.request == Some(request));
-        if let Some(flow) = flow {
-            self.flows[flow].request = None;
-            self.close_flow(flow as u32);
+        let Some(flow) = self.requests[request].flow else { return };
+        if self.flows[flow as usize].request == Some(request) {
+            self.flows[flow as usize].request = None;
+            self.close_flow(flow);
         }
     }
 }
