Emulator: compare placement and admission at shares of the capacity

Cause: nothing showed how placement and admission behave near and beyond the capacity of the targets.

Change: the subcommand `load` prints a table over seeds. `--divisor` makes a site smaller in proportion.

--- a/crates/mustardway_emulator/src/lib.rs
+++ b/crates/mustardway_emulator/src/lib.rs
@@ -13,12 +13,15 @@
 //! - [`report`]: the outcome of the requests and the violations of the rules.
 //! - [`world`]: the simulation.
 //! - [`variant`]: load-balancing policies to compare.
+//! - [`experiment`]: comparison of policies over many scenarios, and minimisation of
 //!   a failing scenario.
+//! - [`comparison`]: comparison of the placement and admission of flows under load.
 //! - [`plot`]: charts of a run.
 
 mod arrival;
 mod arrival_rate;
 mod caller;
+pub mod comparison;
 mod costs;
 pub mod defect;
 mod disruption;
--- a/crates/mustardway_emulator/src/main.rs
+++ b/crates/mustardway_emulator/src/main.rs
@@ -1,9 +1,11 @@
 //! Command line of the simulation. Its texts call a scenario a day and a disruption
 //! a trouble.
 
+use std::num::NonZeroUsize;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use mustardway_emulator::comparison;
 use mustardway_emulator::experiment::{self, Bound, TABLE_HEADER};
 use mustardway_emulator::plot;
 use mustardway_emulator::report::Report;
@@ -11,12 +13,18 @@
 use mustardway_emulator::site::{Preset, Site};
 use mustardway_emulator::variant::Variant;
 use mustardway_emulator::world;
+use mustardway_flow::load::Admission;
+
+/// Shares of the capacity at which placement is compared.
+const PLACEMENT_SHARES: [f64; 4] = [0.5, 0.8, 0.95, 1.1];
+/// Shares of the capacity at which admission is compared.
+const ADMISSION_SHARES: [f64; 5] = [0.8, 1.0, 1.3, 2.0, 4.0];
 
 /// Play days of a deployment in simulated time
 #[derive(Debug, argh::FromArgs)]
 #[argh(error_code(1, "a rule was broken, or a day failed"))]
 struct Arguments {
-    /// site: frio-austral, frio-austral-grown, san-jose or san-jose-grown
+    /// site: frio-austral, frio-austral-grown, san-jose, san-jose-grown, uneven or contended
     #[argh(option)]
     site: Preset,
     #[argh(subcommand)]
@@ -29,6 +37,7 @@
     Emulate(Emulate),
     Experiment(Experiment),
     Search(Search),
+    Load(LoadExperiment),
 }
 
 /// Play days of drawn troubles, or quiet ones, and judge the rules
@@ -94,6 +103,27 @@
     failed: f64,
 }
 
+/// Compare placement, or admission, at shares of the capacity of the targets
+#[derive(Debug, argh::FromArgs)]
+#[argh(subcommand, name = "load")]
+struct LoadExperiment {
+    /// how many seeds, from 1
+    #[argh(option, default = "10")]
+    seeds: u64,
+    /// divisor of the site's instances, targets and rates
+    #[argh(option, default = "1")]
+    divisor: usize,
+    /// threads that run the seeds
+    #[argh(option, default = "NonZeroUsize::MIN")]
+    threads: NonZeroUsize,
+    /// shares of the capacity; the usual ones without it
+    #[argh(option)]
+    share: Vec<f64>,
+    /// compare admission off and by priority, instead of placement
+    #[argh(switch)]
+    admission: bool,
+}
+
 fn main() -> ExitCode {
     let Arguments { site, subcommand } = argh::from_env();
     let site = site.site();
@@ -101,6 +131,7 @@
         Subcommand::Emulate(emulate) => emulate.run(&site),
         Subcommand::Experiment(experiment) => experiment.run(&site),
         Subcommand::Search(search) => search.run(&site),
+        Subcommand::Load(experiment) => experiment.run(site),
     };
     if is_clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
@@ -175,6 +206,43 @@
     }
 }
 
+impl LoadExperiment {
+    fn run(&self, site: Site) -> bool {
+        let site = site.divided(self.divisor);
+        let instances: usize = site.instances.iter().sum();
+        let capacity = site.load_at_capacity();
+        println!("{}: {instances} instances, 1.0 is {capacity:.2} times its rates", site.name);
+        if self.admission {
+            self.compare_admission(&site);
+        } else {
+            self.compare_placement(&site);
+        }
+        true
+    }
+
+    fn shares(&self, usual: &[f64]) -> Vec<f64> {
+        if self.share.is_empty() { usual.to_vec() } else { self.share.clone() }
+    }
+
+    fn compare_placement(&self, site: &Site) {
+        println!("{}", comparison::PLACEMENT_HEADER);
+        for share in self.shares(&PLACEMENT_SHARES) {
+            for method in &comparison::METHODS {
+                println!("{}", comparison::place(site, method, share, self.seeds, self.threads));
+            }
+        }
+    }
+
+    fn compare_admission(&self, site: &Site) {
+        for (name, admission) in [("off", Admission::Off), ("priority", Admission::ByPriority)] {
+            println!("admission {name}\n{}", comparison::ADMISSION_HEADER);
+            for share in self.shares(&ADMISSION_SHARES) {
+                println!("{}", comparison::admit(site, admission, share, self.seeds, self.threads));
+            }
+        }
+    }
+}
+
 impl Search {
     fn run(&self, site: &Site) -> bool {
         let bound = Bound { failed: self.failed };
