--- a/crates/mustardway_flow/tests/load_samples.rs
+++ b/crates/mustardway_flow/tests/load_samples.rs
@@ -248,6 +248,25 @@
     assert!(mean_time(&sums, 1) < Span::millis(100), "{}", mean_time(&sums, 1));
 }
 
+/// Guards against samples that are lost because a batch of packets has ended since their
+/// request.
+#[test]
+fn end_of_a_batch_keeps_measurements() {
+    let mut harness = child(1);
+    for from in 1..=6 {
+        harness.establish_in(from, 1, ROUND_TRIP_MILLIS);
+        harness.send(&data(from, 1, 1, 0, 0, 200));
+    }
+    harness.handle(Event::BacklogCleared);
+    harness.now = harness.now + Span::millis(40);
+    for from in 1..=6 {
+        harness.send(&data(from, 1, 1, 200, ANSWER, 0));
+        harness.send(&finish(from, 1, 1, 200, ANSWER));
+    }
+    let sums = harness.take_sums();
+    assert!(mean_time(&sums, 1) > Span::millis(20), "{}", mean_time(&sums, 1));
+}
+
 /// Guards against a target that keeps an outstanding request for ever, and so gets fewer
 /// flows: the packet with the request arrives after the last one of its flow.
 #[test]
