--- a/crates/mustardway_flow/tests/common/load.rs
+++ b/crates/mustardway_flow/tests/common/load.rs
@@ -5,8 +5,9 @@
 use mustardway_flow::front::{Action, Event, Verdict};
 use mustardway_flow::load::{Admission, Placement, Settings};
 use mustardway_flow::packet::{Flags, Packet};
+use mustardway_load::column::TargetEstimates;
 use mustardway_load::key;
-use mustardway_load::message::{Body, RouteEstimate, Summary, TargetEstimate};
+use mustardway_load::message::{Body, RouteEstimate, Summary};
 use mustardway_load::sums::{self, Sums};
 use mustardway_load::topology::Topology;
 use mustardway_types::time::Span;
@@ -35,9 +36,28 @@
     key::Target::of(&id(number), Some(1))
 }
 
+/// The estimate of one target.
+#[derive(Debug, Clone, Copy)]
+pub struct Estimate {
+    key: key::Target,
+    slowness_millis: u32,
+    short_millis: u32,
+}
+
 /// Returns the estimate of a target.
-pub fn estimate(number: u64, slowness_millis: u32, short_millis: u32) -> TargetEstimate {
-    TargetEstimate { key: target_key(number).0, slowness_millis, short_millis }
+pub fn estimate(number: u64, slowness_millis: u32, short_millis: u32) -> Estimate {
+    Estimate { key: target_key(number), slowness_millis, short_millis }
+}
+
+/// Returns the columns of `targets` in a summary.
+pub fn columns(targets: &[Estimate]) -> TargetEstimates {
+    let mut columns = TargetEstimates::default();
+    for estimate in targets {
+        columns.keys.push(estimate.key.0 as u32);
+        columns.slowness_millis.push(estimate.slowness_millis);
+        columns.short_millis.push(estimate.short_millis);
+    }
+    columns
 }
 
 /// Returns a packet of an open flow, with `length` bytes of data from byte `sent` on, whose
@@ -73,11 +93,11 @@
     }
 
     /// Receives a summary from the parent. Its number rises with the time.
-    pub fn receive_summary(&mut self, targets: &[TargetEstimate], routes: &[RouteEstimate]) {
+    pub fn receive_summary(&mut self, targets: &[Estimate], routes: &[RouteEstimate]) {
         let summary = Summary {
             number: self.now.0 / 500_000,
             spread_millis: 1_000,
-            targets: targets.to_vec(),
+            targets: Some(columns(targets)),
             routes: routes.to_vec(),
         };
         let message = Body::Summary(summary).into();
--- a/crates/mustardway_flow/tests/load_settings.rs
+++ b/crates/mustardway_flow/tests/load_settings.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::load::{estimate, idle_route};
+use common::load::{columns, estimate, idle_route};
 use common::{Harness, acknowledgement, answer_acknowledgement, opening, peer, request};
 use mustardway_flow::front::{Action, Event, Verdict};
 use mustardway_flow::load::Settings;
@@ -53,7 +53,7 @@
         let summary = Summary {
             number: harness.now.0 / 500_000,
             spread_millis: 3_000,
-            targets: vec![estimate(1, 8_000, 900)],
+            targets: Some(columns(&[estimate(1, 8_000, 900)])),
             routes: vec![idle_route(1)],
         };
         let message = Body::Summary(summary).into();
