Load estimates: no slow samples where a full link ends between two reports

Cause: an instance judged itself by its latest 16 answers when it sent a report. Ruled out, without a run: a report that waits for one interval, since it delays all estimates by 500 ms. Change: speeds of an interval in which the instance looked slow at any time are dropped. Speeds are held back until the next report if the latest 4 answers were all slow.

--- a/crates/mustardway_load/src/node.rs
+++ b/crates/mustardway_load/src/node.rs
@@ -42,6 +42,8 @@
 /// itself to be slow. Even if half of the targets are slow, a quarter of the answers is
 /// not.
 const OWN_QUARTILE_MAX: f64 = 2.0;
+/// Number of latest answers that hold back the speeds until the next report if all are slow.
+const SUSPECT_RATIOS: usize = 4;
 /// Seed of the hash of contributors.
 const CONTRIBUTOR_SEED: u64 = 0x6c6f_6164_0000_0004;
 
@@ -102,6 +104,8 @@
     estimates: Estimates,
     /// Ratios of the latest answers to the usual times of their routes.
     own_ratios: VecDeque<f64>,
+    /// Whether all targets have looked slow from here since the latest report.
+    was_slow_itself: bool,
     view: View,
     /// Number of the latest summary.
     summary: u64,
@@ -123,6 +127,7 @@
             pending: Sums::default(),
             estimates: Estimates::new(now),
             own_ratios: VecDeque::new(),
+            was_slow_itself: false,
             view: View::default(),
             summary: 0,
             schedule: Schedule::default(),
@@ -162,6 +167,7 @@
             if self.own_ratios.len() > OWN_RATIOS {
                 self.own_ratios.pop_front();
             }
+            self.was_slow_itself |= self.is_slow_itself();
         }
         self.own.record(sample, usual, self.contributor);
     }
@@ -232,9 +238,13 @@
 
     fn report(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut own = std::mem::take(&mut self.own);
-        if self.is_slow_itself() {
+        // The latest answers alone do not tell when the fault has just ended.
+        if std::mem::take(&mut self.was_slow_itself) || self.is_slow_itself() {
             own.remove_speeds();
         }
+        if self.is_possibly_slow_itself() {
+            self.own.targets = std::mem::take(&mut own.targets);
+        }
         self.estimates.record(&own, now);
         self.estimates.update_rates(now);
         self.pending.add(&own);
@@ -270,12 +280,15 @@
 
     /// Returns whether all targets look slow from here.
     fn is_slow_itself(&self) -> bool {
-        let mut ratios: Vec<f64> = self.own_ratios.iter().copied().collect();
-        if ratios.len() < OWN_RATIOS / 2 {
-            return false;
-        }
-        ratios.sort_unstable_by(f64::total_cmp);
-        ratios.get(ratios.len() / 4).is_some_and(|quartile| *quartile > OWN_QUARTILE_MAX)
+        let usual = self.own_ratios.iter().filter(|ratio| **ratio <= OWN_QUARTILE_MAX).count();
+        self.own_ratios.len() >= OWN_RATIOS / 2 && usual <= self.own_ratios.len() / 4
+    }
+
+    /// Returns whether the latest answers were all slow. The next ones tell whether that is a
+    /// fault of this instance.
+    fn is_possibly_slow_itself(&self) -> bool {
+        let latest = self.own_ratios.iter().rev().take(SUSPECT_RATIOS);
+        latest.filter(|ratio| **ratio > OWN_QUARTILE_MAX).count() == SUSPECT_RATIOS
     }
 
     /// Estimates from all sums, and sends the estimates down the tree.
--- a/crates/mustardway_load/tests/common/mod.rs
+++ b/crates/mustardway_load/tests/common/mod.rs
@@ -126,6 +126,11 @@
         fleet
     }
 
+    /// Starts the random choices anew from `seed`.
+    pub fn reseed(&mut self, seed: u64) {
+        self.rng = Pcg32::seed_from_u64(seed);
+    }
+
     /// Adds an instance, which is alone at first.
     pub fn join(&mut self, index: usize, domain: usize) -> usize {
         self.members.push(Member {
