--- a/crates/mustardway_load/src/estimate.rs
+++ b/crates/mustardway_load/src/estimate.rs
@@ -18,12 +18,15 @@
 const BASE_TIME_CONSTANT: Span = Span::seconds(10);
 /// Time constant of the rates and the shares of late and short answers of a route: a burst
 /// that has ended is forgotten within a second.
-const RECENT_TIME_CONSTANT: Span = Span::millis(700);
+const RECENT_TIME_CONSTANT: Span = Span::millis(400);
 /// Weight of the assumption that a target has the usual speed, in samples.
 const PRIOR_SAMPLES: f64 = 3.0;
 /// Range in which the slowness counts as usual, so that chance differences do not change
 /// the placement.
 const USUAL_RANGE: (f64, f64) = (0.75, 1.33);
+/// Standard deviations of the mean up to which a difference counts as chance. A single
+/// time deviates by about its mean.
+const CHANCE_DEVIATIONS: f64 = 4.0;
 /// Least slowness: a target that answers faster than that does other work.
 const SLOWNESS_MIN: f64 = 0.5;
 /// Number of instances that have to have seen a target for its slowness to count. One
@@ -94,7 +97,9 @@
     fn load(&self, members: usize) -> TargetLoad {
         let mean = (self.ratio + PRIOR_SAMPLES * USUAL) / (self.samples + PRIOR_SAMPLES);
         let is_confirmed = self.contributors.count() >= CONTRIBUTORS_MIN.min(members);
-        let is_usual = (USUAL_RANGE.0..=USUAL_RANGE.1).contains(&mean);
+        let is_near = (USUAL_RANGE.0..=USUAL_RANGE.1).contains(&mean);
+        let chance = CHANCE_DEVIATIONS / self.samples.max(f64::MIN_POSITIVE).sqrt();
+        let is_usual = is_near || (mean - USUAL).abs() < chance;
         let slowness = if is_usual || !is_confirmed { USUAL } else { mean.max(SLOWNESS_MIN) };
         let has_short = self.short >= SHORT_MIN && is_confirmed;
         let short_share = if has_short { self.short / self.answers.max(1.0) } else { 0.0 };
