--- a/crates/mustardway_admission/src/controller.rs
+++ b/crates/mustardway_admission/src/controller.rs
@@ -15,7 +15,7 @@
 
 /// Ratio of the reserved share of the targets to the share that urgent requests have of the
 /// load.
-const RESERVE_FACTOR: f64 = 1.25;
+const RESERVE_FACTOR: f64 = 1.4;
 /// Greatest share of the targets that is reserved.
 const RESERVED_MAX: f64 = 0.5;
 /// Seed of the hash that selects reserved targets. It must be the same at all instances.
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -266,7 +266,10 @@
     fn candidates(&self, service: &service::Name, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let is_contended = self.is_contended(service);
-        let flow_weight = (self.busy_share(service) / WEIGHTS.idle_flow).max(1.0);
+        let flow_weight = match is_contended {
+            true => (self.busy_share(service) / WEIGHTS.idle_flow).max(1.0),
+            false => 1.0,
+        };
         for index in self.directory.indexes_of_service(service) {
             let Some(target) = self.directory.get(*index) else { continue };
             if !self.accepts_now(target, now) {
--- a/crates/mustardway_load/src/estimate.rs
+++ b/crates/mustardway_load/src/estimate.rs
@@ -18,7 +18,7 @@
 const BASE_TIME_CONSTANT: Span = Span::seconds(10);
 /// Time constant of the rates and the shares of late and short answers of a route: a burst
 /// that has ended is forgotten within a second.
-const RECENT_TIME_CONSTANT: Span = Span::millis(400);
+const RECENT_TIME_CONSTANT: Span = Span::millis(500);
 /// Weight of the assumption that a target has the usual speed, in samples.
 const PRIOR_SAMPLES: f64 = 3.0;
 /// Range in which the slowness counts as usual, so that chance differences do not change
@@ -26,7 +26,7 @@
 const USUAL_RANGE: (f64, f64) = (0.75, 1.33);
 /// Standard deviations of the mean up to which a difference counts as chance. A single
 /// time deviates by about its mean.
-const CHANCE_DEVIATIONS: f64 = 4.0;
+const CHANCE_DEVIATIONS: f64 = 3.0;
 /// Least slowness: a target that answers faster than that does other work.
 const SLOWNESS_MIN: f64 = 0.5;
 /// Number of instances that have to have seen a target for its slowness to count. One
