Load: rates follow abrupt changes at once; admission: no refusal below the slots

Ruled out: 0.4 s for all (steady rates of 3 instances deviate by 6.5%), and a significance test of the slowness (a target that starts at half speed is then known too late).

--- a/crates/mustardway_admission/src/contention.rs
+++ b/crates/mustardway_admission/src/contention.rs
@@ -18,7 +18,7 @@
 const RESERVE_BELOW: f64 = 0.6;
 /// Requests in progress per slot from which on rejections show that targets are full.
 /// Below that they come from failing targets, and refusing flows would not help.
-const FULL_ABOVE: f64 = 0.9;
+const FULL_ABOVE: f64 = 1.0;
 /// Shares of rejected requests above which targets are full, and below which they have
 /// room again. Each rejection costs its caller a try, and a part of its time.
 const REJECTED_RANGE: (f64, f64) = (0.05, 0.1);
--- a/crates/mustardway_load/src/estimate.rs
+++ b/crates/mustardway_load/src/estimate.rs
@@ -18,15 +18,18 @@
 const BASE_TIME_CONSTANT: Span = Span::seconds(10);
 /// Time constant of the rates and the shares of late and short answers of a route: a burst
 /// that has ended is forgotten within a second.
-const RECENT_TIME_CONSTANT: Span = Span::millis(500);
+const RECENT_TIME_CONSTANT: Span = Span::millis(700);
+/// The same while the rate of requests changes abruptly, as at both ends of a burst.
+const ABRUPT_TIME_CONSTANT: Span = Span::millis(100);
+/// Ratio of two rates of requests from which on a change is abrupt.
+const ABRUPT_RATIO: f64 = 1.3;
+/// Number of requests from which on a change of that size is not chance.
+const ABRUPT_REQUESTS_MIN: f64 = 100.0;
 /// Weight of the assumption that a target has the usual speed, in samples.
 const PRIOR_SAMPLES: f64 = 3.0;
 /// Range in which the slowness counts as usual, so that chance differences do not change
 /// the placement.
 const USUAL_RANGE: (f64, f64) = (0.75, 1.33);
-/// Standard deviations of the mean up to which a difference counts as chance. A single
-/// time deviates by about its mean.
-const CHANCE_DEVIATIONS: f64 = 3.0;
 /// Least slowness: a target that answers faster than that does other work.
 const SLOWNESS_MIN: f64 = 0.5;
 /// Number of instances that have to have seen a target for its slowness to count. One
@@ -97,9 +100,7 @@
     fn load(&self, members: usize) -> TargetLoad {
         let mean = (self.ratio + PRIOR_SAMPLES * USUAL) / (self.samples + PRIOR_SAMPLES);
         let is_confirmed = self.contributors.count() >= CONTRIBUTORS_MIN.min(members);
-        let is_near = (USUAL_RANGE.0..=USUAL_RANGE.1).contains(&mean);
-        let chance = CHANCE_DEVIATIONS / self.samples.max(f64::MIN_POSITIVE).sqrt();
-        let is_usual = is_near || (mean - USUAL).abs() < chance;
+        let is_usual = (USUAL_RANGE.0..=USUAL_RANGE.1).contains(&mean);
         let slowness = if is_usual || !is_confirmed { USUAL } else { mean.max(SLOWNESS_MIN) };
         let has_short = self.short >= SHORT_MIN && is_confirmed;
         let short_share = if has_short { self.short / self.answers.max(1.0) } else { 0.0 };
@@ -173,9 +174,13 @@
 
     /// Updates the rates by what has arrived during `passed`.
     fn update_rates(&mut self, passed: Span) {
-        let kept = kept(passed, RECENT_TIME_CONSTANT);
         let seconds = passed.as_seconds();
         let arrived = std::mem::take(&mut self.arrived);
+        let expected = self.rates.requests * seconds;
+        let (least, most) = (expected.min(arrived.requests), expected.max(arrived.requests));
+        let is_abrupt = most >= ABRUPT_REQUESTS_MIN && most > least * ABRUPT_RATIO;
+        let time_constant = if is_abrupt { ABRUPT_TIME_CONSTANT } else { RECENT_TIME_CONSTANT };
+        let kept = kept(passed, time_constant);
         self.rates.combine(&arrived, |rate, count| rate * kept + count / seconds * (1.0 - kept));
     }
 
