--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -35,6 +35,7 @@
 use mustardway_view::history::History;
 use prost::Message;
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 
 use self::channel::{Inbox, Order};
 use self::observer::{Adopted, Observer};
@@ -84,6 +85,8 @@
     report: Arc<parking_lot::RwLock<Report>>,
     responses: mpsc::Sender<Response>,
     responses_inbox: mpsc::Receiver<Response>,
+    /// The latest read of the configuration.
+    configuration_read: Option<AbortHandle>,
     snapshot_built_at: Instant,
     /// Whether the gates must be reconciled with the last snapshot.
     is_reconcile_due: bool,
@@ -129,6 +132,7 @@
             report,
             responses,
             responses_inbox,
+            configuration_read: None,
             snapshot_built_at: now,
             is_reconcile_due: true,
             reconcile_basis: (0, revision::Number(0)),
@@ -299,15 +303,18 @@
         }
     }
 
-    /// Starts a read of the configuration from the platform. With `wait` it is a long poll.
-    fn read_platform(&self, after: revision::Number, wait: bool) {
+    /// Starts a read of the configuration from the platform, which holds it open for `wait`.
+    /// An earlier read that is still open is given up.
+    fn read_platform(&mut self, after: revision::Number, wait: Span) {
         let (platform, responses) = (Arc::clone(&self.platform), self.responses.clone());
-        let wait = if wait { mustardway_spread::settings::LONG_POLL_WAIT } else { Span::ZERO };
-        tokio::spawn(async move {
+        let read = tokio::spawn(async move {
             let answer = platform.configuration(after, wait).await;
             // The receiver is gone if the control loop has stopped.
             let _ = responses.send(Response::Configuration(answer)).await;
         });
+        if let Some(earlier) = self.configuration_read.replace(read.abort_handle()) {
+            earlier.abort();
+        }
     }
 
     /// Parses a proposed revision and puts it in force, or reports its problems.
@@ -398,6 +405,10 @@
         let ranked = readers::rank(self.membership.live_in(&domain), readers::READERS_PER_DOMAIN);
         let is_reader = ranked.contains(&self.node.me);
         self.handle_spread_event(spread_event::Event::Reader(is_reader));
+        let live = self.membership.live().map(|record| &record.member.id);
+        let verifiers = readers::rank(live, readers::VERIFIERS);
+        let is_verifier = verifiers.contains(&self.node.me);
+        self.handle_spread_event(spread_event::Event::Verifier(is_verifier));
     }
 
     /// Records the revision that a peer reported. Notifies the observer once all neighbours have
--- a/crates/mustardway_runtime/src/upstream.rs
+++ b/crates/mustardway_runtime/src/upstream.rs
@@ -37,6 +37,17 @@
     Overrun,
 }
 
+/// The outcome of a health check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// The target answered that it serves.
+    Serving,
+    /// The target answered otherwise, or refused the connection.
+    Failing,
+    /// The target did not answer in time.
+    Silent,
+}
+
 /// The clients of one target.
 #[derive(Clone)]
 struct Client {
@@ -76,15 +87,20 @@
         }
     }
 
-    /// Returns whether the target passes a health check.
-    pub async fn is_healthy(&self, target: &target::Id, endpoint: SocketAddr) -> bool {
+    /// Runs a health check of the target.
+    pub async fn check_health(&self, target: &target::Id, endpoint: SocketAddr) -> Health {
         let client = self.client(target, endpoint);
         let request = health::HealthCheckRequest::default();
         let call = client.health.check(request);
-        let Ok(Ok(response)) = tokio::time::timeout(HEALTH_CHECK_TIMEOUT, call).await else {
-            return false;
-        };
-        response.into_inner().status == health::health_check_response::ServingStatus::SERVING
+        match tokio::time::timeout(HEALTH_CHECK_TIMEOUT, call).await {
+            Ok(Ok(response)) => match response.into_inner().status {
+                health::health_check_response::ServingStatus::SERVING => Health::Serving,
+                _ => Health::Failing,
+            },
+            Ok(Err(status)) if is_timeout(&status) => Health::Silent,
+            Ok(Err(_)) => Health::Failing,
+            Err(_) => Health::Silent,
+        }
     }
 
     /// Drops the clients of targets for which `keep` returns false.
@@ -131,6 +147,22 @@
     }
 }
 
+/// Returns whether a call failed because a connection could not be established in time.
+fn is_timeout(status: &Status) -> bool {
+    if status.code() == volo_grpc::Code::DeadlineExceeded {
+        return true;
+    }
+    let mut cause = status.source();
+    while let Some(error) = cause {
+        let kind = error.downcast_ref::<std::io::Error>().map(std::io::Error::kind);
+        if kind == Some(std::io::ErrorKind::TimedOut) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 /// Converts the status of a failed call to an outcome. Only a failure to connect proves that
 /// nothing was sent.
 fn interpret_failure(status: &Status) -> Outcome {
--- a/crates/mustardway_spread/src/action.rs
+++ b/crates/mustardway_spread/src/action.rs
@@ -2,6 +2,7 @@
 
 use mustardway_types::instance;
 use mustardway_types::revision;
+use mustardway_types::time::Span;
 
 use crate::message;
 use crate::report;
@@ -15,9 +16,9 @@
     Read {
         /// The platform is to send its files only if its number is greater.
         after: revision::Number,
-        /// Whether to use a long poll, which the platform holds open until it has a
-        /// greater number.
-        wait: bool,
+        /// Time for which the platform holds the read open until it has a greater number.
+        /// Zero for an answer at once.
+        wait: Span,
     },
     /// Send a message to a neighbour. The transport may lose it.
     Send {
--- a/crates/mustardway_spread/src/event.rs
+++ b/crates/mustardway_spread/src/event.rs
@@ -40,6 +40,9 @@
     LiveCount(usize),
     /// Whether this instance is a reader of the platform.
     Reader(bool),
+    /// Whether this instance is the verifier, whose long polls are short. At most one
+    /// reader of the fleet needs to be.
+    Verifier(bool),
     /// The caller has checked a proposed revision.
     Verdict {
         /// Number of the proposed revision.
--- a/crates/mustardway_spread/src/readers.rs
+++ b/crates/mustardway_spread/src/readers.rs
@@ -5,8 +5,12 @@
 use mustardway_types::hash;
 use mustardway_types::instance;
 
-/// Number of readers in each failure domain.
-pub const READERS_PER_DOMAIN: usize = 2;
+/// Number of readers in each failure domain. If it fails, the others get news from other
+/// failure domains, or read themselves once no confirmation is recent.
+pub const READERS_PER_DOMAIN: usize = 1;
+/// Number of readers in the fleet whose long polls are short, see
+/// [`crate::settings::VERIFIER_WAIT`].
+pub const VERIFIERS: usize = 1;
 /// Hash seed of the rendezvous order.
 const SEED: u64 = 0x7265_6164_6572_7301;
 
--- a/crates/mustardway_spread/src/reading.rs
+++ b/crates/mustardway_spread/src/reading.rs
@@ -6,6 +6,9 @@
 //! spread over a time that grows with the fleet, since the first that succeeds
 //! makes the others unnecessary. Failed reads back off, so that a platform that
 //! is down is not overloaded with reads.
+//!
+//! One reader of the fleet, the verifier, renews its long poll every few seconds. It
+//! notices a revision that the silent open reads of all readers would miss.
 
 use mustardway_types::revision;
 use mustardway_types::time::{Instant, Span};
@@ -17,7 +20,7 @@
 use crate::replica::Replica;
 use crate::report;
 use crate::set::{Files, Set};
-use crate::settings::Settings;
+use crate::settings::{Settings, VERIFIER_GRACE, VERIFIER_WAIT, WAIT_GRACE};
 
 /// Shortest time between two reads by one instance.
 const INTERVAL: Span = Span::millis(100);
@@ -26,6 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct Reading {
     reader: bool,
+    verifier: bool,
     open_read: Option<Read>,
     /// Earliest time of the next read.
     next_read: Instant,
@@ -46,7 +50,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Read {
     since: Instant,
-    wait: bool,
+    wait: Span,
+    /// Time after which the read counts as timed out.
+    timeout: Span,
 }
 
 impl Reading {
@@ -55,6 +61,7 @@
         let jitter = Span(rng.random_range(0..=settings.join_jitter.0));
         Reading {
             reader: false,
+            verifier: false,
             open_read: None,
             next_read: now + jitter,
             spread_position: rng.random(),
@@ -92,6 +99,11 @@
         }
         self.reader = reader;
     }
+
+    /// Sets whether this instance is the verifier.
+    pub(crate) fn set_verifier(&mut self, verifier: bool) {
+        self.verifier = verifier;
+    }
 }
 
 impl Replica {
@@ -99,11 +111,10 @@
     /// is overdue; an open long poll after a successful read confirms the revision
     /// in force.
     pub(crate) fn start_read(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let longest = self.settings.long_poll_wait + crate::settings::WAIT_GRACE;
         if let Some(read) = self.reading.open_read {
-            if now.since(read.since) >= longest {
-                self.handle_read_result(Err(Failure::Timeout), now, actions);
-            } else if self.reading.last_succeeded && read.wait {
+            if now.since(read.since) >= read.timeout {
+                self.handle_overdue_read(read, now, actions);
+            } else if self.reading.last_succeeded && read.wait > Span::ZERO {
                 self.record_confirmation(now);
             }
             return;
@@ -113,13 +124,26 @@
         if now < self.reading.next_read || !(self.reading.reader || joining || unconfirmed) {
             return;
         }
-        let wait = self.reading.reader && self.reading.last_succeeded;
-        self.reading.open_read = Some(Read { since: now, wait });
+        let (wait, grace) = match self.reading.reader && self.reading.last_succeeded {
+            true if self.reading.verifier => (VERIFIER_WAIT, VERIFIER_GRACE),
+            true => (self.settings.long_poll_wait, WAIT_GRACE),
+            false => (Span::ZERO, self.settings.long_poll_wait + WAIT_GRACE),
+        };
+        self.reading.open_read = Some(Read { since: now, wait, timeout: wait + grace });
         self.counts.reads += 1;
         let after = self.in_force.number.max(self.adoption.greatest_seen());
         actions.push(Action::Read { after, wait });
     }
 
+    /// Times out an open read. An overdue long poll may have been lost while new reads
+    /// are answered, so the next read follows at once.
+    fn handle_overdue_read(&mut self, read: Read, now: Instant, actions: &mut Vec<Action>) {
+        self.handle_read_result(Err(Failure::Timeout), now, actions);
+        if read.wait > Span::ZERO {
+            self.reading.next_read = now;
+        }
+    }
+
     /// Handles the result of the open read.
     pub(crate) fn handle_read_result(
         &mut self,
--- a/crates/mustardway_spread/src/replica.rs
+++ b/crates/mustardway_spread/src/replica.rs
@@ -113,6 +113,7 @@
             Event::Neighbours(ids) => self.set_neighbours(ids),
             Event::LiveCount(count) => self.live = count,
             Event::Reader(reader) => self.reading.set_reader(reader, now),
+            Event::Verifier(verifier) => self.reading.set_verifier(verifier),
             Event::Verdict { number, accepted } => {
                 self.handle_verdict(number, accepted, now, actions);
             }
--- a/crates/mustardway_spread/src/settings.rs
+++ b/crates/mustardway_spread/src/settings.rs
@@ -22,6 +22,14 @@
 /// Time beyond [`LONG_POLL_WAIT`] after which an open read counts as timed out.
 /// Until then an open long poll counts as a confirmation.
 pub const WAIT_GRACE: Span = Span::seconds(5);
+/// Longest time that the platform holds a long poll of the verifier. Open reads of all
+/// readers may get neither an answer nor an error, for example after a failover of the
+/// platform's network. A revision then waits for the next new read, and has to be in
+/// force everywhere within 6 s.
+pub const VERIFIER_WAIT: Span = Span::millis(4_400);
+/// Time beyond [`VERIFIER_WAIT`] after which an open read of the verifier counts as
+/// timed out: well over a round trip to a slow platform (200 ms).
+pub const VERIFIER_GRACE: Span = Span::millis(400);
 /// Shortest and longest backoff after a failed read. For instances that are no
 /// readers it is at least the time over which the fleet spreads its reads.
 pub const BACKOFF: (Span, Span) = (Span::seconds(1), Span::seconds(64));
--- a/crates/mustardway_spread/tests/common/mod.rs
+++ b/crates/mustardway_spread/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use mustardway_spread::event::Event;
 use mustardway_spread::message::Message;
 use mustardway_spread::platform::{Answer, Content, Failure};
+use mustardway_spread::readers::READERS_PER_DOMAIN;
 use mustardway_spread::replica::Replica;
 use mustardway_spread::report;
 use mustardway_spread::set::{Files, Set};
@@ -115,8 +116,8 @@
 }
 
 impl Fleet {
-    /// Creates `count` replicas in `domains` failure domains, with two readers in
-    /// each domain and neighbours on rings as membership chooses them.
+    /// Creates `count` replicas in `domains` failure domains, with the readers of each
+    /// domain, one verifier, and neighbours on rings as membership chooses them.
     pub fn new(count: usize, domains: usize, seed: u64) -> Self {
         let mut rng = Pcg32::seed_from_u64(seed);
         let now = Instant(1_000_000);
@@ -178,9 +179,12 @@
                     connect(&mut links, inside[position], inside[(position + step) % inside.len()]);
                 }
             }
-            for &reader in inside.iter().take(2) {
+            for &reader in inside.iter().take(READERS_PER_DOMAIN) {
                 self.event(reader, Event::Reader(true));
             }
+            if domain == 0 {
+                self.event(inside[0], Event::Verifier(true));
+            }
         }
         for (index, peers) in links.into_iter().enumerate() {
             let ids = peers.iter().map(|peer| id(*peer)).collect();
@@ -252,7 +256,7 @@
         }
     }
 
-    fn read(&mut self, index: usize, after: u64, wait: bool) {
+    fn read(&mut self, index: usize, after: u64, wait: Span) {
         if !self.hosts[index].platform_reachable {
             self.platform.calls += 1;
             self.deliver_later(index, ANSWER_DELAY, Delivery::Platform(Err(Failure::Unreachable)));
--- a/crates/mustardway_spread/tests/common/platform.rs
+++ b/crates/mustardway_spread/tests/common/platform.rs
@@ -6,9 +6,6 @@
 use mustardway_types::revision;
 use mustardway_types::time::{Instant, Span};
 
-/// Longest time that the platform holds a long poll open.
-const LONG_POLL_WAIT: Span = Span::seconds(30);
-
 /// A long poll that is held open.
 struct Call {
     host: usize,
@@ -34,10 +31,10 @@
     }
 
     /// Handles a call and returns its answer, or `None` if the call is held open.
-    pub fn read(&mut self, host: usize, after: u64, wait: bool, now: Instant) -> Option<Reply> {
+    pub fn read(&mut self, host: usize, after: u64, wait: Span, now: Instant) -> Option<Reply> {
         self.calls += 1;
-        if wait && self.failure.is_none() && self.number <= after {
-            self.waiting.push(Call { host, after, due: now + LONG_POLL_WAIT });
+        if wait > Span::ZERO && self.failure.is_none() && self.number <= after {
+            self.waiting.push(Call { host, after, due: now + wait });
             return None;
         }
         Some((host, self.answer(after)))
