Review: capacity falls with the slots, refusals stay within their share, bounded state, preferences made when they change

From the review of the change: after a loss of half of the slots the budget stayed at the old capacity and the state flapped every 500 ms; the flows of a full service went to the route's other shares (a canary at weight 0 too); a leaf kept an entry for each lifetime of a target; a service without a route stayed refusing; preferences were hashed anew every 500 ms (600,000 hashes at 3,000 targets and 100 neighbours).

--- a/crates/mustardway_admission/src/contention.rs
+++ b/crates/mustardway_admission/src/contention.rs
@@ -13,9 +13,9 @@
 
 /// Requests in progress per slot from which on targets are reserved for urgent flows. With
 /// two slots at each target, about half of the requests then find one of them busy.
-const RESERVE_ABOVE: f64 = 0.7;
+pub const RESERVE_ABOVE: f64 = 0.7;
 /// Requests in progress per slot below which no targets are reserved any more.
-const RESERVE_BELOW: f64 = 0.6;
+pub const RESERVE_BELOW: f64 = 0.6;
 /// Requests in progress per slot from which on rejections show that targets are full.
 /// Below that they come from failing targets, and refusing flows would not help.
 const FULL_ABOVE: f64 = 1.0;
@@ -25,8 +25,8 @@
 /// Shares of late answers above which targets are full, and below which they have room
 /// again.
 const LATE_RANGE: (f64, f64) = (0.1, 0.2);
-/// Time for which targets have to be full before flows are refused. Callers' retries get
-/// over a shorter burst.
+/// Time for which targets have to be full before flows are refused. Callers' retries absorb
+/// shorter bursts.
 const REFUSE_AFTER: Span = Span::seconds(1);
 /// Factors by which the budget changes with each update.
 const BUDGET_FALL: f64 = 0.96;
@@ -34,7 +34,7 @@
 /// Least budget, as a part of the capacity. Slots would be idle at less.
 const BUDGET_MIN: f64 = 0.9;
 /// Factor by which the known capacity falls with each update in which less is served: by
-/// half in 3 minutes.
+/// half in 3 minutes. It also falls with the slots.
 const CAPACITY_DECAY: f64 = 0.998;
 
 /// What a service does with new flows.
@@ -57,6 +57,8 @@
     full_since: Option<Instant>,
     /// Greatest load that was served lately.
     capacity: f64,
+    /// Slots at the latest update.
+    slots: f64,
     /// Load that is admitted while flows are refused.
     budget: f64,
 }
@@ -75,8 +77,15 @@
     /// Updates the state. Called with each new estimate of the load.
     pub fn update(&mut self, load: &Load, now: Instant) -> State {
         let (offered, served) = (load.offered(), load.served());
-        // Full targets leave opening packets unanswered, so all may be suspected at a time.
+        // Full targets leave opening packets unanswered, so all may be suspected. The slots are
+        // 0 then, and the utilisation is infinite.
         let utilisation = if offered > 0.0 { offered / load.slots } else { 0.0 };
+        if load.slots > 0.0 {
+            // After a loss of targets, what was served before no longer counts.
+            let kept = if self.slots > 0.0 { (load.slots / self.slots).min(1.0) } else { 1.0 };
+            self.capacity *= kept;
+            self.slots = load.slots;
+        }
         self.capacity = served.max(self.capacity * CAPACITY_DECAY);
         let (rejected, late) = (load.rejected_share(), load.late_share());
         let is_full =
@@ -89,7 +98,7 @@
         }
         if self.state == State::Refusing {
             self.adjust_budget(is_full, has_room || utilisation < FULL_ABOVE);
-            if offered <= self.budget {
+            if offered <= self.budget && !is_full {
                 self.state = State::Reserving;
             }
         } else if self.full_since.is_some_and(|since| now.since(since) >= REFUSE_AFTER)
--- a/crates/mustardway_admission/src/controller.rs
+++ b/crates/mustardway_admission/src/controller.rs
@@ -44,11 +44,11 @@
 /// How a new flow uses targets that are reserved for urgent ones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reserved {
-    /// Like others.
+    /// The reservation is ignored.
     Ignore,
     /// Only if no other target is available.
     Avoid,
-    /// Rather than others.
+    /// Reserved targets are preferred.
     Prefer,
 }
 
@@ -143,6 +143,11 @@
         (state != before).then_some(Change { state, offered, slots: load.slots })
     }
 
+    /// Forgets the services for which `is_known` returns false.
+    pub fn retain(&mut self, is_known: impl Fn(&service::Name) -> bool) {
+        self.services.retain(|name, _| is_known(name));
+    }
+
     /// Forgets the load of all services, since it is no longer known.
     pub fn reset(&mut self) {
         self.services.clear();
--- a/crates/mustardway_admission/src/service.rs
+++ b/crates/mustardway_admission/src/service.rs
@@ -1,4 +1,5 @@
-//! The load of a service, in busy slots.
+//! The load of a service: the mean number of requests in progress, those that wait at targets
+//! included.
 
 use mustardway_load::key;
 
@@ -11,8 +12,8 @@
     pub routes: Vec<Route>,
 }
 
-/// The load that callers offer to a service on one route. Loads are mean numbers of slots
-/// that requests keep busy.
+/// The load that callers offer to a service on one route. Loads are mean numbers of requests
+/// in progress.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Route {
     /// The route.
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -6,7 +6,7 @@
 
 use mustardway_admission::contention::State;
 use mustardway_admission::controller::{Change, Decision, Opening, Reason, Reserved};
-use mustardway_admission::service as offered;
+use mustardway_admission::service as admission_service;
 use mustardway_load::sample::Sample;
 use mustardway_load::{key, node};
 use mustardway_types::service;
@@ -29,7 +29,7 @@
 const ATTEMPTS: f64 = 3.0;
 /// Number of instances of a failure domain that prefer a target while its service is nearly
 /// full. Each of them sees a larger part of the target's requests, and so its queue.
-pub(super) const PREFERRED_BY: usize = 4;
+pub(super) const PREFERRING_INSTANCES: usize = 4;
 /// Seed of the rank that chooses them. It must be the same at all instances.
 const PREFERENCE_SEED: u64 = 0x7072_6566_0000_0001;
 /// Share of a cold target's slots that counts as capacity.
@@ -99,13 +99,13 @@
         load.record_answer(target.key, key::Route::of(route), answer, is_late);
     }
 
-    /// Decides whether a new flow to a service is admitted. Copies of an opening packet
-    /// are, since a target may have got the first one from another instance.
+    /// Decides whether a new flow to a service is admitted. Copies of an opening packet always
+    /// are: a target may have got the first one from another instance.
     pub(super) fn admit(&mut self, packet: &Packet, service: &service::Name) -> Decision {
-        let everything = Decision::Admit(Reserved::Ignore);
-        let Some(load) = &mut self.load else { return everything };
+        let admit_always = Decision::Admit(Reserved::Ignore);
+        let Some(load) = &mut self.load else { return admit_always };
         if load.settings.admission == Admission::Off || packet.acknowledgement > 0 {
-            return everything;
+            return admit_always;
         }
         let route = key::Route::of(packet.destination);
         let caller = *packet.source.ip();
@@ -139,10 +139,9 @@
         status.map_or(0.0, |status| status.reserved)
     }
 
-    /// Returns whether a service is nearly full.
-    pub(super) fn is_contended(&self, service: &service::Name) -> bool {
-        let status = self.load.as_ref().and_then(|load| load.controller.status(service));
-        status.is_some_and(|status| status.state != State::Open)
+    /// Returns whether a service has little spare capacity.
+    pub(super) fn is_nearly_full(&self, service: &service::Name) -> bool {
+        self.load.as_ref().is_some_and(|load| load.nearly_full.contains(service))
     }
 
     /// Returns the mean number of requests in progress on an open flow to a service.
@@ -179,9 +178,23 @@
             }
             load.controller.reset();
             load.busy_shares.clear();
+            load.nearly_full.clear();
+            return;
+        }
+        self.update_preferences();
+        let loads = self.offered_loads(now);
+        let Some(load) = &mut self.load else { return };
+        load.nearly_full.retain(|service| loads.contains_key(service));
+        if load.settings.placement == Placement::ExpectedTime {
+            for (service, offered) in &loads {
+                load.update_nearly_full(service, offered);
+            }
+        }
+        if load.settings.admission == Admission::Off {
             return;
         }
-        for (service, offered) in self.offered_loads(now) {
+        load.controller.retain(|service| loads.contains_key(service));
+        for (service, offered) in loads {
             let Some(load) = &mut self.load else { return };
             if let Some(change) = load.controller.update(&service, &offered, now) {
                 actions.push(Action::Note(Note::Contention { service, change }));
@@ -189,6 +202,32 @@
         }
     }
 
+    /// Chooses the targets that this instance prefers, if targets or neighbours have changed.
+    fn update_preferences(&mut self) {
+        let Some(load) = &mut self.load else { return };
+        if !std::mem::take(&mut load.has_stale_preferences) {
+            return;
+        }
+        let indexes: Vec<usize> = self.directory.indexes().collect();
+        for index in indexes {
+            let Some(target) = self.directory.get_mut(index) else { continue };
+            target.is_preferred = rank::is_among_first(
+                PREFERENCE_SEED,
+                &self.me,
+                &self.neighbours,
+                &target.registration.id,
+                PREFERRING_INSTANCES,
+            );
+        }
+    }
+
+    /// Records that targets or neighbours have changed.
+    pub(super) fn invalidate_preferences(&mut self) {
+        if let Some(load) = &mut self.load {
+            load.has_stale_preferences = true;
+        }
+    }
+
     /// Updates the expected time of each target relative to the others.
     fn update_time_factors(&mut self, actions: &mut Vec<Action>) {
         let Some(load) = &self.load else { return };
@@ -202,13 +241,6 @@
             let slowness = view.slowness(target.key);
             let short_share = view.short_share(target.key).min(SHORT_SHARE_MAX);
             let time_factor = slowness / (1.0 - short_share);
-            target.is_preferred = rank::is_among_first(
-                PREFERENCE_SEED,
-                &self.me,
-                &self.neighbours,
-                &target.registration.id,
-                PREFERRED_BY,
-            );
             let was_usual = target.time_factor == 1.0;
             target.time_factor = time_factor;
             if was_usual != (time_factor == 1.0) {
@@ -219,8 +251,8 @@
     }
 
     /// Returns the load that callers offer to each service that has any.
-    fn offered_loads(&mut self, now: Instant) -> BTreeMap<service::Name, offered::Load> {
-        let mut loads: BTreeMap<service::Name, offered::Load> = BTreeMap::new();
+    fn offered_loads(&mut self, now: Instant) -> BTreeMap<service::Name, admission_service::Load> {
+        let mut loads: BTreeMap<service::Name, admission_service::Load> = BTreeMap::new();
         let mut busy: BTreeMap<service::Name, (f64, f64)> = BTreeMap::new();
         let (Some(load), Some(configuration)) = (&mut self.load, self.directory.configuration())
         else {
@@ -246,15 +278,17 @@
                 let in_progress = busy.entry(share.service.clone()).or_default();
                 in_progress.0 += estimate.requests * base_time * part;
                 in_progress.1 += estimate.flows * part;
-                loads.entry(share.service.clone()).or_default().routes.push(offered::Route {
-                    route: route_key,
-                    urgency: route.urgency,
-                    offered,
-                    opening: opening.min(offered),
-                    served: estimate.requests * (1.0 - rejected) * base_time * part,
-                    rejected_share: estimate.short_share,
-                    late_share: estimate.late_share,
-                });
+                loads.entry(share.service.clone()).or_default().routes.push(
+                    admission_service::Route {
+                        route: route_key,
+                        urgency: route.urgency,
+                        offered,
+                        opening: opening.min(offered),
+                        served: estimate.requests * (1.0 - rejected) * base_time * part,
+                        rejected_share: estimate.short_share,
+                        late_share: estimate.late_share,
+                    },
+                );
             }
         }
         load.busy_shares.clear();
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -12,7 +12,7 @@
 use mustardway_types::time::{Instant, Span};
 use rand::RngExt;
 
-use super::load::PREFERRED_BY;
+use super::load::PREFERRING_INSTANCES;
 use super::{Action, Front, Verdict};
 use crate::directory::{REGISTRATION_GRACE, Target};
 use crate::health::Status;
@@ -171,7 +171,6 @@
     ) -> Placed {
         let route = self.directory.route(packet.destination);
         let mut shares = route.map_or_else(Vec::new, |route| route.shares.clone());
-        let mut placed = Placed::Nowhere;
         while !shares.is_empty() {
             let share = shares.swap_remove(self.draw_share(&shares));
             self.demand.count(&share.service, now);
@@ -182,8 +181,9 @@
             let reserved = match decision {
                 Decision::Admit(reserved) => reserved,
                 Decision::Refuse(reason) => {
-                    placed = Placed::Refused(share.service, reason);
-                    continue;
+                    // Other shares have weights of their own, which the flows of a full
+                    // service must not add to.
+                    return Placed::Refused(share.service, reason);
                 }
             };
             let mut candidates = self.candidates(&share.service, now);
@@ -196,7 +196,7 @@
                 return Placed::At(index);
             }
         }
-        placed
+        Placed::Nowhere
     }
 
     /// Keeps ordinary flows away from the targets that are reserved for urgent ones, unless
@@ -265,8 +265,8 @@
     /// Returns the targets of a service that accept new flows.
     fn candidates(&self, service: &service::Name, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
-        let is_contended = self.is_contended(service);
-        let flow_weight = match is_contended {
+        let is_nearly_full = self.is_nearly_full(service);
+        let flow_weight = match is_nearly_full {
             true => (self.busy_share(service) / WEIGHTS.idle_flow).max(1.0),
             false => 1.0,
         };
@@ -278,9 +278,9 @@
             let is_degraded = target.health.status(now) != Status::Healthy
                 || is_unregistered_and_silent(target, now)
                 || target.observation.is_deprioritised(now);
-            let (senders, penalty) = match (is_contended, target.is_preferred) {
+            let (senders, penalty) = match (is_nearly_full, target.is_preferred) {
                 (false, _) => (self.neighbours.len(), 0.0),
-                (true, true) => (self.neighbours.len().min(PREFERRED_BY), 0.0),
+                (true, true) => (self.neighbours.len().min(PREFERRING_INSTANCES), 0.0),
                 (true, false) => (self.neighbours.len(), UNPREFERRED_PENALTY),
             };
             candidates.push(Candidate {
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -345,6 +345,7 @@
                 removed.push(id.clone());
             }
         }
+        self.invalidate_preferences();
         let notes = self.directory.apply(changes, now);
         actions.extend(notes.into_iter().map(Action::Note));
         for id in removed {
--- a/crates/mustardway_flow/src/load.rs
+++ b/crates/mustardway_flow/src/load.rs
@@ -4,10 +4,12 @@
 //! shares it with the other instances. The estimates weight the placement of new flows
 //! and decide whether they are admitted.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
+use mustardway_admission::contention::{RESERVE_ABOVE, RESERVE_BELOW};
 use mustardway_admission::controller::{Controller, Reason};
+use mustardway_admission::service as service_load;
 use mustardway_load::sample::{self, Sample};
 use mustardway_load::{key, node};
 use mustardway_mirror::publication::Configuration;
@@ -92,6 +94,10 @@
     usual_round_trip: f64,
     /// Mean requests in progress on an open flow to each service.
     pub(crate) busy_shares: BTreeMap<service::Name, f64>,
+    /// Services with little spare capacity.
+    pub(crate) nearly_full: BTreeSet<service::Name>,
+    /// Whether the targets that this instance prefers have to be chosen again.
+    pub(crate) has_stale_preferences: bool,
     /// Number of refused flows by service and reason.
     refused: BTreeMap<(service::Name, Reason), u64>,
 }
@@ -108,6 +114,8 @@
             usual_bytes: FxHashMap::default(),
             usual_round_trip: 0.0,
             busy_shares: BTreeMap::new(),
+            nearly_full: BTreeSet::new(),
+            has_stale_preferences: true,
             refused: BTreeMap::new(),
         }
     }
@@ -140,6 +148,20 @@
         self.usual_round_trip += difference * ROUND_TRIP_WEIGHT;
     }
 
+    /// Updates whether a service has little spare capacity.
+    pub(crate) fn update_nearly_full(
+        &mut self,
+        service: &service::Name,
+        load: &service_load::Load,
+    ) {
+        let utilisation = load.offered() / load.slots.max(f64::MIN_POSITIVE);
+        if utilisation >= RESERVE_ABOVE {
+            self.nearly_full.insert(service.clone());
+        } else if utilisation < RESERVE_BELOW {
+            self.nearly_full.remove(service);
+        }
+    }
+
     pub(crate) fn count_refused(&mut self, service: &service::Name, reason: Reason) {
         *self.refused.entry((service.clone(), reason)).or_default() += 1;
     }
@@ -191,5 +213,6 @@
             let published = Published { address: route.address };
             self.routes.insert(key::Route::of(route.address), published);
         }
+        self.usual_bytes.retain(|route, _| self.routes.contains_key(route));
     }
 }
--- a/crates/mustardway_flow/src/measurement.rs
+++ b/crates/mustardway_flow/src/measurement.rs
@@ -35,7 +35,7 @@
         self.round_trip = Some(round_trip);
     }
 
-    /// Records the begin of a request.
+    /// Records the beginning of a request.
     pub fn begin_request(&mut self, acknowledged: u32, now: Instant) {
         self.acknowledged_before = acknowledged;
         self.last_data = now;
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -206,7 +206,7 @@
         /// Its new state, with the load.
         change: Change,
     },
-    /// A target became slower or faster than usual, began or stopped to send short answers,
+    /// A target became slower or faster than usual, began or stopped sending short answers,
     /// or is as usual again.
     Slow {
         /// The target.
--- a/crates/mustardway_load/src/estimate.rs
+++ b/crates/mustardway_load/src/estimate.rs
@@ -241,6 +241,10 @@
     /// one from each peer in the time between two reports, so that an update is due at the
     /// same interval: otherwise the rates would depend on the time since the latest batch.
     pub fn update_rates(&mut self, now: Instant) {
+        self.targets.retain(|_, target| {
+            let kept = kept(now.since(target.updated), TARGET_TIME_CONSTANT);
+            target.answers * kept >= WEIGHT_MIN
+        });
         let passed = now.since(self.rates_updated);
         if passed == Span::ZERO {
             return;
--- a/crates/mustardway_load/src/lib.rs
+++ b/crates/mustardway_load/src/lib.rs
@@ -3,8 +3,8 @@
 //! Each instance sees a small share of the flows. It records what callers' packets show,
 //! and the instances of a failure domain add their records up along a tree. The instance
 //! at the root computes the estimates and sends a summary back down the tree. The
-//! roots of the failure domains exchange their sums. Bytes per instance are bounded,
-//! for any number of instances.
+//! roots of the failure domains exchange their sums. Bytes per instance are bounded
+//! for any number of instances, for a given number of failure domains.
 //!
 //! The crate does no I/O: samples and events with a given time go in, actions come out.
 //!
--- a/crates/mustardway_load/src/node.rs
+++ b/crates/mustardway_load/src/node.rs
@@ -315,7 +315,9 @@
             targets: None,
             routes: Vec::new(),
         };
-        for (key, load) in self.view.routes.iter().take(ENTRIES_MAX) {
+        let mut routes: Vec<_> = self.view.routes.iter().collect();
+        routes.sort_by(|(_, first), (_, second)| second.requests.total_cmp(&first.requests));
+        for (key, load) in routes.into_iter().take(ENTRIES_MAX) {
             summary.routes.push(RouteEstimate::new(*key, load));
         }
         summary
--- a/crates/mustardway_load/src/view.rs
+++ b/crates/mustardway_load/src/view.rs
@@ -10,7 +10,7 @@
 /// Slowness of a target whose speed is usual or unknown.
 pub const USUAL: f64 = 1.0;
 
-/// The load of one route over all instances in touch, per second.
+/// The load of one route over all reachable instances, per second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct RouteLoad {
     /// New flows that were placed.
