--- a/crates/mustardway_admission/src/contention.rs
+++ b/crates/mustardway_admission/src/contention.rs
@@ -21,7 +21,7 @@
 const FULL_ABOVE: f64 = 1.0;
 /// Shares of rejected requests above which targets are full, and below which they have
 /// room again. Each rejection costs its caller a try, and a part of its time.
-const REJECTED_RANGE: (f64, f64) = (0.05, 0.1);
+const REJECTED_RANGE: (f64, f64) = (0.15, 0.25);
 /// Shares of late answers above which targets are full, and below which they have room
 /// again.
 const LATE_RANGE: (f64, f64) = (0.1, 0.2);
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -94,7 +94,7 @@
     /// Updates the flow and its target from one packet.
     fn observe(&mut self, packet: &Packet, index: usize, now: Instant, actions: &mut Vec<Action>) {
         let flow = packet.flow();
-        self.sync_record(&flow, packet, index, now);
+        let is_replaced = self.sync_record(&flow, packet, index, now);
         let usual_round_trip = self.load().map_or(Span::ZERO, Load::usual_round_trip);
         let mut round_trip = None;
         let is_measurable = |since: Instant| !self.is_clearing_backlog && since > self.resumed;
@@ -105,7 +105,7 @@
             record.stage = Stage::Open;
             record.acknowledged = packet.acknowledgement;
             responded = true;
-            if record.opening.is_some() && record.placed < now {
+            if record.opening.is_some() && !is_replaced {
                 let waited = now.since(record.placed);
                 actions.push(Action::Waited(Wait::Open(waited)));
                 if !record.is_ambiguous && is_measurable(record.placed) {
@@ -195,11 +195,12 @@
         target.unregistered_at.is_some_and(|since| !target.observation.has_responded_after(since))
     }
 
-    /// Makes the record of a flow agree with the target of its packet.
-    fn sync_record(&mut self, flow: &Flow, packet: &Packet, index: usize, now: Instant) {
+    /// Makes the record of a flow agree with the target of its packet. Returns whether it was
+    /// replaced, so that the time at which the target got the opening packet is not known.
+    fn sync_record(&mut self, flow: &Flow, packet: &Packet, index: usize, now: Instant) -> bool {
         let known = self.table.get(flow).copied();
         if known.is_some_and(|record| record.target == index) {
-            return;
+            return false;
         }
         // A target tried earlier than the last one has opened the flow, or this
         // instance sees the flow for the first time.
@@ -210,6 +211,7 @@
         record.is_ambiguous = token.is_some_and(|token| token != packet.token);
         record.acknowledged = packet.acknowledgement;
         self.track(*flow, record, now);
+        true
     }
 
     /// Updates a target with the progress that one packet shows.
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -217,9 +217,8 @@
         };
         if reserved == Reserved::Prefer {
             for candidate in candidates {
-                if is_open(candidate) {
-                    candidate.penalty += UNRESERVED_PENALTY;
-                }
+                // The instance's own preference would leave it only a few of the reserved targets.
+                candidate.penalty = if is_open(candidate) { UNRESERVED_PENALTY } else { 0.0 };
             }
             return;
         }
