--- a/crates/mustardway_emulator/src/main.rs
+++ b/crates/mustardway_emulator/src/main.rs
@@ -24,7 +24,8 @@
 #[derive(Debug, argh::FromArgs)]
 #[argh(error_code(1, "a rule was broken, or a day failed"))]
 struct Arguments {
-    /// site: frio-austral, frio-austral-grown, san-jose, san-jose-grown, uneven or contended
+    /// site: frio-austral, frio-austral-grown, san-jose, san-jose-grown, uneven, contended,
+    /// gazette or gazette-grown
     #[argh(option)]
     site: Preset,
     #[argh(subcommand)]
--- a/crates/mustardway_emulator/src/site.rs
+++ b/crates/mustardway_emulator/src/site.rs
@@ -224,17 +224,23 @@
     Uneven,
     /// Equal targets that the demand may exceed.
     Contended,
+    /// The gazette: a few instances, short flows, and queues that take as long as the aim.
+    Gazette,
+    /// The gazette's grown deployment.
+    GazetteGrown,
 }
 
 impl Preset {
     /// All predefined sites.
-    pub const ALL: [Preset; 6] = [
+    pub const ALL: [Preset; 8] = [
         Preset::FrioAustral,
         Preset::FrioAustralGrown,
         Preset::SanJose,
         Preset::SanJoseGrown,
         Preset::Uneven,
         Preset::Contended,
+        Preset::Gazette,
+        Preset::GazetteGrown,
     ];
 
     /// Returns the site.
@@ -246,6 +252,8 @@
             Preset::SanJoseGrown => san_jose_grown(),
             Preset::Uneven => uneven(),
             Preset::Contended => contended(),
+            Preset::Gazette => gazette(),
+            Preset::GazetteGrown => gazette_grown(),
         }
     }
 }
@@ -259,6 +267,8 @@
             Preset::SanJoseGrown => "san-jose-grown",
             Preset::Uneven => "uneven",
             Preset::Contended => "contended",
+            Preset::Gazette => "gazette",
+            Preset::GazetteGrown => "gazette-grown",
         })
     }
 }
@@ -268,7 +278,7 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         const WANTED: &str = "site: frio-austral, frio-austral-grown, san-jose, \
-            san-jose-grown, uneven or contended";
+            san-jose-grown, uneven, contended, gazette or gazette-grown";
         let preset = Preset::ALL.into_iter().find(|preset| preset.to_string() == text);
         preset.ok_or_else(|| parse::Error::value(text, WANTED))
     }
@@ -440,3 +450,61 @@
     site.closes_rejected = true;
     site
 }
+
+fn gazette() -> Site {
+    let mut site = san_jose();
+    site.name = "gazette".into();
+    site.domains = ["east-a", "east-b", "east-c"].map(CompactString::from).to_vec();
+    site.instances = vec![3, 3, 2];
+    site.services = vec![service("gazette", &[5, 5, 4], 4), service("archive", &[2, 1, 1], 4)];
+    for service in &mut site.services {
+        service.queue = 16;
+    }
+    set_classes(
+        &mut site,
+        [
+            (292.0, 55_000, 250_000, 2_500_000),
+            (83.3, 72_000, 300_000, 3_000_000),
+            (25.0, 5_000, 500_000, 5_000_000),
+        ],
+    );
+    set_gazette(&mut site);
+    site
+}
+
+fn gazette_grown() -> Site {
+    let mut site = gazette();
+    site.name = "gazette-grown".into();
+    site.instances = vec![21, 21, 23];
+    site.services =
+        vec![service("gazette", &[40, 40, 40], 2), service("archive", &[10, 10, 10], 2)];
+    set_classes(
+        &mut site,
+        [
+            (1_137.0, 55_000, 600_000, 4_000_000),
+            (325.0, 72_000, 600_000, 4_000_000),
+            (97.5, 5_000, 1_500_000, 8_000_000),
+        ],
+    );
+    site.link_bits_per_second = 10e6;
+    set_gazette(&mut site);
+    site
+}
+
+/// Sets what both deployments of the gazette share: a flow for each request.
+fn set_gazette(site: &mut Site) {
+    site.classes[0].is_persistent = false;
+    site.classes[0].parts = 2;
+    site.classes[1].parts = 1;
+    site.classes[1].part_bytes = 600;
+    site.classes[2].parts = 34;
+    site.domain_delay = Span(1_400);
+    site.caller_delay = Span::millis(1);
+    site.swing = Some(Swing {
+        amplitude: 0.15,
+        period: Span::seconds(11),
+        phases: vec![0.71, 0.059, 0.91],
+    });
+    site.retry_delay = Span::ZERO;
+    site.closes_rejected = true;
+}
