Load estimates: queueing taken out of the speed of targets

Cause: the time that a request spends at a target includes its wait, so a target with a long queue looked slow for seconds, all instances left it, and the queues moved to others. With 8 instances at full capacity and equal targets, flows were placed worse than by outstanding requests. Ruled out: the preference of four instances alone (no change of it helps while the range is 0.75 to 1.33). Change: the time is divided by one plus the mean wait, in service times, that the instance estimates for the target; a target counts as usual between 1/1.5 and 1.5.

--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -222,12 +222,15 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
+        let senders = self.neighbours.len();
         let Some(target) = self.directory.get_mut(index) else { return };
         let observation = &mut target.observation;
         if progress.answered {
             observation.finish_request(now);
         }
         if progress.requested {
+            let outstanding = observation.estimate_outstanding(senders, now);
+            observation.record_wait(outstanding, target.registration.slots);
             observation.start_request(now);
         }
         if !progress.responded {
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -96,7 +96,9 @@
             return;
         }
         let is_late = aim.is_some_and(|aim| answer.wait > aim);
-        load.record_answer(target.key, key::Route::of(route), answer, is_late);
+        let time = target.observation.service_time(answer.time);
+        let answer = measurement::Answer { time, ..*answer };
+        load.record_answer(target.key, key::Route::of(route), &answer, is_late);
     }
 
     /// Decides whether a new flow to a service is admitted. Copies of an opening packet always
