--- /dev/null
+++ b/crates/mustardway_admission/src/congestion.rs
@@ -0,0 +1,174 @@
+//! Congestion of one service, from the requests that one instance sends to it.
+//!
+//! The mean time that requests spend at targets follows from Little's law: the mean number of
+//! requests in progress divided by the rate at which they are answered. It rises as soon as
+//! requests pile up and falls as soon as they are worked off, while the times of the answers
+//! show the queue as it was one answer earlier. Each instance uses its own requests alone, so
+//! that nothing waits for messages.
+//!
+//! While requests wait longer than they should, as many are admitted as are answered, with a
+//! correction that brings the wait back to its limit. The rate of answers is the capacity as
+//! it is now, so no assumption about slots or speeds enters, and refusing ends together with
+//! its cause.
+
+use mustardway_types::time::{Instant, Span};
+
+use crate::callers::RETRIES;
+
+/// Least time over which the means are taken: a few requests of a usual duration.
+const WINDOW: Span = Span::millis(200);
+/// Number of answers over which the means are taken, if these take longer than [`WINDOW`].
+const WINDOW_ANSWERS: f64 = 30.0;
+/// Number of answers from which on the means count.
+const ANSWERS_MIN: f64 = 8.0;
+/// Limit of the wait, as a share of what the target latency leaves for waiting. The times of
+/// single requests spread around the mean.
+const WAIT_SHARE: f64 = 0.35;
+/// Waits between which the refused part rises from none to the whole excess, as shares of the
+/// limit.
+const GATE: (f64, f64) = (0.5, 1.0);
+/// Time in which the wait is to return to its limit, in multiples of the time over which the
+/// means are taken. Less makes the wait oscillate.
+const RETURN_WINDOWS: f64 = 1.0;
+/// Least correction of the admitted load, as a share of the answered load.
+const CORRECTION_MIN: f64 = 0.5;
+/// Weight of the share that the whole fleet gets served, against the own one. Without it, an
+/// instance that once had a smaller share would keep it.
+const FLEET_WEIGHT: f64 = 0.5;
+/// Share of rejections by full targets from which on the limit follows the wait at which they
+/// occur. Callers' retries make up for fewer.
+const REJECTED_SHARE: f64 = 0.05;
+/// Limit of the wait, as a share of that at which targets reject requests.
+const FULL_WAIT_SHARE: f64 = 0.5;
+/// Least limit of the wait in service times: a target whose slots are all busy has a queue.
+const WAIT_MIN: f64 = 1.0;
+/// Time constant with which the wait at which targets reject requests is forgotten.
+const FULL_WAIT_TIME_CONSTANT: Span = Span::seconds(10);
+
+/// Times of the requests to a service, weighted by their rates.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Times {
+    /// Time that a request takes at a target without a queue.
+    pub service: Span,
+    /// Target latency.
+    pub aim: Span,
+}
+
+/// Numbers of requests, decayed or since the latest update.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    requested: f64,
+    refused: f64,
+    answered: f64,
+    rejected: f64,
+}
+
+impl Counts {
+    /// Returns the number of requests that callers wanted, without the retries of refused
+    /// ones.
+    fn wanted(&self) -> f64 {
+        self.requested + self.refused / f64::from(RETRIES + 1)
+    }
+
+    /// Returns the number of requests that targets have served.
+    fn served(&self) -> f64 {
+        (self.answered - self.rejected).max(1.0)
+    }
+}
+
+/// Congestion of one service.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Congestion {
+    recent: Counts,
+    /// Decayed counts, time, and integral of the number of requests in progress over time.
+    counts: Counts,
+    seconds: f64,
+    in_progress: f64,
+    updated: Option<Instant>,
+    /// Wait in seconds at which targets lately rejected requests.
+    full_wait: Option<f64>,
+}
+
+impl Congestion {
+    /// Records that a request was sent to a target.
+    pub fn record_request(&mut self) {
+        self.recent.requested += 1.0;
+    }
+
+    /// Records that a flow was refused.
+    pub fn record_refusal(&mut self) {
+        self.recent.refused += 1.0;
+    }
+
+    /// Records an answer.
+    pub fn record_answer(&mut self) {
+        self.recent.answered += 1.0;
+    }
+
+    /// Records that an answer was a rejection by a full target.
+    pub fn record_rejection(&mut self) {
+        self.recent.rejected += 1.0;
+    }
+
+    /// Adds the time since the latest update, in which `in_progress` requests were in progress.
+    pub fn update(&mut self, in_progress: u32, times: &Times, now: Instant) {
+        let recent = std::mem::take(&mut self.recent);
+        let Some(updated) = self.updated.replace(now) else { return };
+        let passed = now.since(updated).as_seconds();
+        // Without answers the sums are kept, so that the mean rises until there are some.
+        let part = (passed / WINDOW.as_seconds()).min(recent.answered / WINDOW_ANSWERS);
+        let kept = (-part).exp();
+        self.counts.requested = self.counts.requested * kept + recent.requested;
+        self.counts.refused = self.counts.refused * kept + recent.refused;
+        self.counts.answered = self.counts.answered * kept + recent.answered;
+        self.counts.rejected = self.counts.rejected * kept + recent.rejected;
+        self.seconds = self.seconds * kept + passed;
+        self.in_progress = self.in_progress * kept + f64::from(in_progress) * passed;
+        self.update_full_wait(times, passed);
+    }
+
+    fn update_full_wait(&mut self, times: &Times, passed: f64) {
+        if let Some(full_wait) = &mut self.full_wait {
+            *full_wait *= (passed / FULL_WAIT_TIME_CONSTANT.as_seconds()).exp();
+        }
+        let is_full = self.counts.rejected > REJECTED_SHARE * self.counts.answered;
+        if let Some(wait) = self.wait(times).filter(|_| is_full) {
+            let known = self.full_wait.unwrap_or(f64::INFINITY);
+            self.full_wait = Some(known.min(wait));
+        }
+    }
+
+    /// Returns the mean time until a target has served a request, if it is known.
+    pub fn time(&self) -> Option<Span> {
+        const MICROS_PER_SECOND: f64 = 1e6;
+        let is_known = self.counts.answered >= ANSWERS_MIN;
+        is_known.then(|| Span((self.in_progress / self.counts.served() * MICROS_PER_SECOND) as u64))
+    }
+
+    /// Returns the mean wait of a request in the queue of a target, in seconds.
+    fn wait(&self, times: &Times) -> Option<f64> {
+        Some(self.time()?.saturating_sub(times.service).as_seconds())
+    }
+
+    /// Returns the longest wait, in seconds, at which requests are in time and not rejected.
+    fn limit(&self, times: &Times) -> f64 {
+        let slack = times.aim.saturating_sub(times.service).as_seconds() * WAIT_SHARE;
+        let full_wait = self.full_wait.unwrap_or(f64::INFINITY) * FULL_WAIT_SHARE;
+        slack.min(full_wait).max(times.service.as_seconds() * WAIT_MIN)
+    }
+
+    /// Returns the share of the load that is to be refused, so that the rest is answered in
+    /// time. `served_share` is the share that all instances together get served.
+    pub fn excess(&self, times: &Times, served_share: f64) -> f64 {
+        let Some(wait) = self.wait(times).filter(|_| times.service > Span::ZERO) else {
+            return 0.0;
+        };
+        let limit = self.limit(times);
+        let gate = ((wait / limit - GATE.0) / (GATE.1 - GATE.0)).clamp(0.0, 1.0);
+        let return_time = self.seconds * RETURN_WINDOWS;
+        let correction = (1.0 + (limit - wait) / return_time).max(CORRECTION_MIN);
+        let own_share = self.counts.served() / self.counts.wanted().max(1.0);
+        let share = own_share + (served_share - own_share) * FLEET_WEIGHT;
+        gate * (1.0 - share * correction).clamp(0.0, 1.0)
+    }
+}
--- a/crates/mustardway_admission/src/controller.rs
+++ b/crates/mustardway_admission/src/controller.rs
@@ -5,21 +5,26 @@
 
 use displaydoc::Display;
 use mustardway_load::key;
-use mustardway_types::time::Instant;
-use mustardway_types::{hash, service};
+use mustardway_types::service;
+use mustardway_types::time::{Instant, Span};
 
 use crate::allocation::allocate;
 use crate::callers::{Callers, Verdict};
-use crate::contention::{Contention, State};
+use crate::congestion::Congestion;
 use crate::service::Load;
 
-/// Ratio of the reserved share of the targets to the share that urgent requests have of the
-/// load.
-const RESERVE_FACTOR: f64 = 1.4;
-/// Greatest share of the targets that is reserved.
-const RESERVED_MAX: f64 = 0.5;
-/// Seed of the hash that selects reserved targets. It must be the same at all instances.
-const RESERVE_SEED: u64 = 0x6164_6d69_7400_0002;
+/// Time without any excess after which a service no longer counts as full.
+const OPEN_AFTER: Span = Span::seconds(1);
+
+/// What a service does with new flows.
+#[derive(Debug, Display, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// open
+    #[default]
+    Open,
+    /// refusing
+    Refusing,
+}
 
 /// A new flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,22 +46,11 @@
     CallerShare,
 }
 
-/// How a new flow uses targets that are reserved for urgent ones.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reserved {
-    /// The reservation is ignored.
-    Ignore,
-    /// Only if no other target is available.
-    Avoid,
-    /// Reserved targets are preferred.
-    Prefer,
-}
-
 /// The decision on a new flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
     /// The flow is admitted.
-    Admit(Reserved),
+    Admit,
     /// The flow is refused.
     Refuse(Reason),
 }
@@ -70,8 +64,10 @@
     pub slots: f64,
     /// Load that callers offer, in slots.
     pub offered: f64,
-    /// Share of the targets that is reserved for the most urgent routes.
-    pub reserved: f64,
+    /// Share of the offered load that is refused.
+    pub excess: f64,
+    /// Mean time that a request spends at a target, as this instance sees it.
+    pub time: Option<Span>,
     /// Urgency, and offered and admitted load in slots, by route.
     pub routes: BTreeMap<key::Route, RouteStatus>,
 }
@@ -100,10 +96,11 @@
 
 #[derive(Debug, Default)]
 struct Service {
-    contention: Contention,
+    congestion: Congestion,
+    state: State,
+    /// Time at which the service last had an excess.
+    last_excess: Instant,
     status: Option<Status>,
-    /// Urgency of the most urgent route, if routes differ in urgency.
-    most_urgent: Option<u32>,
     callers: BTreeMap<key::Route, Callers>,
 }
 
@@ -114,32 +111,65 @@
 }
 
 impl Controller {
-    /// Updates the load of a service, and returns the change of its state, if any.
-    pub fn update(&mut self, name: &service::Name, load: &Load, now: Instant) -> Option<Change> {
-        let service = self.services.entry(name.clone()).or_default();
-        let before = service.contention.state();
+    /// Records that a request was sent to a target of a service.
+    pub fn record_request(&mut self, name: &service::Name) {
+        if let Some(service) = self.services.get_mut(name) {
+            service.congestion.record_request();
+        }
+    }
+
+    /// Records an answer from a target of a service.
+    pub fn record_answer(&mut self, name: &service::Name) {
+        if let Some(service) = self.services.get_mut(name) {
+            service.congestion.record_answer();
+        }
+    }
+
+    /// Records that an answer was a rejection by a full target.
+    pub fn record_rejection(&mut self, name: &service::Name) {
+        if let Some(service) = self.services.get_mut(name) {
+            service.congestion.record_rejection();
+        }
+    }
+
+    /// Updates a service that has `in_progress` requests of this instance in progress, and
+    /// returns the change of its state, if any.
+    pub fn update(
+        &mut self,
+        name: &service::Name,
+        load: &Load,
+        in_progress: u32,
+        now: Instant,
+    ) -> Option<Change> {
+        if !self.services.contains_key(name) {
+            self.services.insert(name.clone(), Service::default());
+        }
+        let service = self.services.get_mut(name)?;
+        let times = load.times();
+        service.congestion.update(in_progress, &times, now);
+        let excess = service.congestion.excess(&times, load.served_share());
+        let before = service.state;
+        if excess > 0.0 {
+            service.state = State::Refusing;
+            service.last_excess = now;
+        } else if now.since(service.last_excess) >= OPEN_AFTER {
+            service.state = State::Open;
+        }
         let offered = load.offered();
-        let state = service.contention.update(load, now);
-        service.most_urgent = load.most_urgent();
-        let admitted = match state {
-            State::Refusing => allocate(service.contention.budget(), &load.routes),
-            _ => load.routes.iter().map(|route| route.offered).collect(),
-        };
+        let admitted = allocate(offered * (1.0 - excess), &load.routes);
         let mut routes = BTreeMap::new();
         service.callers.retain(|key, _| load.routes.iter().any(|route| route.route == *key));
         for (route, admitted) in load.routes.iter().zip(admitted) {
             // Only new flows can be refused, so these make up for all of the excess.
-            let excess = (route.offered - admitted).max(0.0);
-            let share = if route.opening > 0.0 { 1.0 - excess / route.opening } else { 1.0 };
-            let share = share.clamp(0.0, 1.0);
-            let callers = service.callers.entry(route.route).or_default();
-            callers.set_share(if state == State::Refusing { share } else { 1.0 });
+            let missing = (route.offered - admitted).max(0.0);
+            let share = if route.opening > 0.0 { 1.0 - missing / route.opening } else { 1.0 };
+            let share = if excess > 0.0 { share.clamp(0.0, 1.0) } else { 1.0 };
+            service.callers.entry(route.route).or_default().set_share(share);
             let (urgency, offered) = (route.urgency, route.offered);
             routes.insert(route.route, RouteStatus { urgency, offered, admitted });
         }
-        let reserved = reserved_share(load, state);
-        let status = Status { state, slots: load.slots, offered, reserved, routes };
-        service.status = Some(status);
+        let (state, time) = (service.state, service.congestion.time());
+        service.status = Some(Status { state, slots: load.slots, offered, excess, time, routes });
         (state != before).then_some(Change { state, offered, slots: load.slots })
     }
 
@@ -156,29 +186,20 @@
     /// Decides on a new flow to a service.
     pub fn decide(&mut self, name: &service::Name, opening: &Opening) -> Decision {
         let Some(service) = self.services.get_mut(name) else {
-            return Decision::Admit(Reserved::Ignore);
+            return Decision::Admit;
         };
-        let state = service.contention.state();
-        if state == State::Open {
-            return Decision::Admit(Reserved::Ignore);
-        }
-        let status = service.status.as_ref();
-        let urgency = status.and_then(|status| status.routes.get(&opening.route));
-        let reserved = match (urgency, service.most_urgent) {
-            (Some(route), Some(most_urgent)) if route.urgency > most_urgent => Reserved::Avoid,
-            (Some(_), Some(_)) => Reserved::Prefer,
-            _ => Reserved::Ignore,
+        let callers = match service.state {
+            State::Open => None,
+            State::Refusing => service.callers.get_mut(&opening.route),
         };
-        if state == State::Refusing
-            && let Some(callers) = service.callers.get_mut(&opening.route)
-        {
-            match callers.decide(opening.route, opening.caller, opening.epoch) {
-                Verdict::Admit => {}
-                Verdict::Refuse => return Decision::Refuse(Reason::Overloaded),
-                Verdict::ExceedsShare => return Decision::Refuse(Reason::CallerShare),
-            }
-        }
-        Decision::Admit(reserved)
+        let Some(callers) = callers else { return Decision::Admit };
+        let reason = match callers.decide(opening.route, opening.caller, opening.epoch) {
+            Verdict::Admit => return Decision::Admit,
+            Verdict::Refuse => Reason::Overloaded,
+            Verdict::ExceedsShare => Reason::CallerShare,
+        };
+        service.congestion.record_refusal();
+        Decision::Refuse(reason)
     }
 
     /// Returns the status of a service, if its load is known.
@@ -191,19 +212,3 @@
         self.services.iter().filter_map(|(name, service)| Some((name, service.status.as_ref()?)))
     }
 }
-
-/// Returns the share of the targets that is reserved for the most urgent routes.
-fn reserved_share(load: &Load, state: State) -> f64 {
-    let Some(most_urgent) = load.most_urgent().filter(|_| state != State::Open) else {
-        return 0.0;
-    };
-    let urgent = load.routes.iter().filter(|route| route.urgency == most_urgent);
-    let urgent: f64 = urgent.map(|route| route.offered).sum();
-    (urgent / load.offered().max(f64::MIN_POSITIVE) * RESERVE_FACTOR).min(RESERVED_MAX)
-}
-
-/// Returns whether a target is among the share `reserved` of the targets that are
-/// reserved. All instances choose alike, and a larger share contains a smaller one.
-pub fn is_reserved(target: key::Target, reserved: f64) -> bool {
-    reserved > 0.0 && hash::unit(hash::mix(RESERVE_SEED, target.0)) < reserved
-}
--- a/crates/mustardway_admission/src/service.rs
+++ b/crates/mustardway_admission/src/service.rs
@@ -1,15 +1,21 @@
-//! The load of a service: the mean number of requests in progress, those that wait at targets
-//! included.
+//! The load of a service: the mean number of requests in progress without waiting.
 
 use mustardway_load::key;
+use mustardway_types::time::Span;
 
-/// The load that callers offer to a service, and what its targets serve of it.
+use crate::congestion::Times;
+
+/// The load that callers offer to a service.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Load {
     /// Usable slots. A slot of a target that takes twice the usual time counts as a half.
     pub slots: f64,
     /// Load of each route.
     pub routes: Vec<Route>,
+    /// Requests per second that callers want, without the retries of refused ones.
+    pub wanted: f64,
+    /// Requests per second that targets serve.
+    pub served: f64,
 }
 
 /// The load that callers offer to a service on one route. Loads are mean numbers of requests
@@ -24,12 +30,10 @@
     pub offered: f64,
     /// Part of `offered` for which callers open a flow, the refused ones included.
     pub opening: f64,
-    /// Load of the requests that get a proper answer.
-    pub served: f64,
-    /// Share of the requests that targets reject.
-    pub rejected_share: f64,
-    /// Share of late answers.
-    pub late_share: f64,
+    /// Time that a request takes at a target without a queue.
+    pub service_time: Span,
+    /// Target latency.
+    pub aim: Span,
 }
 
 impl Load {
@@ -38,35 +42,29 @@
         self.routes.iter().map(|route| route.offered).sum()
     }
 
-    /// Returns the load that gets proper answers on all routes.
-    pub fn served(&self) -> f64 {
-        self.routes.iter().map(|route| route.served).sum()
-    }
-
-    /// Returns the share of the requests that targets reject.
-    pub fn rejected_share(&self) -> f64 {
-        self.mean(|route| route.rejected_share)
+    /// Returns the share of the wanted requests that targets serve.
+    pub fn served_share(&self) -> f64 {
+        if self.wanted > 0.0 { (self.served / self.wanted).min(1.0) } else { 1.0 }
     }
 
-    /// Returns the share of late answers.
-    pub fn late_share(&self) -> f64 {
-        self.mean(|route| route.late_share)
-    }
-
-    /// Returns the mean over all routes, weighted by their load.
-    fn mean(&self, value: impl Fn(&Route) -> f64) -> f64 {
-        let (mut sum, mut offered) = (0.0, 0.0);
+    /// Returns the mean times of the requests on all routes.
+    pub fn times(&self) -> Times {
+        let (mut rates, mut service, mut aim) = (0.0, 0.0, 0.0);
         for route in &self.routes {
-            sum += value(route) * route.offered;
-            offered += route.offered;
+            let time = route.service_time.as_seconds();
+            if time <= 0.0 {
+                continue;
+            }
+            let rate = route.offered / time;
+            rates += rate;
+            service += rate * time;
+            aim += rate * route.aim.as_seconds();
         }
-        sum / offered.max(f64::MIN_POSITIVE)
-    }
-
-    /// Returns the urgency of the most urgent route, if there are routes of different
-    /// urgency.
-    pub fn most_urgent(&self) -> Option<u32> {
-        let least = self.routes.iter().map(|route| route.urgency).min()?;
-        self.routes.iter().any(|route| route.urgency > least).then_some(least)
+        if rates <= 0.0 {
+            return Times::default();
+        }
+        const MICROS_PER_SECOND: f64 = 1e6;
+        let mean = |sum: f64| Span((sum / rates * MICROS_PER_SECOND) as u64);
+        Times { service: mean(service), aim: mean(aim) }
     }
 }
--- a/crates/mustardway_flow/src/directory.rs
+++ b/crates/mustardway_flow/src/directory.rs
@@ -38,8 +38,6 @@
     pub started: Instant,
     /// Ratio of the expected time until a proper answer to that of an unknown target.
     pub time_factor: f64,
-    /// Whether this instance prefers the target while its service is nearly full.
-    pub is_preferred: bool,
     /// Whether a target with a lesser name has the same token. The target then gets
     /// no flows.
     pub is_shadowed: bool,
@@ -62,7 +60,6 @@
             key: key::Target::of(&registration.id, registration.born),
             started: Instant::default(),
             time_factor: 1.0,
-            is_preferred: false,
             is_shadowed: false,
             unregistered_at: None,
             cold_until: now + registration.cold,
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -266,7 +266,6 @@
             Event::Peers { known, neighbours } => {
                 self.known = known;
                 self.neighbours = neighbours;
-                self.invalidate_preferences();
             }
             Event::Paused => {
                 self.is_clearing_backlog = true;
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -125,6 +125,8 @@
                 record.measurement.record_answer(now.since(since), usual_round_trip, now);
             }
         }
+        let has_free_slot = self.has_free_slot(index, now);
+        let Some(record) = self.table.get_mut(&flow) else { return };
         let mut progress = Progress { responded, answered: waited.is_some(), requested: false };
         let mut unanswered_since = None;
         let mut previous = None;
@@ -136,7 +138,7 @@
                 progress.requested = record.request_since.is_none();
                 if progress.requested {
                     previous = record.measurement.take_answer(record.acknowledged);
-                    record.measurement.begin_request(record.acknowledged, now);
+                    record.measurement.begin_request(record.acknowledged, has_free_slot, now);
                 } else {
                     record.measurement.continue_request(now);
                 }
@@ -188,6 +190,17 @@
         }
     }
 
+    /// Returns whether a target seems to have a slot for another request. Little is known of
+    /// the requests at targets in other failure domains.
+    fn has_free_slot(&self, index: usize, now: Instant) -> bool {
+        let senders = self.neighbours.len();
+        self.directory.get(index).is_some_and(|target| {
+            let outstanding = target.observation.estimate_outstanding(senders, now);
+            let is_local = target.registration.domain == self.home;
+            is_local && outstanding + 1.0 <= f64::from(target.registration.slots)
+        })
+    }
+
     /// Returns whether a target is unregistered and has not responded to any caller
     /// since then.
     fn is_unregistered_and_silent(&self, index: usize) -> bool {
@@ -222,16 +235,19 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
-        let senders = self.neighbours.len();
         let Some(target) = self.directory.get_mut(index) else { return };
         let observation = &mut target.observation;
         if progress.answered {
             observation.finish_request(now);
+            if let Some(load) = &mut self.load {
+                load.controller.record_answer(&target.registration.service);
+            }
         }
         if progress.requested {
-            let outstanding = observation.estimate_outstanding(senders, now);
-            observation.record_wait(outstanding, target.registration.slots);
             observation.start_request(now);
+            if let Some(load) = &mut self.load {
+                load.controller.record_request(&target.registration.service);
+            }
         }
         if !progress.responded {
             return;
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -4,8 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-use mustardway_admission::contention::State;
-use mustardway_admission::controller::{Change, Decision, Opening, Reason, Reserved};
+use mustardway_admission::controller::{Change, Decision, Opening, Reason, State};
 use mustardway_admission::service as admission_service;
 use mustardway_load::sample::Sample;
 use mustardway_load::{key, node};
@@ -19,7 +18,6 @@
 use crate::measurement;
 use crate::note::{Note, ResetReason};
 use crate::packet::Packet;
-use crate::rank;
 use crate::table::Stage;
 
 /// Greatest share of short answers that counts. A target that answers all requests with
@@ -27,11 +25,6 @@
 const SHORT_SHARE_MAX: f64 = 0.95;
 /// Attempts of a caller at a request that is refused: the first one and two retries.
 const ATTEMPTS: f64 = 3.0;
-/// Number of instances of a failure domain that prefer a target while its service is nearly
-/// full. Each of them sees a larger part of the target's requests, and so its queue.
-pub(super) const PREFERRING_INSTANCES: usize = 4;
-/// Seed of the rank that chooses them. It must be the same at all instances.
-const PREFERENCE_SEED: u64 = 0x7072_6566_0000_0001;
 /// Share of a cold target's slots that counts as capacity.
 const COLD_CAPACITY: f64 = 0.5;
 
@@ -96,18 +89,19 @@
             return;
         }
         let is_late = aim.is_some_and(|aim| answer.wait > aim);
-        let time = target.observation.service_time(answer.time);
-        let answer = measurement::Answer { time, ..*answer };
-        load.record_answer(target.key, key::Route::of(route), &answer, is_late);
+        let is_short = load.record_answer(target.key, key::Route::of(route), answer, is_late);
+        // A target with a free slot that rejects a request is not full but fails.
+        if is_short && !answer.is_unqueued {
+            load.controller.record_rejection(&target.registration.service);
+        }
     }
 
     /// Decides whether a new flow to a service is admitted. Copies of an opening packet always
     /// are: a target may have got the first one from another instance.
     pub(super) fn admit(&mut self, packet: &Packet, service: &service::Name) -> Decision {
-        let admit_always = Decision::Admit(Reserved::Ignore);
-        let Some(load) = &mut self.load else { return admit_always };
+        let Some(load) = &mut self.load else { return Decision::Admit };
         if load.settings.admission == Admission::Off || packet.acknowledgement > 0 {
-            return admit_always;
+            return Decision::Admit;
         }
         let route = key::Route::of(packet.destination);
         let caller = *packet.source.ip();
@@ -135,23 +129,6 @@
         self.reset(packet, reason, now, actions)
     }
 
-    /// Returns the share of the targets of a service that is reserved for urgent flows.
-    pub(super) fn reserved_share(&self, service: &service::Name) -> f64 {
-        let status = self.load.as_ref().and_then(|load| load.controller.status(service));
-        status.map_or(0.0, |status| status.reserved)
-    }
-
-    /// Returns whether a service has little spare capacity.
-    pub(super) fn is_nearly_full(&self, service: &service::Name) -> bool {
-        self.load.as_ref().is_some_and(|load| load.nearly_full.contains(service))
-    }
-
-    /// Returns the mean number of requests in progress on an open flow to a service.
-    pub(super) fn busy_share(&self, service: &service::Name) -> f64 {
-        let load = self.load.as_ref();
-        load.and_then(|load| load.busy_shares.get(service)).copied().unwrap_or_default()
-    }
-
     /// Reports the number of open flows of each route.
     pub(super) fn report_flows(&mut self) {
         let Some(load) = &mut self.load else { return };
@@ -164,70 +141,67 @@
         load.node.set_flows(flows);
     }
 
-    /// Updates the targets, the admission and what long flows bring from the estimates.
+    /// Updates the targets and the load of each service from the estimates.
     fn apply_estimates(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.update_time_factors(actions);
-        let Some(load) = &mut self.load else { return };
+        let Some(load) = &self.load else { return };
+        if load.settings.admission == Admission::Off {
+            return;
+        }
         let is_current = load.node.view().age(now).is_some_and(|age| age < node::SUMMARY_AGE_MAX);
         if !is_current {
-            for (service, status) in load.controller.statuses() {
-                if status.state == State::Open {
-                    continue;
-                }
-                let (offered, slots) = (status.offered, status.slots);
-                let change = Change { state: State::Open, offered, slots };
-                actions.push(Action::Note(Note::Contention { service: service.clone(), change }));
-            }
-            load.controller.reset();
-            load.busy_shares.clear();
-            load.nearly_full.clear();
+            self.stop_refusing(actions);
             return;
         }
-        self.update_preferences();
-        let loads = self.offered_loads(now);
+        let offered = self.offered_loads(now);
         let Some(load) = &mut self.load else { return };
-        load.nearly_full.retain(|service| loads.contains_key(service));
-        if load.settings.placement == Placement::ExpectedTime {
-            for (service, offered) in &loads {
-                load.update_nearly_full(service, offered);
-            }
-        }
-        if load.settings.admission == Admission::Off {
-            return;
-        }
-        load.controller.retain(|service| loads.contains_key(service));
-        for (service, offered) in loads {
-            let Some(load) = &mut self.load else { return };
-            if let Some(change) = load.controller.update(&service, &offered, now) {
-                actions.push(Action::Note(Note::Contention { service, change }));
+        load.controller.retain(|service| offered.contains_key(service));
+        load.offered = offered;
+    }
+
+    /// Admits all flows, since the load is not known.
+    fn stop_refusing(&mut self, actions: &mut Vec<Action>) {
+        let Some(load) = &mut self.load else { return };
+        for (service, status) in load.controller.statuses() {
+            if status.state == State::Open {
+                continue;
             }
+            let (offered, slots) = (status.offered, status.slots);
+            let change = Change { state: State::Open, offered, slots };
+            actions.push(Action::Note(Note::Contention { service: service.clone(), change }));
         }
+        load.controller.reset();
+        load.offered.clear();
     }
 
-    /// Chooses the targets that this instance prefers, if targets or neighbours have changed.
-    fn update_preferences(&mut self) {
+    /// Updates the admission by the requests that are in progress.
+    pub(super) fn update_admission(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let Some(load) = &mut self.load else { return };
-        if !std::mem::take(&mut load.has_stale_preferences) {
-            return;
+        let offered = std::mem::take(&mut load.offered);
+        for (service, service_load) in &offered {
+            let in_progress = self.requests_in_progress(service, now);
+            let Some(load) = &mut self.load else { return };
+            let change = load.controller.update(service, service_load, in_progress, now);
+            if let Some(change) = change {
+                actions.push(Action::Note(Note::Contention { service: service.clone(), change }));
+            }
         }
-        let indexes: Vec<usize> = self.directory.indexes().collect();
-        for index in indexes {
-            let Some(target) = self.directory.get_mut(index) else { continue };
-            target.is_preferred = rank::is_among_first(
-                PREFERENCE_SEED,
-                &self.me,
-                &self.neighbours,
-                &target.registration.id,
-                PREFERRING_INSTANCES,
-            );
+        if let Some(load) = &mut self.load {
+            load.offered = offered;
         }
     }
 
-    /// Records that targets or neighbours have changed.
-    pub(super) fn invalidate_preferences(&mut self) {
-        if let Some(load) = &mut self.load {
-            load.has_stale_preferences = true;
+    /// Returns the number of this instance's requests that usable targets of a service have
+    /// in progress. Those at targets that do not respond show no queue.
+    fn requests_in_progress(&self, service: &service::Name, now: Instant) -> u32 {
+        let mut requests = 0;
+        for index in self.directory.indexes_of_service(service) {
+            let Some(target) = self.directory.get(*index) else { continue };
+            if target.observation.outstanding() > 0 && self.is_usable(target, now) {
+                requests += target.observation.outstanding();
+            }
         }
+        requests
     }
 
     /// Updates the expected time of each target relative to the others.
@@ -255,7 +229,6 @@
     /// Returns the load that callers offer to each service that has any.
     fn offered_loads(&mut self, now: Instant) -> BTreeMap<service::Name, admission_service::Load> {
         let mut loads: BTreeMap<service::Name, admission_service::Load> = BTreeMap::new();
-        let mut busy: BTreeMap<service::Name, (f64, f64)> = BTreeMap::new();
         let (Some(load), Some(configuration)) = (&mut self.load, self.directory.configuration())
         else {
             return loads;
@@ -266,7 +239,7 @@
             let Some(route) = address.and_then(|address| self.directory.route(address)) else {
                 continue;
             };
-            let base_time = estimate.base_time.as_seconds();
+            let service_time = estimate.service_time.as_seconds();
             // Callers retry rejected requests at once, as they do refused flows.
             let rejected = estimate.short_share;
             let tries = 1.0 + rejected + rejected * rejected;
@@ -275,28 +248,19 @@
             let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
             for share in &route.shares {
                 let part = f64::from(share.weight) / total.max(1) as f64;
-                let opening = (estimate.opens / tries + refused) * base_time * part;
-                let offered = (requests + refused) * base_time * part;
-                let in_progress = busy.entry(share.service.clone()).or_default();
-                in_progress.0 += estimate.requests * base_time * part;
-                in_progress.1 += estimate.flows * part;
-                loads.entry(share.service.clone()).or_default().routes.push(
-                    admission_service::Route {
-                        route: route_key,
-                        urgency: route.urgency,
-                        offered,
-                        opening: opening.min(offered),
-                        served: estimate.requests * (1.0 - rejected) * base_time * part,
-                        rejected_share: estimate.short_share,
-                        late_share: estimate.late_share,
-                    },
-                );
-            }
-        }
-        load.busy_shares.clear();
-        for (service, (in_progress, flows)) in busy {
-            if flows >= 1.0 && load.settings.placement == Placement::ExpectedTime {
-                load.busy_shares.insert(service, (in_progress / flows).min(1.0));
+                let opening = (estimate.opens / tries + refused) * service_time * part;
+                let offered = (requests + refused) * service_time * part;
+                let load = loads.entry(share.service.clone()).or_default();
+                load.wanted += (estimate.requests + refused) * part;
+                load.served += estimate.answers * part;
+                load.routes.push(admission_service::Route {
+                    route: route_key,
+                    urgency: route.urgency,
+                    offered,
+                    opening: opening.min(offered),
+                    service_time: estimate.service_time,
+                    aim: route.aim,
+                });
             }
         }
         for (service, load) in &mut loads {
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -4,7 +4,7 @@
 //! has not answered within the time after which a caller sends a copy, another target
 //! is chosen.
 
-use mustardway_admission::controller::{Decision, Reason, Reserved, is_reserved};
+use mustardway_admission::controller::{Decision, Reason};
 use mustardway_load::key;
 use mustardway_load::sample::Sample;
 use mustardway_mirror::publication::Share;
@@ -12,7 +12,6 @@
 use mustardway_types::time::{Instant, Span};
 use rand::RngExt;
 
-use super::load::PREFERRING_INSTANCES;
 use super::{Action, Front, Verdict};
 use crate::directory::{REGISTRATION_GRACE, Target};
 use crate::health::Status;
@@ -20,7 +19,7 @@
 use crate::observation::{DEPRIORITISED_FOR, RESPONSE_TIMEOUT};
 use crate::opening::Opening;
 use crate::packet::Packet;
-use crate::placement::{Candidate, Grade, WEIGHTS};
+use crate::placement::{Candidate, Grade};
 use crate::slow_start;
 use crate::table::{Record, Stage};
 
@@ -31,12 +30,6 @@
 /// each every 500 ms, and a margin for instances that notice later.
 const ROUTER_NOTICE_MAX: Span = Span::millis(1_500);
 
-/// Penalty of a target that other instances prefer, in waiting requests per slot.
-const UNPREFERRED_PENALTY: f64 = 0.5;
-/// Penalty of a target that is not reserved for urgent flows, for these, in waiting
-/// requests per slot.
-const UNRESERVED_PENALTY: f64 = 0.5;
-
 impl Front {
     /// Decides what to do with an opening packet.
     pub(super) fn open_flow(
@@ -175,19 +168,15 @@
             let share = shares.swap_remove(self.draw_share(&shares));
             self.demand.count(&share.service, now);
             let decision = match is_copy {
-                true => Decision::Admit(Reserved::Ignore),
+                true => Decision::Admit,
                 false => self.admit(packet, &share.service),
             };
-            let reserved = match decision {
-                Decision::Admit(reserved) => reserved,
-                Decision::Refuse(reason) => {
-                    // Other shares have weights of their own, which the flows of a full
-                    // service must not add to.
-                    return Placed::Refused(share.service, reason);
-                }
-            };
+            if let Decision::Refuse(reason) = decision {
+                // Other shares have weights of their own, which the flows of a full
+                // service must not add to.
+                return Placed::Refused(share.service, reason);
+            }
             let mut candidates = self.candidates(&share.service, now);
-            self.apply_reservation(&share.service, reserved, &mut candidates);
             if let Some(avoid) = avoid {
                 self.avoid_unresponsive(avoid, &mut candidates);
             }
@@ -199,34 +188,6 @@
         Placed::Nowhere
     }
 
-    /// Keeps ordinary flows away from the targets that are reserved for urgent ones, unless
-    /// no other target is good, and urgent flows at them, unless these have more work.
-    fn apply_reservation(
-        &self,
-        service: &service::Name,
-        reserved: Reserved,
-        candidates: &mut Vec<Candidate>,
-    ) {
-        if reserved == Reserved::Ignore {
-            return;
-        }
-        let share = self.reserved_share(service);
-        let is_open = |candidate: &Candidate| {
-            let target = self.directory.get(candidate.index);
-            target.is_some_and(|target| !is_reserved(target.key, share))
-        };
-        if reserved == Reserved::Prefer {
-            for candidate in candidates {
-                // The instance's own preference would leave it only a few of the reserved targets.
-                candidate.penalty = if is_open(candidate) { UNRESERVED_PENALTY } else { 0.0 };
-            }
-            return;
-        }
-        if candidates.iter().any(|it| it.grade == Grade::Good && is_open(it)) {
-            candidates.retain(is_open);
-        }
-    }
-
     /// Removes an unresponsive target from the candidates, unless it is the only one,
     /// and marks its neighbours that have not responded since as degraded: the whole
     /// failure domain may be lost.
@@ -264,11 +225,6 @@
     /// Returns the targets of a service that accept new flows.
     fn candidates(&self, service: &service::Name, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
-        let is_nearly_full = self.is_nearly_full(service);
-        let flow_weight = match is_nearly_full {
-            true => (self.busy_share(service) / WEIGHTS.idle_flow).max(1.0),
-            false => 1.0,
-        };
         for index in self.directory.indexes_of_service(service) {
             let Some(target) = self.directory.get(*index) else { continue };
             if !self.accepts_now(target, now) {
@@ -277,23 +233,16 @@
             let is_degraded = target.health.status(now) != Status::Healthy
                 || is_unregistered_and_silent(target, now)
                 || target.observation.is_deprioritised(now);
-            let (senders, penalty) = match (is_nearly_full, target.is_preferred) {
-                (false, _) => (self.neighbours.len(), 0.0),
-                (true, true) => (self.neighbours.len().min(PREFERRING_INSTANCES), 0.0),
-                (true, false) => (self.neighbours.len(), UNPREFERRED_PENALTY),
-            };
+            let senders = self.neighbours.len();
             candidates.push(Candidate {
                 index: *index,
                 grade: if is_degraded { Grade::Degraded } else { Grade::Good },
                 is_local: target.registration.domain == self.home,
                 is_cold: now < target.cold_until,
                 waiting: target.observation.estimate_outstanding(senders, now),
-                idle: f64::from(target.observation.idle_flows())
-                    * self.neighbours.len() as f64
-                    * flow_weight,
+                idle: f64::from(target.observation.idle_flows()) * senders as f64,
                 slots: target.registration.slots,
                 time_factor: target.time_factor,
-                penalty,
             });
         }
         candidates
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -345,7 +345,6 @@
                 removed.push(id.clone());
             }
         }
-        self.invalidate_preferences();
         let notes = self.directory.apply(changes, now);
         actions.extend(notes.into_iter().map(Action::Note));
         for id in removed {
@@ -377,6 +376,7 @@
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.check_openings(now, actions);
         self.handle_load(mustardway_load::node::Event::Tick, now, actions);
+        self.update_admission(now, actions);
         self.update_reachability(now, actions);
         let is_useful = !self.responsiveness.is_isolated(now)
             && self.demand.is_met(|service| self.can_place(service));
--- a/crates/mustardway_flow/src/load.rs
+++ b/crates/mustardway_flow/src/load.rs
@@ -4,10 +4,9 @@
 //! shares it with the other instances. The estimates weight the placement of new flows
 //! and decide whether they are admitted.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-use mustardway_admission::contention::{RESERVE_ABOVE, RESERVE_BELOW};
 use mustardway_admission::controller::{Controller, Reason};
 use mustardway_admission::service as service_load;
 use mustardway_load::sample::{self, Sample};
@@ -92,12 +91,8 @@
     /// Mean bytes of the answers of each route.
     usual_bytes: FxHashMap<key::Route, f64>,
     usual_round_trip: f64,
-    /// Mean requests in progress on an open flow to each service.
-    pub(crate) busy_shares: BTreeMap<service::Name, f64>,
-    /// Services with little spare capacity.
-    pub(crate) nearly_full: BTreeSet<service::Name>,
-    /// Whether the targets that this instance prefers have to be chosen again.
-    pub(crate) has_stale_preferences: bool,
+    /// Load that callers offer to each service, by the latest summary.
+    pub(crate) offered: BTreeMap<service::Name, service_load::Load>,
     /// Number of refused flows by service and reason.
     refused: BTreeMap<(service::Name, Reason), u64>,
 }
@@ -113,9 +108,7 @@
             routes: FxHashMap::default(),
             usual_bytes: FxHashMap::default(),
             usual_round_trip: 0.0,
-            busy_shares: BTreeMap::new(),
-            nearly_full: BTreeSet::new(),
-            has_stale_preferences: true,
+            offered: BTreeMap::new(),
             refused: BTreeMap::new(),
         }
     }
@@ -148,20 +141,6 @@
         self.usual_round_trip += difference * ROUND_TRIP_WEIGHT;
     }
 
-    /// Updates whether a service has little spare capacity.
-    pub(crate) fn update_nearly_full(
-        &mut self,
-        service: &service::Name,
-        load: &service_load::Load,
-    ) {
-        let utilisation = load.offered() / load.slots.max(f64::MIN_POSITIVE);
-        if utilisation >= RESERVE_ABOVE {
-            self.nearly_full.insert(service.clone());
-        } else if utilisation < RESERVE_BELOW {
-            self.nearly_full.remove(service);
-        }
-    }
-
     pub(crate) fn count_refused(&mut self, service: &service::Name, reason: Reason) {
         *self.refused.entry((service.clone(), reason)).or_default() += 1;
     }
@@ -174,14 +153,14 @@
         })
     }
 
-    /// Records an answer from `target` whose size is known.
+    /// Records an answer from `target` whose size is known. Returns whether it is short.
     pub(crate) fn record_answer(
         &mut self,
         target: key::Target,
         route: key::Route,
         answer: &measurement::Answer,
         is_late: bool,
-    ) {
+    ) -> bool {
         let bytes = f64::from(answer.bytes);
         let base_time = self.node.view().route(route).map_or(Span::ZERO, |load| load.base_time);
         let is_fast = (answer.time.0 as f64) < base_time.0 as f64 * FAST_TIME;
@@ -197,9 +176,11 @@
             target,
             route,
             time: answer.time,
+            is_unqueued: answer.is_unqueued,
             is_short,
             is_late,
         }));
+        is_short
     }
 
     /// Takes over the routes of a configuration, unless they are known.
--- a/crates/mustardway_flow/src/measurement.rs
+++ b/crates/mustardway_flow/src/measurement.rs
@@ -14,6 +14,8 @@
     pub requested: Instant,
     /// Number of bytes of the answer that the caller has acknowledged.
     pub bytes: u32,
+    /// Whether the target had a free slot when the request began, as far as was known.
+    pub is_unqueued: bool,
 }
 
 /// Times of the latest request of a flow.
@@ -25,6 +27,8 @@
     last_data: Instant,
     /// Sequence number up to which the caller had received when it sent the request.
     acknowledged_before: u32,
+    /// Whether the target had a free slot when the request began.
+    is_unqueued: bool,
     /// Time and wait of the answer, until its size is known.
     answered: Option<(Span, Span)>,
 }
@@ -36,8 +40,9 @@
     }
 
     /// Records the beginning of a request.
-    pub fn begin_request(&mut self, acknowledged: u32, now: Instant) {
+    pub fn begin_request(&mut self, acknowledged: u32, is_unqueued: bool, now: Instant) {
         self.acknowledged_before = acknowledged;
+        self.is_unqueued = is_unqueued;
         self.last_data = now;
         self.answered = None;
     }
@@ -57,7 +62,13 @@
     pub fn answer(&self, acknowledged: u32) -> Option<Answer> {
         let (time, wait) = self.answered?;
         let bytes = acknowledged.wrapping_sub(self.acknowledged_before);
-        Some(Answer { time, wait, requested: self.last_data, bytes })
+        Some(Answer {
+            time,
+            wait,
+            requested: self.last_data,
+            bytes,
+            is_unqueued: self.is_unqueued,
+        })
     }
 
     /// Removes and returns the answer.
--- a/crates/mustardway_flow/src/observation.rs
+++ b/crates/mustardway_flow/src/observation.rs
@@ -19,9 +19,6 @@
 /// requests.
 const MEAN_TIME_CONSTANT: Span = Span::millis(400);
 
-/// Weight of a request in the mean wait.
-const WAIT_WEIGHT: f64 = 1.0 / 8.0;
-
 /// What was observed of one target.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Observation {
@@ -31,9 +28,6 @@
     mean_outstanding: f64,
     /// Time at which the number of outstanding requests last changed.
     updated: Instant,
-    /// Mean wait of requests in the target's queue, in service times, estimated when they were
-    /// sent.
-    mean_wait: f64,
     /// Flows seen here that are open at the target.
     pub flows: u32,
     /// Time at which a caller last showed that the target had responded.
@@ -74,19 +68,6 @@
         f64::from(self.outstanding) + others * self.mean_outstanding_at(now)
     }
 
-    /// Records the wait of a request that is sent while the target has about `outstanding`
-    /// requests in progress for its `slots`.
-    pub fn record_wait(&mut self, outstanding: f64, slots: u32) {
-        let wait = ((outstanding + 1.0) / f64::from(slots.max(1)) - 1.0).max(0.0);
-        self.mean_wait += (wait - self.mean_wait) * WAIT_WEIGHT;
-    }
-
-    /// Returns the part of the time at the target that is not spent in its queue. The wait of
-    /// a single request is too uncertain, so the mean is taken out.
-    pub fn service_time(&self, time: Span) -> Span {
-        Span((time.0 as f64 / (1.0 + self.mean_wait)) as u64)
-    }
-
     /// Records that a request was sent to the target.
     pub fn start_request(&mut self, now: Instant) {
         self.mean_outstanding = self.mean_outstanding_at(now);
--- a/crates/mustardway_flow/src/placement.rs
+++ b/crates/mustardway_flow/src/placement.rs
@@ -42,8 +42,6 @@
     pub slots: u32,
     /// Ratio of the expected time until a proper answer to that of an unknown target.
     pub time_factor: f64,
-    /// Addition to the score, in waiting requests per slot.
-    pub penalty: f64,
 }
 
 /// Weights of the score, in waiting requests per slot.
@@ -95,7 +93,6 @@
     let mut score = work / f64::from(candidate.slots.max(1));
     // Work per slot, and the request itself, take longer at a slow target.
     score += (candidate.time_factor - 1.0) * (1.0 + score);
-    score += candidate.penalty;
     if !candidate.is_local {
         score += weights.distance;
     }
--- a/crates/mustardway_front/src/load.rs
+++ b/crates/mustardway_front/src/load.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use hyper::StatusCode;
-use mustardway_admission::controller::{self, Reason, is_reserved};
+use mustardway_admission::controller::Reason;
 use mustardway_flow::directory;
 use mustardway_flow::front::Front;
 use mustardway_flow::health::Status;
@@ -58,14 +58,16 @@
 pub struct Service {
     /// Name of the service.
     pub name: service::Name,
-    /// What the service does with new flows: `open`, `reserving` or `refusing`.
+    /// What the service does with new flows: `open` or `refusing`.
     pub state: String,
     /// Capacity: usable slots of its targets.
     pub slots: f64,
     /// Demand: load that callers offer, in slots.
     pub offered: f64,
-    /// Share of the targets that is reserved for the most urgent routes.
-    pub reserved: f64,
+    /// Share of the offered load that is refused.
+    pub excess: f64,
+    /// Milliseconds that a request spends at a target on average, as this instance sees it.
+    pub time_ms: Option<u64>,
     /// Flows that this instance has refused since its start, by reason.
     pub refused: BTreeMap<&'static str, u64>,
     /// Load by route, the most urgent first.
@@ -114,8 +116,6 @@
     Slow,
     /// Many of its answers are short, as errors and rejections are.
     ShortAnswers,
-    /// It is reserved for the most urgent routes; other flows avoid it.
-    Reserved,
     /// It left a caller or a probe without an answer.
     Unanswered,
     /// It is about to leave.
@@ -193,7 +193,8 @@
             state: status.state.to_string(),
             slots: rounded(status.slots),
             offered: rounded(status.offered),
-            reserved: rounded(status.reserved),
+            excess: rounded(status.excess),
+            time_ms: status.time.map(Span::as_millis),
             refused: refused(load, name),
             routes,
         });
@@ -217,7 +218,6 @@
             continue;
         }
         let registration = &target.registration;
-        let status = load.controller().status(&registration.service);
         let mut avoided = Vec::new();
         if settings.placement == Placement::ExpectedTime && slowness > USUAL {
             avoided.push(Avoided::Slow);
@@ -225,7 +225,7 @@
         if settings.placement == Placement::ExpectedTime && short_share > 0.0 {
             avoided.push(Avoided::ShortAnswers);
         }
-        avoided.extend(other_reasons(front, target, status, now));
+        avoided.extend(other_reasons(front, target, now));
         targets.push(Target {
             id: registration.id.clone(),
             service: registration.service.clone(),
@@ -245,16 +245,8 @@
 }
 
 /// Returns the reasons to avoid a target other than its own estimates.
-fn other_reasons(
-    front: &Front,
-    target: &directory::Target,
-    status: Option<&controller::Status>,
-    now: Instant,
-) -> Vec<Avoided> {
+fn other_reasons(front: &Front, target: &directory::Target, now: Instant) -> Vec<Avoided> {
     let mut reasons = Vec::new();
-    if status.is_some_and(|status| is_reserved(target.key, status.reserved)) {
-        reasons.push(Avoided::Reserved);
-    }
     if target.health.status(now) != Status::Healthy {
         reasons.push(Avoided::Unanswered);
     }
--- a/crates/mustardway_front/src/load_metrics.rs
+++ b/crates/mustardway_front/src/load_metrics.rs
@@ -6,7 +6,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 
-use mustardway_admission::contention::State;
+use mustardway_admission::controller::State;
 use mustardway_flow::load::Load;
 use mustardway_load::view::{TargetLoad, USUAL};
 use mustardway_types::service;
--- a/crates/mustardway_load/src/estimate.rs
+++ b/crates/mustardway_load/src/estimate.rs
@@ -16,6 +16,13 @@
 const TARGET_TIME_CONSTANT: Span = Span::seconds(4);
 /// Time constant of the usual time of a route, which changes only with the work.
 const BASE_TIME_CONSTANT: Span = Span::seconds(10);
+/// Number of answers whose mean time updates the service time.
+const SERVICE_ANSWERS_MIN: f64 = 20.0;
+/// Weight of a lower mean in the service time. What is lower had less of a queue.
+const SERVICE_FALL: f64 = 0.5;
+/// Least share of the answers from targets with a free slot at which the service time may rise:
+/// otherwise most requests wait.
+const UNQUEUED_SHARE_MIN: f64 = 0.5;
 /// Time constant of the rates and the shares of late and short answers of a route: a burst
 /// that has ended is forgotten within a second.
 const RECENT_TIME_CONSTANT: Span = Span::millis(700);
@@ -43,7 +50,7 @@
 /// Time for which the rates that another root made are used: two intervals, in which each
 /// instance reports to its new parent, and that reports to the new root.
 const INHERITED_RATES_TIME: Span = Span::seconds(1);
-/// Least share of the proper answers whose times the instances send. If it is below that,
+/// Least share of the unqueued answers whose times the instances send. If it is below that,
 /// most instances take themselves to be slow, so that the work of the route has changed and
 /// its usual time is learned anew.
 const TIMED_SHARE_MIN: f64 = 0.5;
@@ -150,8 +157,12 @@
     /// Time at targets in microseconds, and its number of answers, over a longer time.
     time: f64,
     timed: f64,
-    /// Answers that are not short over the same time, also those without a time.
-    proper: f64,
+    /// Unqueued answers over the same time, also those without a time.
+    unqueued: f64,
+    /// Time in microseconds that a request takes at a target without a queue.
+    service_time: f64,
+    /// Sums since the latest update of the service time.
+    since_update: Timed,
 }
 
 impl Route {
@@ -159,9 +170,13 @@
         self.arrived.add(sums);
         self.time += sums.time.0 as f64;
         self.timed += f64::from(sums.timed);
-        self.proper += f64::from(sums.answers.saturating_sub(sums.short));
-        if self.timed < TIMED_SHARE_MIN * self.proper {
-            (self.time, self.timed, self.proper) = (0.0, 0.0, 0.0);
+        self.unqueued += f64::from(sums.unqueued);
+        self.since_update.time += sums.time.0 as f64;
+        self.since_update.timed += f64::from(sums.timed);
+        self.since_update.proper += f64::from(sums.answers.saturating_sub(sums.short));
+        if self.timed < TIMED_SHARE_MIN * self.unqueued {
+            (self.time, self.timed, self.unqueued) = (0.0, 0.0, 0.0);
+            self.service_time = 0.0;
         }
     }
 
@@ -169,11 +184,31 @@
         let base = kept(passed, BASE_TIME_CONSTANT);
         self.time *= base;
         self.timed *= base;
-        self.proper *= base;
+        self.unqueued *= base;
+    }
+
+    /// Updates the service time: it follows lower times fast. Times rise with the queues, so
+    /// it follows higher ones slowly, and only while most requests find a free slot.
+    fn update_service_time(&mut self, passed: Span) {
+        self.since_update.passed = self.since_update.passed + passed;
+        if self.since_update.timed < SERVICE_ANSWERS_MIN {
+            return;
+        }
+        let sums = std::mem::take(&mut self.since_update);
+        let mean = sums.time / sums.timed;
+        if self.service_time == 0.0 {
+            self.service_time = mean;
+        } else if mean < self.service_time {
+            self.service_time += (mean - self.service_time) * SERVICE_FALL;
+        } else if sums.timed >= UNQUEUED_SHARE_MIN * sums.proper {
+            let weight = 1.0 - kept(sums.passed, BASE_TIME_CONSTANT);
+            self.service_time += (mean - self.service_time) * weight;
+        }
     }
 
     /// Updates the rates by what has arrived during `passed`.
     fn update_rates(&mut self, passed: Span) {
+        self.update_service_time(passed);
         let seconds = passed.as_seconds();
         let arrived = std::mem::take(&mut self.arrived);
         let expected = self.rates.requests * seconds;
@@ -194,6 +229,7 @@
             refused: rates.refused,
             flows: f64::from(flows),
             base_time: Span(base_time as u64),
+            service_time: Span(self.service_time as u64),
             answers: (rates.answers - rates.short).max(0.0),
             late_share: share(rates.late),
             short_share: share(rates.short),
@@ -207,6 +243,17 @@
     }
 }
 
+/// Times of the answers of a route over some time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Timed {
+    /// Time at targets in microseconds, and its number of answers.
+    time: f64,
+    timed: f64,
+    /// Answers that are not short, queued or not.
+    proper: f64,
+    passed: Span,
+}
+
 /// Decayed sums of all targets and routes.
 #[derive(Debug, Clone, Default)]
 pub struct Estimates {
@@ -321,9 +368,12 @@
         let route = self.routes.entry(key).or_default();
         if route.timed < INHERITED_SAMPLES && load.base_time > Span::ZERO {
             route.timed += INHERITED_SAMPLES;
-            route.proper += INHERITED_SAMPLES;
+            route.unqueued += INHERITED_SAMPLES;
             route.time += INHERITED_SAMPLES * load.base_time.0 as f64;
         }
+        if route.service_time == 0.0 {
+            route.service_time = load.service_time.0 as f64;
+        }
         let answers = load.answers / (1.0 - load.short_share).max(0.05);
         let inherited = Counts {
             opens: load.opens,
--- a/crates/mustardway_load/src/message.rs
+++ b/crates/mustardway_load/src/message.rs
@@ -90,6 +90,9 @@
     /// Number of open flows.
     #[prost(uint32, tag = "10")]
     pub flows: u32,
+    /// Number of answers that are not short, from targets that had a free slot.
+    #[prost(uint32, tag = "11")]
+    pub unqueued: u32,
 }
 
 /// Estimates of a root.
@@ -139,6 +142,9 @@
     /// Share of short answers, in thousandths.
     #[prost(uint32, tag = "9")]
     pub short_millis: u32,
+    /// Time of a request at a target without a queue, in microseconds.
+    #[prost(uint64, tag = "10")]
+    pub service_micros: u64,
 }
 
 impl Report {
@@ -160,6 +166,7 @@
                 time_micros: sums.time.0,
                 short: sums.short,
                 flows: sums.flows.min(COUNT_MAX),
+                unqueued: sums.unqueued,
             });
         }
         report
@@ -188,6 +195,7 @@
             && self.late <= self.answers
             && self.timed <= self.answers
             && self.short <= self.answers
+            && self.unqueued <= self.answers
             && self.time_micros <= u64::from(self.timed) * TIME_MAX.0;
         is_valid.then_some(sums::Route {
             opens: self.opens,
@@ -199,6 +207,7 @@
             time: Span(self.time_micros),
             short: self.short,
             flows: self.flows,
+            unqueued: self.unqueued,
         })
     }
 }
@@ -220,6 +229,7 @@
                 rates.iter().all(|rate| *rate <= RATE_MILLIS_MAX)
                     && entry.flows <= COUNT_MAX
                     && entry.base_micros <= TIME_MAX.0
+                    && entry.service_micros <= TIME_MAX.0
                     && entry.late_millis <= 1_000
                     && entry.short_millis <= 1_000
             })
@@ -236,6 +246,7 @@
             refused_millis: to_rate_millis(load.refused),
             flows: (load.flows as u32).min(COUNT_MAX),
             base_micros: load.base_time.0.min(TIME_MAX.0),
+            service_micros: load.service_time.0.min(TIME_MAX.0),
             answers_millis: to_rate_millis(load.answers),
             late_millis: to_factor_millis(load.late_share),
             short_millis: to_factor_millis(load.short_share),
@@ -250,6 +261,7 @@
             refused: from_millis(self.refused_millis),
             flows: f64::from(self.flows),
             base_time: Span(self.base_micros),
+            service_time: Span(self.service_micros),
             answers: from_millis(self.answers_millis),
             late_share: from_millis(u64::from(self.late_millis)),
             short_share: from_millis(u64::from(self.short_millis)),
--- a/crates/mustardway_load/src/sample.rs
+++ b/crates/mustardway_load/src/sample.rs
@@ -27,6 +27,9 @@
     /// Time that the request spent at the target, waiting there included, from its last byte
     /// to the first part of the answer, without the round trip.
     pub time: Span,
+    /// Whether the target had a free slot when the request was sent, so that the time shows
+    /// the speed of the target and not the length of its queue.
+    pub is_unqueued: bool,
     /// Whether the answer had far fewer bytes than usual for its route, as an error has.
     pub is_short: bool,
     /// Whether the answer came after the target latency of its route.
--- a/crates/mustardway_load/src/sums.rs
+++ b/crates/mustardway_load/src/sums.rs
@@ -22,7 +22,7 @@
 /// Returns the ratio of the time of an answer to the `usual` time of its route, if the
 /// answer shows the speed of its target.
 pub fn ratio(answer: &Answer, usual: Option<Span>) -> Option<f64> {
-    let usual = usual.filter(|usual| *usual > Span::ZERO && !answer.is_short)?;
+    let usual = usual.filter(|usual| *usual > Span::ZERO && !answer.is_short && answer.is_unqueued)?;
     Some((answer.time.0 as f64 / usual.0 as f64).min(RATIO_MAX))
 }
 
@@ -124,10 +124,13 @@
     pub answers: u32,
     /// Number of late answers.
     pub late: u32,
-    /// Number of answers whose times are in `time`: those that are not short.
+    /// Number of answers whose times are in `time`: the unqueued ones, unless this instance
+    /// itself is slow.
     pub timed: u32,
     /// Number of short answers.
     pub short: u32,
+    /// Number of answers that are not short, from targets that had a free slot.
+    pub unqueued: u32,
     /// Time that the requests spent at targets.
     pub time: Span,
     /// Number of open flows now. It is not a sum over time, so adding sums leaves it out.
@@ -144,6 +147,7 @@
         self.timed = add(self.timed, other.timed);
         self.time = (self.time + other.time).min(Span(u64::from(self.timed) * TIME_MAX.0));
         self.short = add(self.short, other.short);
+        self.unqueued = add(self.unqueued, other.unqueued);
     }
 }
 
@@ -190,7 +194,11 @@
             target.short += 1;
             return;
         }
+        if !answer.is_unqueued {
+            return;
+        }
         let route = self.routes.entry(answer.route).or_default();
+        route.unqueued += 1;
         route.timed += 1;
         route.time = route.time + answer.time.min(TIME_MAX);
         let Some(ratio) = ratio(answer, usual) else { return };
--- a/crates/mustardway_load/src/view.rs
+++ b/crates/mustardway_load/src/view.rs
@@ -23,8 +23,10 @@
     pub flows: f64,
     /// Answers that are not short.
     pub answers: f64,
-    /// Mean time that a request takes at a target.
+    /// Mean time that a request takes at a target that had a free slot, as far as was known.
     pub base_time: Span,
+    /// Time that a request takes at a target without a queue: the least mean time lately.
+    pub service_time: Span,
     /// Share of the answers that are late.
     pub late_share: f64,
     /// Share of the answers that are far shorter than usual, as errors and rejections are.
