--- a/crates/mustardway_admission/src/congestion.rs
+++ b/crates/mustardway_admission/src/congestion.rs
@@ -15,10 +15,10 @@
 
 use crate::callers::RETRIES;
 
-/// Least time over which the means are taken: a few requests of a usual duration.
-const WINDOW: Span = Span::millis(200);
-/// Number of answers over which the means are taken, if these take longer than [`WINDOW`].
-const WINDOW_ANSWERS: f64 = 30.0;
+/// Least time over which rates are taken, and number of answers if these take longer.
+const RATE_WINDOW: Window = Window { time: Span::millis(200), answers: 30.0 };
+/// The same for the number of requests in progress, which is to show a change at once.
+const PROGRESS_WINDOW: Window = Window { time: Span::millis(100), answers: 10.0 };
 /// Number of answers from which on the means count.
 const ANSWERS_MIN: f64 = 8.0;
 /// Limit of the wait, as a share of what the target latency leaves for waiting. The times of
@@ -26,25 +26,46 @@
 const WAIT_SHARE: f64 = 0.35;
 /// Waits between which the refused part rises from none to the whole excess, as shares of the
 /// limit.
-const GATE: (f64, f64) = (0.5, 1.0);
+const GATE: (f64, f64) = (0.7, 1.0);
 /// Time in which the wait is to return to its limit, in multiples of the time over which the
-/// means are taken. Less makes the wait oscillate.
+/// rates are taken. Less makes the wait oscillate.
 const RETURN_WINDOWS: f64 = 1.0;
-/// Least correction of the admitted load, as a share of the answered load.
-const CORRECTION_MIN: f64 = 0.5;
+/// Least correction of the admitted load, as a share of the answered load: a queue is worked
+/// off without refusing urgent requests as well.
+const CORRECTION_MIN: f64 = 0.6;
 /// Weight of the share that the whole fleet gets served, against the own one. Without it, an
 /// instance that once had a smaller share would keep it.
-const FLEET_WEIGHT: f64 = 0.5;
-/// Share of rejections by full targets from which on the limit follows the wait at which they
-/// occur. Callers' retries make up for fewer.
-const REJECTED_SHARE: f64 = 0.05;
+const FLEET_WEIGHT: f64 = 0.7;
+/// Shares of rejections by full targets between which the refused part rises in the same way.
+/// Callers' retries make up for fewer.
+const REJECTED_GATE: (f64, f64) = (0.05, 0.2);
+/// Weight of a new value in the wait at which targets reject requests.
+const FULL_WAIT_WEIGHT: f64 = 0.1;
 /// Limit of the wait, as a share of that at which targets reject requests.
-const FULL_WAIT_SHARE: f64 = 0.5;
-/// Least limit of the wait in service times: a target whose slots are all busy has a queue.
-const WAIT_MIN: f64 = 1.0;
+const FULL_WAIT_SHARE: f64 = 0.8;
+/// Least limit of the wait in service times. Less cannot be told from chance.
+const WAIT_MIN: f64 = 0.25;
+/// Least limit of the wait in service times where targets reject requests: a target whose slots
+/// are all busy has a queue.
+const FULL_WAIT_MIN: f64 = 1.0;
 /// Time constant with which the wait at which targets reject requests is forgotten.
 const FULL_WAIT_TIME_CONSTANT: Span = Span::seconds(10);
 
+/// The time over which a mean is taken.
+#[derive(Debug, Clone, Copy)]
+struct Window {
+    time: Span,
+    answers: f64,
+}
+
+impl Window {
+    /// Returns the factor by which sums decay while time passes and answers arrive. Without
+    /// answers they are kept, so that requests that hang count until there are some.
+    fn kept(&self, passed: f64, answers: f64) -> f64 {
+        (-(passed / self.time.as_seconds()).min(answers / self.answers)).exp()
+    }
+}
+
 /// Times of the requests to a service, weighted by their rates.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Times {
@@ -80,10 +101,12 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Congestion {
     recent: Counts,
-    /// Decayed counts, time, and integral of the number of requests in progress over time.
+    /// Decayed counts and time.
     counts: Counts,
     seconds: f64,
+    /// Decayed integral of the number of requests in progress, and its time.
     in_progress: f64,
+    in_progress_seconds: f64,
     updated: Option<Instant>,
     /// Wait in seconds at which targets lately rejected requests.
     full_wait: Option<f64>,
@@ -115,15 +138,15 @@
         let recent = std::mem::take(&mut self.recent);
         let Some(updated) = self.updated.replace(now) else { return };
         let passed = now.since(updated).as_seconds();
-        // Without answers the sums are kept, so that the mean rises until there are some.
-        let part = (passed / WINDOW.as_seconds()).min(recent.answered / WINDOW_ANSWERS);
-        let kept = (-part).exp();
+        let kept = RATE_WINDOW.kept(passed, recent.answered);
         self.counts.requested = self.counts.requested * kept + recent.requested;
         self.counts.refused = self.counts.refused * kept + recent.refused;
         self.counts.answered = self.counts.answered * kept + recent.answered;
         self.counts.rejected = self.counts.rejected * kept + recent.rejected;
         self.seconds = self.seconds * kept + passed;
+        let kept = PROGRESS_WINDOW.kept(passed, recent.answered);
         self.in_progress = self.in_progress * kept + f64::from(in_progress) * passed;
+        self.in_progress_seconds = self.in_progress_seconds * kept + passed;
         self.update_full_wait(times, passed);
     }
 
@@ -131,18 +154,26 @@
         if let Some(full_wait) = &mut self.full_wait {
             *full_wait *= (passed / FULL_WAIT_TIME_CONSTANT.as_seconds()).exp();
         }
-        let is_full = self.counts.rejected > REJECTED_SHARE * self.counts.answered;
+        let is_full = self.rejected_share() > REJECTED_GATE.0;
         if let Some(wait) = self.wait(times).filter(|_| is_full) {
-            let known = self.full_wait.unwrap_or(f64::INFINITY);
-            self.full_wait = Some(known.min(wait));
+            let known = self.full_wait.unwrap_or(wait);
+            self.full_wait = Some(known + (wait - known) * FULL_WAIT_WEIGHT);
         }
     }
 
+    fn rejected_share(&self) -> f64 {
+        self.counts.rejected / self.counts.answered.max(1.0)
+    }
+
     /// Returns the mean time until a target has served a request, if it is known.
     pub fn time(&self) -> Option<Span> {
         const MICROS_PER_SECOND: f64 = 1e6;
-        let is_known = self.counts.answered >= ANSWERS_MIN;
-        is_known.then(|| Span((self.in_progress / self.counts.served() * MICROS_PER_SECOND) as u64))
+        if self.counts.answered < ANSWERS_MIN {
+            return None;
+        }
+        let rate = self.counts.served() / self.seconds;
+        let in_progress = self.in_progress / self.in_progress_seconds;
+        Some(Span((in_progress / rate * MICROS_PER_SECOND) as u64))
     }
 
     /// Returns the mean wait of a request in the queue of a target, in seconds.
@@ -152,9 +183,11 @@
 
     /// Returns the longest wait, in seconds, at which requests are in time and not rejected.
     fn limit(&self, times: &Times) -> f64 {
+        let service = times.service.as_seconds();
         let slack = times.aim.saturating_sub(times.service).as_seconds() * WAIT_SHARE;
-        let full_wait = self.full_wait.unwrap_or(f64::INFINITY) * FULL_WAIT_SHARE;
-        slack.min(full_wait).max(times.service.as_seconds() * WAIT_MIN)
+        let slack = slack.max(service * WAIT_MIN);
+        let Some(full_wait) = self.full_wait else { return slack };
+        slack.min((full_wait * FULL_WAIT_SHARE).max(service * FULL_WAIT_MIN))
     }
 
     /// Returns the share of the load that is to be refused, so that the rest is answered in
@@ -164,7 +197,7 @@
             return 0.0;
         };
         let limit = self.limit(times);
-        let gate = ((wait / limit - GATE.0) / (GATE.1 - GATE.0)).clamp(0.0, 1.0);
+        let gate = ramp(wait / limit, GATE).max(ramp(self.rejected_share(), REJECTED_GATE));
         let return_time = self.seconds * RETURN_WINDOWS;
         let correction = (1.0 + (limit - wait) / return_time).max(CORRECTION_MIN);
         let own_share = self.counts.served() / self.counts.wanted().max(1.0);
@@ -172,3 +205,8 @@
         gate * (1.0 - share * correction).clamp(0.0, 1.0)
     }
 }
+
+/// Returns how far `value` is in a range, from 0 to 1.
+fn ramp(value: f64, (low, high): (f64, f64)) -> f64 {
+    ((value - low) / (high - low)).clamp(0.0, 1.0)
+}
--- a/crates/mustardway_admission/tests/allocation.rs
+++ b/crates/mustardway_admission/tests/allocation.rs
@@ -5,6 +5,7 @@
 use mustardway_admission::allocation::{allocate, water_level};
 use mustardway_admission::service::Route;
 use mustardway_load::key;
+use mustardway_types::time::Span;
 use proptest::prelude::*;
 
 /// Share of the capacity that each route may use whatever its urgency.
@@ -19,9 +20,8 @@
         urgency,
         offered,
         opening: offered,
-        served: 0.0,
-        rejected_share: 0.0,
-        late_share: 0.0,
+        service_time: Span::millis(50),
+        aim: Span::millis(250),
     }
 }
 
--- a/crates/mustardway_emulator/src/site.rs
+++ b/crates/mustardway_emulator/src/site.rs
@@ -500,11 +500,8 @@
     site.classes[2].parts = 34;
     site.domain_delay = Span(1_400);
     site.caller_delay = Span::millis(1);
-    site.swing = Some(Swing {
-        amplitude: 0.15,
-        period: Span::seconds(11),
-        phases: vec![0.71, 0.059, 0.91],
-    });
+    site.swing =
+        Some(Swing { amplitude: 0.15, period: Span::seconds(11), phases: vec![0.71, 0.059, 0.91] });
     site.retry_delay = Span::ZERO;
     site.closes_rejected = true;
 }
--- a/crates/mustardway_flow/src/measurement.rs
+++ b/crates/mustardway_flow/src/measurement.rs
@@ -62,13 +62,7 @@
     pub fn answer(&self, acknowledged: u32) -> Option<Answer> {
         let (time, wait) = self.answered?;
         let bytes = acknowledged.wrapping_sub(self.acknowledged_before);
-        Some(Answer {
-            time,
-            wait,
-            requested: self.last_data,
-            bytes,
-            is_unqueued: self.is_unqueued,
-        })
+        Some(Answer { time, wait, requested: self.last_data, bytes, is_unqueued: self.is_unqueued })
     }
 
     /// Removes and returns the answer.
--- a/crates/mustardway_flow/tests/common/load.rs
+++ b/crates/mustardway_flow/tests/common/load.rs
@@ -1,5 +1,7 @@
 //! An instance that uses shared load estimates, and the estimates to send to it.
 
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
 use std::ops::Range;
 
 use mustardway_flow::front::{Action, Event, Verdict};
@@ -12,7 +14,9 @@
 use mustardway_load::topology::Topology;
 use mustardway_types::time::Span;
 
-use super::{Harness, acknowledgement, id, opening, peer, route_address};
+use super::{
+    Harness, TICK_MILLIS, acknowledgement, caller, forwarded_to, id, opening, peer, route_address,
+};
 
 /// Placement by estimates, without admission control.
 pub const PLACEMENT: Settings =
@@ -29,7 +33,98 @@
 /// Returns a route estimate without any load.
 pub fn idle_route(number: u8) -> RouteEstimate {
     let key = key::Route::of(route_address(number)).0;
-    RouteEstimate { key, base_micros: BASE_MILLIS * 1_000, ..RouteEstimate::default() }
+    let base_micros = BASE_MILLIS * 1_000;
+    RouteEstimate { key, base_micros, service_micros: base_micros, ..RouteEstimate::default() }
+}
+
+/// Returns the estimate of a route on which callers want `wanted` requests per second, of which
+/// `served` are served and the rest is refused with two retries.
+pub fn busy_route(number: u8, wanted: u64, served: u64) -> RouteEstimate {
+    RouteEstimate {
+        opens_millis: served * 1_000,
+        requests_millis: served * 1_000,
+        answers_millis: served * 1_000,
+        refused_millis: (wanted - served) * 3 * 1_000,
+        flows: 100,
+        ..idle_route(number)
+    }
+}
+
+/// Requests that callers send on one route.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand {
+    pub route: u8,
+    /// Requests that callers want in a tick.
+    pub wanted: usize,
+    /// Number of requests that were wanted so far.
+    pub asked: usize,
+    /// Number of requests that were refused at all three attempts.
+    pub refused: usize,
+}
+
+impl Demand {
+    pub fn new(route: u8, wanted: usize) -> Self {
+        Demand { route, wanted, asked: 0, refused: 0 }
+    }
+}
+
+/// Callers that send one request per flow, and targets that serve the oldest requests first.
+#[derive(Debug)]
+pub struct Traffic {
+    pub demands: Vec<Demand>,
+    /// Number of callers, which take turns.
+    pub callers: usize,
+    /// Requests that the targets serve in a tick.
+    capacity: usize,
+    /// Caller, route and target of each request.
+    in_progress: VecDeque<(SocketAddrV4, u8, u64)>,
+}
+
+impl Traffic {
+    pub fn new(demands: &[Demand], capacity: usize) -> Self {
+        let in_progress = VecDeque::new();
+        Traffic { demands: demands.to_vec(), callers: 500, capacity, in_progress }
+    }
+
+    /// Lets some time pass, with a summary every 500 ms unless `routes` is empty. Returns the
+    /// number of requests that were refused on the first route.
+    pub fn play(&mut self, harness: &mut Harness, millis: u64, routes: &[RouteEstimate]) -> usize {
+        let before = self.demands[0].refused;
+        for tick in 0..millis / TICK_MILLIS {
+            for _ in 0..self.capacity.min(self.in_progress.len()) {
+                let (source, route, target) = self.in_progress.pop_front().expect("not empty");
+                harness.send(&Packet { source, ..data(0, route, target, 200, 1_000, 0) });
+                harness.send(&Packet { source, ..finish(0, route, target, 200, 1_000) });
+            }
+            for demand in 0..self.demands.len() {
+                for _ in 0..self.demands[demand].wanted {
+                    self.ask(harness, demand);
+                }
+            }
+            harness.advance(TICK_MILLIS);
+            if !routes.is_empty() && tick % (500 / TICK_MILLIS) == 0 {
+                harness.receive_summary(&[], routes);
+            }
+        }
+        self.demands[0].refused - before
+    }
+
+    /// Sends one request, with two retries.
+    fn ask(&mut self, harness: &mut Harness, demand: usize) {
+        let Demand { route, asked, .. } = self.demands[demand];
+        self.demands[demand].asked += 1;
+        let mut source = caller(10_000 + (asked % self.callers) as u16);
+        for attempt in 0..3 {
+            source.set_port(10_000 + ((asked * 3 + attempt) % 50_000) as u16);
+            let packet = Packet { source, ..opening(0, route, 0) };
+            let Some(target) = forwarded_to(harness.send(&packet)) else { continue };
+            harness.send(&Packet { source, ..acknowledgement(0, route, target) });
+            harness.send(&Packet { source, ..data(0, route, target, 0, 0, 200) });
+            self.in_progress.push_back((source, route, target));
+            return;
+        }
+        self.demands[demand].refused += 1;
+    }
 }
 
 pub fn target_key(number: u64) -> key::Target {
--- a/crates/mustardway_flow/tests/common/mod.rs
+++ b/crates/mustardway_flow/tests/common/mod.rs
@@ -26,7 +26,7 @@
 /// Time after which a probe without an answer is silent.
 pub const PROBE_TIMEOUT: Span = Span::millis(100);
 /// Time between two ticks.
-const TICK_MILLIS: u64 = 50;
+pub const TICK_MILLIS: u64 = 50;
 
 /// An instance, its clock and its pending actions.
 pub struct Harness {
--- a/crates/mustardway_flow/tests/load_admission.rs
+++ b/crates/mustardway_flow/tests/load_admission.rs
@@ -2,12 +2,11 @@
 
 mod common;
 
-use common::load::{ADMISSION, idle_route, route_sums};
+use common::load::{ADMISSION, Demand, Traffic, busy_route, route_sums};
 use common::{
     Harness, acknowledgement, answer_acknowledgement, caller, forwarded_to, opening, request,
 };
-use mustardway_admission::callers::RETRIES;
-use mustardway_admission::contention::State;
+use mustardway_admission::controller::State;
 use mustardway_flow::front::{Action, Verdict};
 use mustardway_flow::note::{Note, ResetReason};
 use mustardway_flow::packet::Packet;
@@ -16,44 +15,32 @@
 
 /// Number of targets, with 4 slots each.
 const TARGETS: u64 = 5;
-/// Time of a request at a target with a full queue.
-const WAITING_MICROS: u64 = 60_000;
+/// Requests that the targets serve in a tick of 50 ms, which is the time of one request.
+const CAPACITY: usize = 20;
 
-/// Returns the estimate of a route on which `requested` flows per second with one request
-/// each are opened and `answered` are answered properly.
-fn busy_route(number: u8, requested: u64, answered: u64) -> RouteEstimate {
-    let rejected = 1_000 - answered * 1_000 / requested.max(1);
-    RouteEstimate {
-        opens_millis: requested * 1_000,
-        requests_millis: requested * 1_000,
-        answers_millis: answered * 1_000,
-        flows: 100,
-        // A target that rejects requests has a full queue, in which the others wait.
-        base_micros: if rejected > 0 { WAITING_MICROS } else { idle_route(number).base_micros },
-        short_millis: u32::try_from(rejected).expect("a share"),
-        ..idle_route(number)
-    }
-}
-
-/// Receives a summary every 500 ms.
-fn run(harness: &mut Harness, millis: u64, routes: &[RouteEstimate]) {
-    for _ in 0..millis / 500 {
-        for _ in 0..10 {
-            harness.advance(50);
-        }
-        harness.receive_summary(&[], routes);
-    }
+/// Returns the estimate of a route at twice its capacity.
+fn overloaded() -> [RouteEstimate; 1] {
+    [busy_route(1, 800, 400)]
 }
 
-/// Returns an instance of a service that rejects three quarters of its requests. Requests
-/// are tried up to three times, so there are 692 different ones, of which 400 are served.
-fn refusing() -> Harness {
+fn idle() -> (Harness, Traffic) {
     let mut harness = Harness::with_load(TARGETS, 0, ADMISSION);
     harness.become_child();
-    run(&mut harness, 3_000, &[busy_route(1, 1_600, 400)]);
+    (harness, Traffic::new(&[Demand::new(1, CAPACITY / 2)], CAPACITY))
+}
+
+/// Returns an instance of a service at twice its capacity.
+fn refusing_traffic() -> (Harness, Traffic) {
+    let (mut harness, mut traffic) = idle();
+    traffic.demands[0].wanted = 2 * CAPACITY;
+    traffic.play(&mut harness, 3_000, &overloaded());
     assert_eq!(state(&harness), State::Refusing);
     harness.take_sums();
-    harness
+    (harness, traffic)
+}
+
+fn refusing() -> Harness {
+    refusing_traffic().0
 }
 
 fn state(harness: &Harness) -> State {
@@ -75,32 +62,40 @@
 /// Guards against refusals while targets serve what is asked, also at high load.
 #[test]
 fn nothing_is_refused_while_targets_keep_up() {
-    let mut harness = Harness::with_load(TARGETS, 0, ADMISSION);
-    harness.become_child();
-    run(&mut harness, 5_000, &[busy_route(1, 390, 380)]);
+    let (mut harness, mut traffic) = idle();
+    traffic.demands[0].wanted = CAPACITY - 1;
+    assert_eq!(traffic.play(&mut harness, 5_000, &[busy_route(1, 380, 380)]), 0);
     assert_eq!(harness.count_refused(0..1_000, 1), 0);
 }
 
-/// Guards against refusals in a burst that callers' retries get over.
+/// Guards against refusals of requests that targets work off in time.
 #[test]
-fn nothing_is_refused_in_a_short_burst() {
-    let mut harness = Harness::with_load(TARGETS, 0, ADMISSION);
-    harness.become_child();
-    run(&mut harness, 1_000, &[busy_route(1, 1_600, 400)]);
-    run(&mut harness, 500, &[busy_route(1, 300, 300)]);
-    run(&mut harness, 1_000, &[busy_route(1, 1_600, 400)]);
-    assert_eq!(harness.count_refused(0..1_000, 1), 0);
+fn nothing_is_refused_in_a_burst_of_one_tick() {
+    let (mut harness, mut traffic) = idle();
+    traffic.play(&mut harness, 2_000, &[busy_route(1, 200, 200)]);
+    traffic.demands[0].wanted = CAPACITY * 5 / 4;
+    traffic.play(&mut harness, 50, &[]);
+    traffic.demands[0].wanted = CAPACITY / 2;
+    assert_eq!(traffic.play(&mut harness, 1_000, &[busy_route(1, 200, 200)]), 0);
+}
+
+/// Guards against requests that queue up until all of them are late.
+#[test]
+fn refusals_begin_within_half_a_second_of_a_step() {
+    let (mut harness, mut traffic) = idle();
+    traffic.play(&mut harness, 2_000, &[busy_route(1, 200, 200)]);
+    traffic.demands[0].wanted = 2 * CAPACITY;
+    assert!(traffic.play(&mut harness, 500, &[]) > 0);
 }
 
 /// Guards against a full service that refuses much less or much more than its excess.
 #[test]
 fn full_service_refuses_its_excess() {
-    let mut harness = refusing();
-    // Of a request's 1 + 0.75 + 0.75² tries, one is wanted: 1,600 / 2.3125 = 692 per second,
-    // of which 400 are served.
-    let refused = harness.count_refused(0..2_000, 1);
-    let expected = 2_000.0 * (1.0 - 400.0 / 692.0);
-    assert!((refused as f64 - expected).abs() < 200.0, "{refused} of {expected}");
+    let (mut harness, mut traffic) = refusing_traffic();
+    let asked = traffic.demands[0].asked;
+    let refused = traffic.play(&mut harness, 5_000, &overloaded()) as f64;
+    let share = refused / (traffic.demands[0].asked - asked) as f64;
+    assert!((0.45..0.6).contains(&share), "{share}");
 }
 
 /// Guards against refusals without the knowledge of operators.
@@ -108,13 +103,17 @@
 fn refusals_are_counted_by_reason() {
     let mut harness = refusing();
     harness.actions.clear();
+    let counted = |harness: &Harness| -> u64 {
+        let load = harness.front.load().expect("the estimates are used");
+        load.refused().map(|(_, _, count)| count).sum()
+    };
+    let before = counted(&harness);
     let refused = harness.count_refused(0..100, 1);
     let is_refusal = |action: &&Action| {
         matches!(action, Action::Note(Note::Reset { reason: ResetReason::Overloaded, .. }))
     };
     assert_eq!(harness.actions.iter().filter(is_refusal).count(), refused);
-    let load = harness.front.load().expect("the estimates are used");
-    let counted: u64 = load.refused().map(|(_, _, count)| count).sum();
+    let counted = counted(&harness) - before;
     assert_eq!(counted, refused as u64);
     let sums = route_sums(&harness.take_sums(), 1);
     assert_eq!(u64::from(sums.refused), counted);
@@ -146,7 +145,7 @@
 /// go to another target while the first one answers.
 #[test]
 fn copies_of_a_placed_opening_packet_follow_it() {
-    let mut harness = refusing();
+    let (mut harness, mut traffic) = refusing_traffic();
     let mut placed = Vec::new();
     for from in 0..300 {
         if let Some(target) = harness.open(from, 1) {
@@ -164,7 +163,7 @@
     for (from, target) in &placed {
         harness.send(&acknowledgement(*from, 1, *target));
     }
-    run(&mut harness, 2_000, &[busy_route(1, 1_600, 400)]);
+    traffic.play(&mut harness, 2_000, &overloaded());
     for (from, target) in &placed {
         assert_eq!(forwarded_to(harness.send(&opening(*from, 1, 2))), Some(*target));
         assert_eq!(forwarded_to(harness.send(&request(*from, 1, *target))), Some(*target));
@@ -190,10 +189,10 @@
 /// Guards against resets of open flows while new ones are refused.
 #[test]
 fn open_flows_continue_while_new_ones_are_refused() {
-    let mut harness = Harness::with_load(TARGETS, 0, ADMISSION);
-    harness.become_child();
+    let (mut harness, mut traffic) = idle();
     let targets: Vec<u64> = (0..100).map(|from| harness.establish(from, 1)).collect();
-    run(&mut harness, 3_000, &[busy_route(1, 1_600, 400)]);
+    traffic.demands[0].wanted = 2 * CAPACITY;
+    traffic.play(&mut harness, 3_000, &overloaded());
     assert!(harness.count_refused(1_000..1_100, 1) > 0);
     for (from, target) in (0..100).zip(targets) {
         assert_eq!(forwarded_to(harness.send(&request(from, 1, target))), Some(target));
@@ -206,7 +205,7 @@
 /// never change.
 #[test]
 fn retries_get_the_same_verdict_until_the_next_epoch() {
-    let mut harness = refusing();
+    let (mut harness, mut traffic) = refusing_traffic();
     let from = refused_caller(&mut harness, 0..200);
     let retry = |port: u16| {
         let mut source = caller(from);
@@ -218,7 +217,7 @@
     }
     let mut admitted = 0;
     for port in 42_000..42_010 {
-        run(&mut harness, 1_000, &[busy_route(1, 1_600, 400)]);
+        traffic.play(&mut harness, 1_000, &overloaded());
         admitted += u32::from(forwarded_to(harness.send(&retry(port))).is_some());
     }
     assert!((1..10).contains(&admitted), "{admitted} of 10 epochs");
@@ -227,17 +226,12 @@
 /// Guards against refusals by estimates that are not current any more.
 #[test]
 fn refusals_stop_once_summaries_are_old() {
-    let mut harness = refusing();
-    run(&mut harness, 500, &[busy_route(1, 1_600, 400)]);
-    for _ in 0..50 {
-        harness.advance(50);
-    }
-    assert!(harness.count_refused(0..500, 1) > 0);
+    let (mut harness, mut traffic) = refusing_traffic();
+    traffic.play(&mut harness, 500, &overloaded());
+    assert!(traffic.play(&mut harness, 2_000, &[]) > 0);
     // 3 s of age, and 0.5 s until the next look at it.
-    for _ in 0..21 {
-        harness.advance(50);
-    }
-    assert_eq!(harness.count_refused(1_000..1_500, 1), 0);
+    traffic.play(&mut harness, 1_500, &[]);
+    assert_eq!(traffic.play(&mut harness, 1_000, &[]), 0);
     assert_eq!(state(&harness), State::Open);
 }
 
@@ -257,58 +251,30 @@
     assert!(harness.actions.iter().any(is_end));
 }
 
-/// Lets each of 200 callers open a flow every 100 ms, for half a second, with two retries at
-/// once. Returns the number of flows of 1,000 that are refused finally. Flows are told apart
-/// by `port`.
-fn count_refused_of_busy_callers(harness: &mut Harness, port: &mut u16) -> u32 {
-    let mut refused = 0;
-    for _ in 0..5 {
-        harness.advance(100);
-        for number in 0..200 {
-            let is_refused = (0..=RETRIES as u16).all(|attempt| {
-                let mut source = caller(number);
-                source.set_port(*port + attempt);
-                let packet = Packet { source, ..opening(number, 1, 0) };
-                matches!(harness.send(&packet), Verdict::Reset(_))
-            });
-            refused += u32::from(is_refused);
-        }
-        *port += 10;
-    }
-    refused
-}
-
 /// Guards against refusals of nearly all flows while summaries are late by up to 3 s: the
 /// callers have used up what they may open in the epoch.
 #[test]
 fn share_is_met_while_summaries_are_late() {
-    let mut harness = refusing();
-    let mut port = 41_000;
-    for _ in 0..12 {
-        count_refused_of_busy_callers(&mut harness, &mut port);
-        harness.receive_summary(&[], &[busy_route(1, 1_600, 400)]);
-    }
-    for _ in 0..3 {
-        count_refused_of_busy_callers(&mut harness, &mut port);
-    }
-    // 422 are to be refused.
-    let late = count_refused_of_busy_callers(&mut harness, &mut port);
-    assert!(late < 700, "{late} of 1,000 after 1.5 s without a summary");
+    let (mut harness, mut traffic) = refusing_traffic();
+    traffic.callers = 200;
+    traffic.play(&mut harness, 4_000, &overloaded());
+    traffic.play(&mut harness, 1_500, &[]);
+    // Half of 400 are to be refused.
+    let late = traffic.play(&mut harness, 500, &[]);
+    assert!(late < 300, "{late} of 400 after 1.5 s without a summary");
 }
 
 /// Guards against targets that are full in the first part of each epoch and idle in the rest.
 #[test]
 fn refusals_are_spread_over_the_epoch() {
-    let mut harness = refusing();
-    let mut port = 41_000;
-    let mut halves = Vec::new();
-    for _ in 0..20 {
-        halves.push(count_refused_of_busy_callers(&mut harness, &mut port));
-        harness.receive_summary(&[], &[busy_route(1, 1_600, 400)]);
+    let (mut harness, mut traffic) = refusing_traffic();
+    traffic.callers = 200;
+    traffic.play(&mut harness, 4_000, &overloaded());
+    for _ in 0..12 {
+        // Half of 400 are to be refused.
+        let refused = traffic.play(&mut harness, 500, &overloaded());
+        assert!((100..300).contains(&refused), "{refused} of 400");
     }
-    // 422 are to be refused. The first epochs are not known yet.
-    let halves = halves.split_off(8);
-    assert!(halves.iter().all(|refused| (211..633).contains(refused)), "{halves:?}");
 }
 
 /// Guards against a reset of a flow that a target may have opened, when the network delivers
@@ -328,7 +294,7 @@
         // A new epoch begins every other time.
         harness.advance(250);
         harness.advance(250);
-        harness.receive_summary(&[], &[busy_route(1, 1_600, 400)]);
+        harness.receive_summary(&[], &overloaded());
         for from in open {
             placed += 1;
             let verdict = harness.send(&opening(from, 1, 0));
@@ -342,41 +308,49 @@
 /// Guards against refusals that go on after the end of a burst.
 #[test]
 fn refusals_end_within_a_second_of_the_burst() {
-    let mut harness = refusing();
-    run(&mut harness, 1_000, &[busy_route(1, 200, 200)]);
-    assert_eq!(harness.count_refused(0..1_000, 1), 0);
+    let (mut harness, mut traffic) = refusing_traffic();
+    traffic.demands[0].wanted = CAPACITY / 2;
+    traffic.play(&mut harness, 1_000, &[busy_route(1, 200, 200)]);
+    assert_eq!(traffic.play(&mut harness, 2_000, &[busy_route(1, 200, 200)]), 0);
+    assert_eq!(state(&harness), State::Open);
 }
 
-/// Guards against refusals of urgent flows while less urgent ones are admitted.
-#[test]
-fn least_urgent_flows_are_refused_first() {
+/// Plays an ordinary route 1 and an urgent route 2 that together want twice the capacity, and
+/// returns their requests after the first 3 s.
+fn play_unequal_urgency(ordinary: usize, urgent: usize) -> [Demand; 2] {
     let mut harness = Harness::with_load(TARGETS, 0, ADMISSION);
     let mut configuration = common::configuration(2);
     configuration.routes[1] = common::route(2, "orders", Repeat::Once);
     configuration.routes[1].urgency = 0;
     harness.configure(configuration);
     harness.become_child();
-    let routes = [busy_route(1, 1_200, 300), busy_route(2, 400, 100)];
-    run(&mut harness, 3_000, &routes);
+    let rate = |wanted: usize| wanted as u64 * 20;
+    let routes = [(1, rate(ordinary)), (2, rate(urgent))]
+        .map(|(route, rate)| busy_route(route, rate, rate / 2));
+    let demands = [Demand::new(1, ordinary), Demand::new(2, urgent)];
+    let mut traffic = Traffic::new(&demands, CAPACITY);
+    traffic.play(&mut harness, 3_000, &routes);
+    traffic.demands = demands.to_vec();
+    traffic.play(&mut harness, 5_000, &routes);
     assert_eq!(state(&harness), State::Refusing);
-    assert_eq!(harness.count_refused(0..500, 2), 0);
-    let refused = harness.count_refused(1_000..1_500, 1);
-    assert!(refused > 150, "{refused} of 500");
+    [traffic.demands[0], traffic.demands[1]]
+}
+
+/// Guards against refusals of urgent flows while less urgent ones are admitted.
+#[test]
+fn least_urgent_flows_are_refused_first() {
+    let [ordinary, urgent] = play_unequal_urgency(30, 10);
+    assert_eq!(urgent.refused, 0);
+    assert!(ordinary.refused * 2 > ordinary.asked, "{ordinary:?}");
 }
 
 /// Guards against a small route that is starved by more urgent ones.
 #[test]
 fn least_urgent_route_keeps_its_floor() {
-    let mut harness = Harness::with_load(TARGETS, 0, ADMISSION);
-    let mut configuration = common::configuration(2);
-    configuration.routes[1].urgency = 0;
-    harness.configure(configuration);
-    harness.become_child();
-    let routes = [busy_route(1, 200, 50), busy_route(2, 1_600, 400)];
-    run(&mut harness, 3_000, &routes);
-    // 5% of 450 are 22 of 86 flows per second.
-    let admitted = 1_000 - harness.count_refused(0..1_000, 1);
-    assert!((180..340).contains(&admitted), "{admitted} of 1,000");
+    let [ordinary, _] = play_unequal_urgency(4, 36);
+    // 5% of the admitted load of 20 requests is one of 4.
+    let share = 1.0 - ordinary.refused as f64 / ordinary.asked as f64;
+    assert!((0.18..0.34).contains(&share), "{share}");
 }
 
 /// Guards against a service that is refused because another one is full.
--- a/crates/mustardway_load/src/sums.rs
+++ b/crates/mustardway_load/src/sums.rs
@@ -22,7 +22,8 @@
 /// Returns the ratio of the time of an answer to the `usual` time of its route, if the
 /// answer shows the speed of its target.
 pub fn ratio(answer: &Answer, usual: Option<Span>) -> Option<f64> {
-    let usual = usual.filter(|usual| *usual > Span::ZERO && !answer.is_short && answer.is_unqueued)?;
+    let usual =
+        usual.filter(|usual| *usual > Span::ZERO && !answer.is_short && answer.is_unqueued)?;
     Some((answer.time.0 as f64 / usual.0 as f64).min(RATIO_MAX))
 }
 
--- a/crates/mustardway_load/tests/arbitrary.rs
+++ b/crates/mustardway_load/tests/arbitrary.rs
@@ -58,10 +58,12 @@
 prop_compose! {
     fn route_sums()(
         key in 0u64..9, c in [counts(), counts(), counts(), counts(), counts(), counts(),
-        counts(), counts()], time_micros in numbers(),
+        counts(), counts(), counts()], time_micros in numbers(),
     ) -> RouteSums {
-        let [opens, requests, refused, answers, late, timed, short, flows] = c;
-        RouteSums { key, opens, requests, refused, answers, late, timed, time_micros, short, flows }
+        let [opens, requests, refused, answers, late, timed, short, flows, unqueued] = c;
+        RouteSums {
+            key, opens, requests, refused, answers, late, timed, time_micros, short, flows, unqueued,
+        }
     }
 }
 
@@ -78,15 +80,15 @@
     fn summaries()(
         number in numbers(), spread_millis in counts(),
         targets in proptest::option::of(target_estimates()),
-        routes in vec((0u64..9, [numbers(), numbers(), numbers(), numbers(), numbers()],
+        routes in vec((0u64..9, [numbers(), numbers(), numbers(), numbers(), numbers(), numbers()],
             [counts(), counts(), counts()]), 0..4),
     ) -> Body {
-        let route = |(key, rates, values): (u64, [u64; 5], [u32; 3])| {
-            let [opens_millis, requests_millis, refused_millis, base_micros, answers_millis] = rates;
+        let route = |(key, rates, values): (u64, [u64; 6], [u32; 3])| {
+            let [opens_millis, requests_millis, refused_millis, base_micros, answers_millis, service_micros] = rates;
             let [flows, late_millis, short_millis] = values;
             RouteEstimate {
                 key, opens_millis, requests_millis, refused_millis, flows, base_micros,
-                answers_millis, late_millis, short_millis,
+                answers_millis, late_millis, short_millis, service_micros,
             }
         };
         Body::Summary(Summary {
@@ -180,7 +182,7 @@
         let timed = answers - short;
         let route = RouteSums {
             key: key.into(), opens, requests, refused, answers, late, timed, short, flows,
-            time_micros: u64::from(timed) * mean_micros,
+            time_micros: u64::from(timed) * mean_micros, unqueued: timed,
         };
         let report = Report { targets: Some(Box::new(target)), routes: vec![route], is_domain, number: 9 };
         Body::Report(report).into()
