--- a/crates/mustardway_admission/src/congestion.rs
+++ b/crates/mustardway_admission/src/congestion.rs
@@ -6,6 +6,9 @@
 //! show the queue as it was one answer earlier. Each instance uses its own requests alone, so
 //! that nothing waits for messages.
 //!
+//! Targets that are slow or failing show no queue: requests take long there, or fail, also
+//! without one. The other targets are the reference.
+//!
 //! While requests wait longer than they should, as many are admitted as are answered, with a
 //! correction that brings the wait back to its limit. The rate of answers is the capacity as
 //! it is now, so no assumption about slots or speeds enters, and refusing ends together with
@@ -81,6 +84,9 @@
     requested: f64,
     refused: f64,
     answered: f64,
+    /// Answers of reference targets, rejections included.
+    reference: f64,
+    /// Rejections by reference targets.
     rejected: f64,
 }
 
@@ -95,6 +101,11 @@
     fn served(&self) -> f64 {
         (self.answered - self.rejected).max(1.0)
     }
+
+    /// Returns the number of requests that reference targets have served.
+    fn reference_served(&self) -> f64 {
+        (self.reference - self.rejected).max(1.0)
+    }
 }
 
 /// Congestion of one service.
@@ -123,17 +134,19 @@
         self.recent.refused += 1.0;
     }
 
-    /// Records an answer.
-    pub fn record_answer(&mut self) {
+    /// Records an answer of a reference target or of another one.
+    pub fn record_answer(&mut self, is_reference: bool) {
         self.recent.answered += 1.0;
+        self.recent.reference += f64::from(u8::from(is_reference));
     }
 
-    /// Records that an answer was a rejection by a full target.
+    /// Records that an answer of a reference target was a rejection since it is full.
     pub fn record_rejection(&mut self) {
         self.recent.rejected += 1.0;
     }
 
-    /// Adds the time since the latest update, in which `in_progress` requests were in progress.
+    /// Adds the time since the latest update, in which `in_progress` requests were in progress at
+    /// reference targets.
     pub fn update(&mut self, in_progress: u32, times: &Times, now: Instant) {
         let recent = std::mem::take(&mut self.recent);
         let Some(updated) = self.updated.replace(now) else { return };
@@ -142,6 +155,7 @@
         self.counts.requested = self.counts.requested * kept + recent.requested;
         self.counts.refused = self.counts.refused * kept + recent.refused;
         self.counts.answered = self.counts.answered * kept + recent.answered;
+        self.counts.reference = self.counts.reference * kept + recent.reference;
         self.counts.rejected = self.counts.rejected * kept + recent.rejected;
         self.seconds = self.seconds * kept + passed;
         let kept = PROGRESS_WINDOW.kept(passed, recent.answered);
@@ -162,16 +176,16 @@
     }
 
     fn rejected_share(&self) -> f64 {
-        self.counts.rejected / self.counts.answered.max(1.0)
+        self.counts.rejected / self.counts.reference.max(1.0)
     }
 
-    /// Returns the mean time until a target has served a request, if it is known.
+    /// Returns the mean time until a reference target has served a request, if it is known.
     pub fn time(&self) -> Option<Span> {
         const MICROS_PER_SECOND: f64 = 1e6;
-        if self.counts.answered < ANSWERS_MIN {
+        if self.counts.reference < ANSWERS_MIN {
             return None;
         }
-        let rate = self.counts.served() / self.seconds;
+        let rate = self.counts.reference_served() / self.seconds;
         let in_progress = self.in_progress / self.in_progress_seconds;
         Some(Span((in_progress / rate * MICROS_PER_SECOND) as u64))
     }
--- a/crates/mustardway_admission/src/controller.rs
+++ b/crates/mustardway_admission/src/controller.rs
@@ -118,22 +118,22 @@
         }
     }
 
-    /// Records an answer from a target of a service.
-    pub fn record_answer(&mut self, name: &service::Name) {
+    /// Records an answer from a target of a service, which is a reference target or not.
+    pub fn record_answer(&mut self, name: &service::Name, is_reference: bool) {
         if let Some(service) = self.services.get_mut(name) {
-            service.congestion.record_answer();
+            service.congestion.record_answer(is_reference);
         }
     }
 
-    /// Records that an answer was a rejection by a full target.
+    /// Records that an answer of a reference target was a rejection since it is full.
     pub fn record_rejection(&mut self, name: &service::Name) {
         if let Some(service) = self.services.get_mut(name) {
             service.congestion.record_rejection();
         }
     }
 
-    /// Updates a service that has `in_progress` requests of this instance in progress, and
-    /// returns the change of its state, if any.
+    /// Updates a service with `in_progress` requests of this instance in progress at reference
+    /// targets, and returns the change of its state, if any.
     pub fn update(
         &mut self,
         name: &service::Name,
--- a/crates/mustardway_admission/tests/congestion.rs
+++ b/crates/mustardway_admission/tests/congestion.rs
@@ -51,7 +51,7 @@
                     self.waiting += 1;
                     continue;
                 }
-                self.congestion.record_answer();
+                self.congestion.record_answer(true);
                 self.congestion.record_rejection();
             }
             let in_progress = self.waiting;
@@ -59,7 +59,7 @@
             self.history.push((wanted, served));
             for _ in 0..served {
                 self.waiting -= 1;
-                self.congestion.record_answer();
+                self.congestion.record_answer(true);
             }
             self.now = self.now + TICK;
             self.congestion.update(in_progress, &TIMES, self.now);
@@ -147,7 +147,7 @@
     for _ in 0..100 {
         for _ in 0..10 {
             congestion.record_request();
-            congestion.record_answer();
+            congestion.record_answer(true);
         }
         now = now + TICK;
         // 10 in 50 ms with 300 ms each.
@@ -163,7 +163,7 @@
     congestion.update(0, &TIMES, Instant(1_000_000));
     for _ in 0..5 {
         congestion.record_request();
-        congestion.record_answer();
+        congestion.record_answer(true);
     }
     congestion.update(5, &TIMES, Instant(1_900_000));
     assert_eq!(congestion.time(), None);
--- a/crates/mustardway_admission/tests/decisions.rs
+++ b/crates/mustardway_admission/tests/decisions.rs
@@ -25,7 +25,7 @@
         }
         let answered = load.served * 0.1 * TICK.as_seconds();
         for _ in 0..answered as u32 {
-            controller.record_answer(&service());
+            controller.record_answer(&service(), true);
         }
         let seconds = if is_full { 0.25 } else { 0.05 };
         let in_progress = load.served * 0.1 * seconds;
@@ -93,7 +93,7 @@
         now = now + TICK;
         for _ in 0..10 {
             controller.record_request(&service());
-            controller.record_answer(&service());
+            controller.record_answer(&service(), true);
         }
         assert_eq!(controller.update(&service(), &overloaded, 0, now), None);
     }
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -240,7 +240,8 @@
         if progress.answered {
             observation.finish_request(now);
             if let Some(load) = &mut self.load {
-                load.controller.record_answer(&target.registration.service);
+                let is_reference = load.is_reference(target.key);
+                load.controller.record_answer(&target.registration.service, is_reference);
             }
         }
         if progress.requested {
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -91,7 +91,7 @@
         let is_late = aim.is_some_and(|aim| answer.wait > aim);
         let is_short = load.record_answer(target.key, key::Route::of(route), answer, is_late);
         // A target with a free slot that rejects a request is not full but fails.
-        if is_short && !answer.is_unqueued {
+        if is_short && !answer.is_unqueued && load.is_reference(target.key) {
             load.controller.record_rejection(&target.registration.service);
         }
     }
@@ -129,6 +129,12 @@
         self.reset(packet, reason, now, actions)
     }
 
+    /// Returns the mean number of requests in progress on an open flow to a service.
+    pub(super) fn busy_share(&self, service: &service::Name) -> f64 {
+        let load = self.load.as_ref();
+        load.and_then(|load| load.busy_shares.get(service)).copied().unwrap_or_default()
+    }
+
     /// Reports the number of open flows of each route.
     pub(super) fn report_flows(&mut self) {
         let Some(load) = &mut self.load else { return };
@@ -145,9 +151,6 @@
     fn apply_estimates(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.update_time_factors(actions);
         let Some(load) = &self.load else { return };
-        if load.settings.admission == Admission::Off {
-            return;
-        }
         let is_current = load.node.view().age(now).is_some_and(|age| age < node::SUMMARY_AGE_MAX);
         if !is_current {
             self.stop_refusing(actions);
@@ -155,6 +158,9 @@
         }
         let offered = self.offered_loads(now);
         let Some(load) = &mut self.load else { return };
+        if load.settings.admission == Admission::Off {
+            return;
+        }
         load.controller.retain(|service| offered.contains_key(service));
         load.offered = offered;
     }
@@ -172,6 +178,7 @@
         }
         load.controller.reset();
         load.offered.clear();
+        load.busy_shares.clear();
     }
 
     /// Updates the admission by the requests that are in progress.
@@ -191,14 +198,16 @@
         }
     }
 
-    /// Returns the number of this instance's requests that usable targets of a service have
-    /// in progress. Those at targets that do not respond show no queue.
+    /// Returns the number of this instance's requests that usable reference targets of a service
+    /// have in progress.
     fn requests_in_progress(&self, service: &service::Name, now: Instant) -> u32 {
+        let Some(load) = &self.load else { return 0 };
         let mut requests = 0;
         for index in self.directory.indexes_of_service(service) {
             let Some(target) = self.directory.get(*index) else { continue };
-            if target.observation.outstanding() > 0 && self.is_usable(target, now) {
-                requests += target.observation.outstanding();
+            let outstanding = target.observation.outstanding();
+            if outstanding > 0 && load.is_reference(target.key) && self.is_usable(target, now) {
+                requests += outstanding;
             }
         }
         requests
@@ -229,6 +238,7 @@
     /// Returns the load that callers offer to each service that has any.
     fn offered_loads(&mut self, now: Instant) -> BTreeMap<service::Name, admission_service::Load> {
         let mut loads: BTreeMap<service::Name, admission_service::Load> = BTreeMap::new();
+        let mut flows: BTreeMap<service::Name, f64> = BTreeMap::new();
         let (Some(load), Some(configuration)) = (&mut self.load, self.directory.configuration())
         else {
             return loads;
@@ -250,6 +260,7 @@
                 let part = f64::from(share.weight) / total.max(1) as f64;
                 let opening = (estimate.opens / tries + refused) * service_time * part;
                 let offered = (requests + refused) * service_time * part;
+                *flows.entry(share.service.clone()).or_default() += estimate.flows * part;
                 let load = loads.entry(share.service.clone()).or_default();
                 load.wanted += (estimate.requests + refused) * part;
                 load.served += estimate.answers * part;
@@ -263,6 +274,14 @@
                 });
             }
         }
+        load.busy_shares.clear();
+        if load.settings.placement == Placement::ExpectedTime {
+            for (service, flows) in flows.into_iter().filter(|(_, flows)| *flows >= 1.0) {
+                let in_progress: f64 =
+                    loads.get(&service).map_or(0.0, admission_service::Load::offered);
+                load.busy_shares.insert(service, (in_progress / flows).min(1.0));
+            }
+        }
         for (service, load) in &mut loads {
             load.slots = self.usable_slots(service, now);
         }
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -19,7 +19,7 @@
 use crate::observation::{DEPRIORITISED_FOR, RESPONSE_TIMEOUT};
 use crate::opening::Opening;
 use crate::packet::Packet;
-use crate::placement::{Candidate, Grade};
+use crate::placement::{Candidate, Grade, WEIGHTS};
 use crate::slow_start;
 use crate::table::{Record, Stage};
 
@@ -225,6 +225,8 @@
     /// Returns the targets of a service that accept new flows.
     fn candidates(&self, service: &service::Name, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
+        let senders = self.neighbours.len();
+        let idle_weight = (self.busy_share(service) / WEIGHTS.idle_flow).max(1.0);
         for index in self.directory.indexes_of_service(service) {
             let Some(target) = self.directory.get(*index) else { continue };
             if !self.accepts_now(target, now) {
@@ -233,14 +235,13 @@
             let is_degraded = target.health.status(now) != Status::Healthy
                 || is_unregistered_and_silent(target, now)
                 || target.observation.is_deprioritised(now);
-            let senders = self.neighbours.len();
             candidates.push(Candidate {
                 index: *index,
                 grade: if is_degraded { Grade::Degraded } else { Grade::Good },
                 is_local: target.registration.domain == self.home,
                 is_cold: now < target.cold_until,
                 waiting: target.observation.estimate_outstanding(senders, now),
-                idle: f64::from(target.observation.idle_flows()) * senders as f64,
+                idle: f64::from(target.observation.idle_flows()) * senders as f64 * idle_weight,
                 slots: target.registration.slots,
                 time_factor: target.time_factor,
             });
--- a/crates/mustardway_flow/src/load.rs
+++ b/crates/mustardway_flow/src/load.rs
@@ -10,6 +10,7 @@
 use mustardway_admission::controller::{Controller, Reason};
 use mustardway_admission::service as service_load;
 use mustardway_load::sample::{self, Sample};
+use mustardway_load::view::USUAL;
 use mustardway_load::{key, node};
 use mustardway_mirror::publication::Configuration;
 use mustardway_types::time::{Instant, Span};
@@ -34,6 +35,9 @@
 /// Weight of a flow in the mean round trip.
 const ROUND_TRIP_WEIGHT: f64 = 1.0 / 16.0;
 
+/// Share of short answers from which on a target is failing. A full one serves some requests.
+const FAILING_SHARE: f64 = 0.8;
+
 /// How new flows are placed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Placement {
@@ -57,7 +61,10 @@
 /// What the estimates are used for.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Settings {
-    /// How new flows are placed.
+    /// Share of short answers from which on a target is failing. A full one serves some requests.
+const FAILING_SHARE: f64 = 0.8;
+
+/// How new flows are placed.
     pub placement: Placement,
     /// Whether new flows are refused while a service is full.
     pub admission: Admission,
@@ -91,6 +98,8 @@
     /// Mean bytes of the answers of each route.
     usual_bytes: FxHashMap<key::Route, f64>,
     usual_round_trip: f64,
+    /// Mean requests in progress on an open flow to each service.
+    pub(crate) busy_shares: BTreeMap<service::Name, f64>,
     /// Load that callers offer to each service, by the latest summary.
     pub(crate) offered: BTreeMap<service::Name, service_load::Load>,
     /// Number of refused flows by service and reason.
@@ -108,6 +117,7 @@
             routes: FxHashMap::default(),
             usual_bytes: FxHashMap::default(),
             usual_round_trip: 0.0,
+            busy_shares: BTreeMap::new(),
             offered: BTreeMap::new(),
             refused: BTreeMap::new(),
         }
@@ -128,6 +138,13 @@
         self.refused.iter().map(|((service, reason), count)| (service, *reason, *count))
     }
 
+    /// Returns whether the requests at a target show whether its service is full: it is neither
+    /// slow nor failing.
+    pub(crate) fn is_reference(&self, target: key::Target) -> bool {
+        let view = self.node.view();
+        view.slowness(target) <= USUAL && view.short_share(target) < FAILING_SHARE
+    }
+
     /// Returns the mean round trip of the flows that were opened here.
     pub(crate) fn usual_round_trip(&self) -> Span {
         Span(self.usual_round_trip as u64)
--- a/crates/mustardway_load/src/estimate.rs
+++ b/crates/mustardway_load/src/estimate.rs
@@ -36,7 +36,7 @@
 const PRIOR_SAMPLES: f64 = 3.0;
 /// Range in which the slowness counts as usual, so that chance differences do not change
 /// the placement.
-const USUAL_RANGE: (f64, f64) = (1.0 / 1.5, 1.5);
+const USUAL_RANGE: (f64, f64) = (0.75, 1.5);
 /// Least slowness: a target that answers faster than that does other work.
 const SLOWNESS_MIN: f64 = 0.5;
 /// Number of instances that have to have seen a target for its slowness to count. One
