--- a/crates/mustardway_flow/src/load.rs
+++ b/crates/mustardway_flow/src/load.rs
@@ -61,10 +61,7 @@
 /// What the estimates are used for.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Settings {
-    /// Share of short answers from which on a target is failing. A full one serves some requests.
-const FAILING_SHARE: f64 = 0.8;
-
-/// How new flows are placed.
+    /// How new flows are placed.
     pub placement: Placement,
     /// Whether new flows are refused while a service is full.
     pub admission: Admission,
