--- a/crates/mustardway_admission/src/congestion.rs
+++ b/crates/mustardway_admission/src/congestion.rs
@@ -38,21 +38,21 @@
 const CORRECTION_MIN: f64 = 0.7;
 /// Weight of the share that the whole fleet gets served, against the own one. Without it, an
 /// instance that once had a smaller share would keep it.
-const FLEET_WEIGHT: f64 = 0.7;
+const FLEET_WEIGHT: f64 = 0.85;
 /// Shares of rejections by full targets between which the refused part rises in the same way.
 /// Callers' retries make up for fewer.
 const REJECTED_GATE: (f64, f64) = (0.05, 0.2);
 /// Weight of a new value in the wait at which targets reject requests.
 const FULL_WAIT_WEIGHT: f64 = 0.1;
 /// Limit of the wait, as a share of that at which targets reject requests.
-const FULL_WAIT_SHARE: f64 = 0.8;
+const FULL_WAIT_SHARE: f64 = 0.5;
 /// Least limit of the wait in service times. Less cannot be told from chance.
 const WAIT_MIN: f64 = 0.25;
 /// Least limit of the wait in service times where targets reject requests: a target whose slots
 /// are all busy has a queue.
 const FULL_WAIT_MIN: f64 = 1.0;
 /// Time constant with which the wait at which targets reject requests is forgotten.
-const FULL_WAIT_TIME_CONSTANT: Span = Span::seconds(10);
+const FULL_WAIT_TIME_CONSTANT: Span = Span::seconds(5);
 
 /// The time over which a mean is taken.
 #[derive(Debug, Clone, Copy)]
@@ -161,14 +161,14 @@
         let kept = PROGRESS_WINDOW.kept(passed, recent.answered);
         self.in_progress = self.in_progress * kept + f64::from(in_progress) * passed;
         self.in_progress_seconds = self.in_progress_seconds * kept + passed;
-        self.update_full_wait(times, passed);
+        self.update_full_wait(times, passed, recent.rejected > 0.0);
     }
 
-    fn update_full_wait(&mut self, times: &Times, passed: f64) {
+    fn update_full_wait(&mut self, times: &Times, passed: f64, has_rejections: bool) {
         if let Some(full_wait) = &mut self.full_wait {
             *full_wait *= (passed / FULL_WAIT_TIME_CONSTANT.as_seconds()).exp();
         }
-        let is_full = self.rejected_share() > REJECTED_GATE.0;
+        let is_full = has_rejections && self.rejected_share() > REJECTED_GATE.0;
         if let Some(wait) = self.wait(times).filter(|_| is_full) {
             let known = self.full_wait.unwrap_or(wait);
             self.full_wait = Some(known + (wait - known) * FULL_WAIT_WEIGHT);
