Admission: the limit of the wait recovers after rejections without a wait

Cause: the wait at which targets reject requests was forgotten by a factor, so a value of zero (no wait seen, as where the service time is estimated too high) stayed zero, and the limit at one service time for good. Found by reading. Change: it is at least one service time.

--- a/crates/mustardway_admission/src/congestion.rs
+++ b/crates/mustardway_admission/src/congestion.rs
@@ -1,5 +1,8 @@
 //! Congestion of one service, from the requests that one instance sends to it.
 //!
+//! It answers a step in demand, or a loss of targets, after which a service is asked for up to
+//! four times what its targets can serve.
+//!
 //! The mean time that requests spend at targets follows from Little's law: the mean number of
 //! requests in progress divided by the rate at which they are answered. It rises as soon as
 //! requests pile up and falls as soon as they are worked off, while the times of the answers
@@ -62,8 +65,8 @@
 }
 
 impl Window {
-    /// Returns the factor by which sums decay while time passes and answers arrive. Without
-    /// answers they are kept, so that requests that hang count until there are some.
+    /// Returns the factor by which sums decay while time passes and answers arrive. They are
+    /// kept while there are no answers, so that the mean time rises.
     fn kept(&self, passed: f64, answers: f64) -> f64 {
         (-(passed / self.time.as_seconds()).min(answers / self.answers)).exp()
     }
@@ -170,6 +173,8 @@
         }
         let is_full = has_rejections && self.rejected_share() > REJECTED_GATE.0;
         if let Some(wait) = self.wait(times).filter(|_| is_full) {
+            // A full target has a queue, also where the wait seems to be zero.
+            let wait = wait.max(times.service.as_seconds());
             let known = self.full_wait.unwrap_or(wait);
             self.full_wait = Some(known + (wait - known) * FULL_WAIT_WEIGHT);
         }
