--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -125,7 +125,7 @@
                 record.measurement.record_answer(now.since(since), usual_round_trip, now);
             }
         }
-        let has_free_slot = self.has_free_slot(index, now);
+        let has_free_slot = packet.length > 0 && self.has_free_slot(index, now);
         let Some(record) = self.table.get_mut(&flow) else { return };
         let mut progress = Progress { responded, answered: waited.is_some(), requested: false };
         let mut unanswered_since = None;
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -135,9 +135,9 @@
         load.and_then(|load| load.busy_shares.get(service)).copied().unwrap_or_default()
     }
 
-    /// Reports the number of open flows of each route, and counts the requests that hang: they
-    /// take so long that the queue of a target cannot be the cause.
-    pub(super) fn report_flows(&mut self, now: Instant) {
+    /// Counts the open flows of each route and the requests that hang at each target: they take so
+    /// long that the queue of a target cannot be the cause.
+    pub(super) fn count_flows(&mut self, now: Instant) {
         let Some(load) = &mut self.load else { return };
         let mut flows: BTreeMap<key::Route, u32> = BTreeMap::new();
         let mut hanging: BTreeMap<usize, u32> = BTreeMap::new();
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -392,7 +392,7 @@
             return;
         }
         self.next_sweep = now + SWEEP_INTERVAL;
-        self.report_flows(now);
+        self.count_flows(now);
         for flow in self.table.expired(self.directory.idle_timeout(), now) {
             self.untrack(&flow, now);
         }
