Admission: nothing is refused below an offered load of 0.7 of the slots

Cause: an instance whose own link is full sees its requests take long and took that for congestion. Change: the shared offered load has to be 0.7 of the slots.

--- a/crates/mustardway_admission/src/controller.rs
+++ b/crates/mustardway_admission/src/controller.rs
@@ -13,6 +13,9 @@
 use crate::congestion::Congestion;
 use crate::service::Load;
 
+/// Offered load per slot below which nothing is refused. Requests that take long then wait
+/// elsewhere, as on a full link of this instance.
+const BUSY_ABOVE: f64 = 0.7;
 /// Time without any excess after which a service no longer counts as full.
 const OPEN_AFTER: Span = Span::seconds(1);
 
@@ -147,7 +150,11 @@
         let service = self.services.get_mut(name)?;
         let times = load.times();
         service.congestion.update(in_progress, &times, now);
-        let excess = service.congestion.excess(&times, load.served_share());
+        let offered = load.offered();
+        let excess = match offered >= load.slots * BUSY_ABOVE {
+            true => service.congestion.excess(&times, load.served_share()),
+            false => 0.0,
+        };
         let before = service.state;
         if excess > 0.0 {
             service.state = State::Refusing;
@@ -155,7 +162,6 @@
         } else if now.since(service.last_excess) >= OPEN_AFTER {
             service.state = State::Open;
         }
-        let offered = load.offered();
         let admitted = allocate(offered * (1.0 - excess), &load.routes);
         let mut routes = BTreeMap::new();
         service.callers.retain(|key, _| load.routes.iter().any(|route| route.route == *key));
