--- a/crates/mustardway_admission/src/congestion.rs
+++ b/crates/mustardway_admission/src/congestion.rs
@@ -6,8 +6,8 @@
 //! The mean time that requests spend at targets follows from Little's law: the mean number of
 //! requests in progress divided by the rate at which they are answered. It rises as soon as
 //! requests pile up and falls as soon as they are worked off, while the times of the answers
-//! show the queue as it was one answer earlier. Each instance uses its own requests alone, so
-//! that nothing waits for messages.
+//! show the queue as it was one answer earlier. Each instance measures it by its own requests,
+//! since messages would come too late.
 //!
 //! Targets that are slow or failing show no queue: requests take long there, or fail, also
 //! without one. The other targets are the reference.
@@ -33,9 +33,6 @@
 /// Waits between which the refused part rises from none to the whole excess, as shares of the
 /// limit.
 const GATE: (f64, f64) = (0.7, 1.0);
-/// Time in which the wait is to return to its limit, in multiples of the time over which the
-/// rates are taken. Less makes the wait oscillate.
-const RETURN_WINDOWS: f64 = 1.0;
 /// Least correction of the admitted load, as a share of the answered load: a queue is worked
 /// off without refusing urgent requests as well.
 const CORRECTION_MIN: f64 = 0.7;
@@ -217,8 +214,8 @@
         };
         let limit = self.limit(times);
         let gate = ramp(wait / limit, GATE).max(ramp(self.rejected_share(), REJECTED_GATE));
-        let return_time = self.seconds * RETURN_WINDOWS;
-        let correction = (1.0 + (limit - wait) / return_time).max(CORRECTION_MIN);
+        // The wait is to return to its limit within the time over which the rates are taken.
+        let correction = (1.0 + (limit - wait) / self.seconds).max(CORRECTION_MIN);
         let own_share = self.counts.served() / self.counts.wanted().max(1.0);
         let share = own_share + (served_share - own_share) * FLEET_WEIGHT;
         gate * (1.0 - share * correction).clamp(0.0, 1.0)
--- a/crates/mustardway_admission/src/controller.rs
+++ b/crates/mustardway_admission/src/controller.rs
@@ -144,10 +144,7 @@
         in_progress: u32,
         now: Instant,
     ) -> Option<Change> {
-        if !self.services.contains_key(name) {
-            self.services.insert(name.clone(), Service::default());
-        }
-        let service = self.services.get_mut(name)?;
+        let service = self.services.entry(name.clone()).or_default();
         let times = load.times();
         service.congestion.update(in_progress, &times, now);
         let offered = load.offered();
--- a/crates/mustardway_admission/tests/decisions.rs
+++ b/crates/mustardway_admission/tests/decisions.rs
@@ -75,6 +75,26 @@
     }
 }
 
+/// Guards against refusals by an instance whose own link is full: its requests take long while
+/// targets have room. Found by the soak with narrow links, seeds 2 and 3.
+#[test]
+fn long_times_at_low_load_refuse_nothing() {
+    let low = load(100.0, &[route(1, 1, 20.0), route(2, 2, 40.0)]);
+    let mut controller = Controller::default();
+    let mut now = START;
+    for _ in 0..60 {
+        for _ in 0..6 {
+            controller.record_request(&service());
+            controller.record_answer(&service(), true);
+        }
+        // 120 requests per second that take 500 ms.
+        controller.update(&service(), &low, 60, now);
+        now = now + TICK;
+    }
+    assert_eq!(controller.status(&service()).expect("known").excess, 0.0);
+    assert!((admitted_share(&mut controller, 2) - 1.0).abs() < f64::EPSILON);
+}
+
 /// Guards against refusals by a load that is no longer known.
 #[test]
 fn unknown_load_admits_all() {
--- a/crates/mustardway_emulator/examples/calibration.rs
+++ b/crates/mustardway_emulator/examples/calibration.rs
@@ -1,9 +1,9 @@
 //! Runs the scenarios that `docs/DESIGN.md` compares with the users' bench: one
 //! disruption each, on Frío Austral's site, at 280 requests per second.
 
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::report::Counts;
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::site::Preset;
 use mustardway_emulator::world::simulate;
 use mustardway_types::time::Span;
 
--- a/crates/mustardway_emulator/examples/control_at_size.rs
+++ b/crates/mustardway_emulator/examples/control_at_size.rs
@@ -2,8 +2,8 @@
 //! platform and bytes between instances, in a scenario of the grown site without
 //! disruptions.
 
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::scenario::Scenario;
-use mustardway_emulator::site::Preset;
 use mustardway_emulator::world::simulate;
 
 /// Seconds that the instances run: startup, traffic and the wait for the last answers.
--- a/crates/mustardway_emulator/src/lib.rs
+++ b/crates/mustardway_emulator/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! Modules:
 //! - [`site`]: the deployment: failure domains, instances, services and requests.
+//! - [`preset`]: predefined sites.
 //! - [`scenario`]: the load and the disruptions of a run.
 //! - [`defect`]: faults that are injected into the instances on purpose.
 //! - [`report`]: the outcome of the requests and the violations of the rules.
@@ -30,6 +31,7 @@
 mod network;
 mod platform;
 pub mod plot;
+pub mod preset;
 mod probe;
 mod queue;
 pub mod report;
--- a/crates/mustardway_emulator/tests/admission_under_load.rs
+++ b/crates/mustardway_emulator/tests/admission_under_load.rs
@@ -2,9 +2,10 @@
 //! serve.
 
 use mustardway_emulator::comparison::{BURST_BASE, WARM_UP, burst, goodput, late_refusals, steady};
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::report::Report;
 use mustardway_emulator::scenario::Scenario;
-use mustardway_emulator::site::{Preset, Site};
+use mustardway_emulator::site::Site;
 use mustardway_emulator::world::simulate;
 use mustardway_flow::load::{Admission, Placement, Settings};
 
--- a/crates/mustardway_emulator/tests/broken_rules.rs
+++ b/crates/mustardway_emulator/tests/broken_rules.rs
@@ -2,9 +2,10 @@
 //! reports no violation by sound ones.
 
 use mustardway_emulator::defect::Defect;
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::report::Rule;
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::site::{Preset, Site};
+use mustardway_emulator::site::Site;
 use mustardway_emulator::world::simulate_defect;
 use mustardway_types::time::Span;
 
--- a/crates/mustardway_emulator/tests/experiments.rs
+++ b/crates/mustardway_emulator/tests/experiments.rs
@@ -3,8 +3,8 @@
 
 use mustardway_emulator::experiment::{Bound, compare, shrink};
 use mustardway_emulator::plot;
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::site::Preset;
 use mustardway_emulator::variant::Variant;
 use mustardway_emulator::world::simulate;
 use mustardway_types::time::Span;
--- a/crates/mustardway_emulator/tests/fault_free.rs
+++ b/crates/mustardway_emulator/tests/fault_free.rs
@@ -1,8 +1,8 @@
 //! Scenarios without faults: the service level that callers get and the control traffic
 //! that it costs.
 
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::site::Preset;
 use mustardway_emulator::world::simulate;
 use mustardway_types::time::Span;
 
--- a/crates/mustardway_emulator/tests/found_faults.rs
+++ b/crates/mustardway_emulator/tests/found_faults.rs
@@ -1,9 +1,9 @@
 //! Regression tests for faults that were found in the users' scenarios or in random
 //! ones. Each scenario failed before its cause was fixed.
 
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::report::{Counts, Report};
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::site::Preset;
 use mustardway_emulator::world::simulate;
 use mustardway_types::time::Span;
 
--- a/crates/mustardway_emulator/tests/full_links.rs
+++ b/crates/mustardway_emulator/tests/full_links.rs
@@ -2,8 +2,8 @@
 
 use std::fmt::Write as _;
 
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::site::Preset;
 use mustardway_emulator::world::simulate;
 use mustardway_types::time::Span;
 
--- a/crates/mustardway_emulator/tests/gazette_under_load.rs
+++ b/crates/mustardway_emulator/tests/gazette_under_load.rs
@@ -2,9 +2,10 @@
 //! as long as the target latency.
 
 use mustardway_emulator::comparison::{WARM_UP, goodput, steady};
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::report::Report;
 use mustardway_emulator::scenario::Kind;
-use mustardway_emulator::site::{Preset, Site};
+use mustardway_emulator::site::Site;
 use mustardway_emulator::world::simulate;
 use mustardway_flow::load::{Admission, Placement, Settings};
 use mustardway_types::time::Span;
--- a/crates/mustardway_emulator/tests/load_model.rs
+++ b/crates/mustardway_emulator/tests/load_model.rs
@@ -1,8 +1,9 @@
 //! The model of unequal targets, swinging demand and bursts.
 
 use mustardway_emulator::comparison::{BURST_TIME, METHODS, steady};
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::site::{Preset, Site};
+use mustardway_emulator::site::Site;
 use mustardway_emulator::world::simulate;
 use mustardway_types::time::Span;
 
--- a/crates/mustardway_emulator/tests/lost_targets.rs
+++ b/crates/mustardway_emulator/tests/lost_targets.rs
@@ -1,8 +1,8 @@
 //! The service level that callers get while targets are lost or cut off, and while the
 //! platform is down.
 
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::site::Preset;
 use mustardway_emulator::world::simulate;
 use mustardway_types::time::Span;
 
--- a/crates/mustardway_emulator/tests/other_sites.rs
+++ b/crates/mustardway_emulator/tests/other_sites.rs
@@ -1,8 +1,9 @@
 //! Sites of other sizes than the users': one failure domain, one instance, many
 //! instances.
 
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::scenario::Scenario;
-use mustardway_emulator::site::{Preset, Site};
+use mustardway_emulator::site::Site;
 use mustardway_emulator::world::simulate;
 
 /// Returns a site with the given number of instances in each failure domain, and the
--- a/crates/mustardway_emulator/tests/placement_under_load.rs
+++ b/crates/mustardway_emulator/tests/placement_under_load.rs
@@ -4,9 +4,10 @@
 use std::sync::{Arc, Mutex};
 
 use mustardway_emulator::comparison::{METHODS, Method, steady};
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::report::Report;
 use mustardway_emulator::scenario::Scenario;
-use mustardway_emulator::site::{Preset, Site};
+use mustardway_emulator::site::Site;
 use mustardway_emulator::variant::Variant;
 use mustardway_emulator::world::simulate_with_listener;
 use mustardway_flow::load::{Admission, Placement, Settings};
--- a/crates/mustardway_emulator/tests/random_scenarios.rs
+++ b/crates/mustardway_emulator/tests/random_scenarios.rs
@@ -1,7 +1,7 @@
 //! Random scenarios: no rule is violated, whatever disruptions coincide.
 
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::scenario::Scenario;
-use mustardway_emulator::site::Preset;
 use mustardway_emulator::world::simulate;
 
 /// Number of scenarios of each site. Many more are run by hand.
--- a/crates/mustardway_emulator/tests/restored_platform.rs
+++ b/crates/mustardway_emulator/tests/restored_platform.rs
@@ -1,7 +1,7 @@
 //! Days on which the platform comes back from an older copy of its state.
 
+use mustardway_emulator::preset::Preset;
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::site::Preset;
 use mustardway_emulator::world::simulate;
 use mustardway_types::time::Span;
 
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -122,7 +122,7 @@
         if let Some(since) = waited {
             actions.push(Action::Waited(Wait::Answer(now.since(since))));
             if is_measurable(since) {
-                record.measurement.record_answer(now.since(since), usual_round_trip, now);
+                record.measurement.record_answer(usual_round_trip, now);
             }
         }
         let has_free_slot = packet.length > 0 && self.has_free_slot(index, now);
--- a/crates/mustardway_flow/src/front/load.rs
+++ b/crates/mustardway_flow/src/front/load.rs
@@ -81,15 +81,13 @@
         route: SocketAddrV4,
         answer: &measurement::Answer,
     ) {
-        let aim = self.directory.route(route).map(|route| route.aim);
         let (Some(load), Some(target)) = (&mut self.load, self.directory.get(index)) else {
             return;
         };
         if answer.requested <= target.started {
             return;
         }
-        let is_late = aim.is_some_and(|aim| answer.wait > aim);
-        let is_short = load.record_answer(target.key, key::Route::of(route), answer, is_late);
+        let is_short = load.record_answer(target.key, key::Route::of(route), answer);
         // A target with a free slot that rejects a request is not full but fails.
         if is_short && !answer.is_unqueued && load.is_reference(target.key) {
             load.controller.record_rejection(&target.registration.service);
--- a/crates/mustardway_flow/src/load.rs
+++ b/crates/mustardway_flow/src/load.rs
@@ -173,7 +173,6 @@
         target: key::Target,
         route: key::Route,
         answer: &measurement::Answer,
-        is_late: bool,
     ) -> bool {
         let bytes = f64::from(answer.bytes);
         let base_time = self.node.view().route(route).map_or(Span::ZERO, |load| load.base_time);
@@ -192,7 +191,6 @@
             time: answer.time,
             is_unqueued: answer.is_unqueued,
             is_short,
-            is_late,
         }));
         is_short
     }
--- a/crates/mustardway_load/src/lib.rs
+++ b/crates/mustardway_load/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`sample`]: what one instance observes.
 //! - [`sums`]: sums of samples.
 //! - [`estimate`]: estimates from sums, which decay over time.
+//! - `rates`: rates and times of one route.
 //! - [`flows`]: the open flows of an instance and of its peers.
 //! - [`view`]: the estimates as an instance uses them.
 //! - [`message`]: messages between instances.
@@ -27,6 +28,7 @@
 pub mod key;
 pub mod message;
 pub mod node;
+mod rates;
 pub mod sample;
 pub mod schedule;
 pub mod sums;
--- a/crates/mustardway_load/src/message.rs
+++ b/crates/mustardway_load/src/message.rs
@@ -57,7 +57,8 @@
     pub number: u64,
 }
 
-/// Sums of one route, see [`sums::Route`].
+/// Sums of one route, see [`sums::Route`]. Tag 6 is taken: older instances send late answers in
+/// it.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct RouteSums {
     /// Key of the route.
@@ -75,9 +76,6 @@
     /// Number of answers.
     #[prost(uint32, tag = "5")]
     pub answers: u32,
-    /// Number of late answers.
-    #[prost(uint32, tag = "6")]
-    pub late: u32,
     /// Number of answers whose times are known.
     #[prost(uint32, tag = "7")]
     pub timed: u32,
@@ -112,7 +110,8 @@
     pub routes: Vec<RouteEstimate>,
 }
 
-/// Load of one route, see [`RouteLoad`]. Rates are in thousandths per second.
+/// Load of one route, see [`RouteLoad`]. Rates are in thousandths per second. Tag 8 is taken:
+/// older instances send the share of late answers in it.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct RouteEstimate {
     /// Key of the route.
@@ -136,9 +135,6 @@
     /// Answers that are not short.
     #[prost(uint64, tag = "7")]
     pub answers_millis: u64,
-    /// Share of late answers, in thousandths.
-    #[prost(uint32, tag = "8")]
-    pub late_millis: u32,
     /// Share of short answers, in thousandths.
     #[prost(uint32, tag = "9")]
     pub short_millis: u32,
@@ -161,7 +157,6 @@
                 requests: sums.requests,
                 refused: sums.refused,
                 answers: sums.answers,
-                late: sums.late,
                 timed: sums.timed,
                 time_micros: sums.time.0,
                 short: sums.short,
@@ -192,7 +187,6 @@
     fn decode(&self) -> Option<sums::Route> {
         let counts = [self.opens, self.requests, self.refused, self.answers, self.flows];
         let is_valid = counts.iter().all(|count| *count <= COUNT_MAX)
-            && self.late <= self.answers
             && self.timed <= self.answers
             && self.short <= self.answers
             && self.unqueued <= self.answers
@@ -202,7 +196,6 @@
             requests: self.requests,
             refused: self.refused,
             answers: self.answers,
-            late: self.late,
             timed: self.timed,
             time: Span(self.time_micros),
             short: self.short,
@@ -230,7 +223,6 @@
                     && entry.flows <= COUNT_MAX
                     && entry.base_micros <= TIME_MAX.0
                     && entry.service_micros <= TIME_MAX.0
-                    && entry.late_millis <= 1_000
                     && entry.short_millis <= 1_000
             })
     }
@@ -248,7 +240,6 @@
             base_micros: load.base_time.0.min(TIME_MAX.0),
             service_micros: load.service_time.0.min(TIME_MAX.0),
             answers_millis: to_rate_millis(load.answers),
-            late_millis: to_factor_millis(load.late_share),
             short_millis: to_factor_millis(load.short_share),
         }
     }
@@ -263,7 +254,6 @@
             base_time: Span(self.base_micros),
             service_time: Span(self.service_micros),
             answers: from_millis(self.answers_millis),
-            late_share: from_millis(u64::from(self.late_millis)),
             short_share: from_millis(u64::from(self.short_millis)),
         }
     }
--- a/crates/mustardway_load/src/sample.rs
+++ b/crates/mustardway_load/src/sample.rs
@@ -32,6 +32,4 @@
     pub is_unqueued: bool,
     /// Whether the answer had far fewer bytes than usual for its route, as an error has.
     pub is_short: bool,
-    /// Whether the answer came after the target latency of its route.
-    pub is_late: bool,
 }
--- a/crates/mustardway_load/src/sums.rs
+++ b/crates/mustardway_load/src/sums.rs
@@ -123,8 +123,6 @@
     pub refused: u32,
     /// Number of answers.
     pub answers: u32,
-    /// Number of late answers.
-    pub late: u32,
     /// Number of answers whose times are in `time`: the unqueued ones, unless this instance
     /// itself is slow.
     pub timed: u32,
@@ -144,7 +142,6 @@
         self.requests = add(self.requests, other.requests);
         self.refused = add(self.refused, other.refused);
         self.answers = add(self.answers, other.answers);
-        self.late = add(self.late, other.late);
         self.timed = add(self.timed, other.timed);
         self.time = (self.time + other.time).min(Span(u64::from(self.timed) * TIME_MAX.0));
         self.short = add(self.short, other.short);
@@ -186,7 +183,6 @@
     fn record_answer(&mut self, answer: &Answer, usual: Option<Span>, contributor: Contributors) {
         let route = self.route(answer.route);
         route.answers += 1;
-        route.late += u32::from(answer.is_late);
         route.short += u32::from(answer.is_short);
         let target = self.targets.entry(answer.target).or_default();
         target.answers += 1;
--- a/crates/mustardway_load/src/view.rs
+++ b/crates/mustardway_load/src/view.rs
@@ -27,8 +27,6 @@
     pub base_time: Span,
     /// Time that a request takes at a target without a queue: the least mean time lately.
     pub service_time: Span,
-    /// Share of the answers that are late.
-    pub late_share: f64,
     /// Share of the answers that are far shorter than usual, as errors and rejections are.
     pub short_share: f64,
 }
