Gate, runtime: handovers of instances that start together no longer keep a target pending

An instance that does not serve a target yet hands it over without a summary of its history. The next owner then stays pending, so it never acknowledged such a handover, the earlier one sent it again every 500 ms, and each copy put the end of the pending state off by 500 ms. With two earlier owners in different phases the gate stayed pending for ever; the log shows both acknowledged within 30 us when a delay of the processor let it end at last.

Ruled out: the fence (it would be logged), a lost view (revision 1 in force), a deadlock of the loop (the peer task goes on and tick_gates holds no lock of the table while it locks gates).

Change: a handover that is complete is acknowledged whether its sender served or not, and messages put the pending state off for 3 s at most. A log line each second and /ready name the condition that keeps an instance from being ready.

--- a/crates/mustardway_gate/src/gate.rs
+++ b/crates/mustardway_gate/src/gate.rs
@@ -43,6 +43,8 @@
     pub(crate) instance: instance::Id,
     pub(crate) limits: Limits,
     pub(crate) ownership: Ownership,
+    /// Time at which the gate last became pending.
+    pub(crate) pending_since: time::Instant,
     pub(crate) random: Pcg32,
     pub(crate) flows: flow_table::Table,
     pub(crate) placements: placement::Table,
@@ -81,6 +83,7 @@
             target,
             instance,
             ownership,
+            pending_since: now,
             flows: flow_table::Table::new(table_seed),
             placements: placement::Table::new(table_seed),
             dedup: Cache::new(table_seed, FILTER_SEED, complete_since),
--- a/crates/mustardway_gate/src/ownership.rs
+++ b/crates/mustardway_gate/src/ownership.rs
@@ -12,6 +12,9 @@
 /// Time for which a gate collects announcements after an earlier owner was lost.
 pub const REBUILD_TIME: time::Span = time::Span::millis(500);
 
+/// Longest time for which handovers that are incomplete or repeated keep a gate pending.
+pub const PENDING_TIME_MAX: time::Span = time::Span::seconds(3);
+
 /// Whether this gate decides for its target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/mustardway_gate/src/transfer.rs
+++ b/crates/mustardway_gate/src/transfer.rs
@@ -90,6 +90,7 @@
             return;
         }
         self.ownership = Ownership::pending(now);
+        self.pending_since = now;
         self.dedup.mark_incomplete(now);
         self.flows.clear();
         self.placements.clear_all();
@@ -138,14 +139,15 @@
         Some(Handover { ended, closed, requests, ..self.new_message() })
     }
 
-    /// Applies one part of the state of an earlier owner. With the last part the gate starts to
-    /// serve. If it served already, both states are merged and the stricter value of each wins.
+    /// Applies one part of the state of an earlier owner, and returns whether the whole state has
+    /// arrived. The gate then starts to serve if the earlier owner served. If this gate served
+    /// already, both states are merged and the stricter value of each wins.
     pub fn receive_handover(
         &mut self,
         now: time::Instant,
         message: &Handover,
         steps: &mut Vec<Step>,
-    ) -> Result<(), Error> {
+    ) -> Result<bool, Error> {
         if message.target != self.target.as_str() {
             return Err(Error::Target);
         }
@@ -155,7 +157,9 @@
             self.take_over(now);
         }
         if let Ownership::Pending { .. } = self.ownership {
-            self.ownership = Ownership::Pending { until: now + ownership::REBUILD_TIME };
+            let latest = self.pending_since + ownership::PENDING_TIME_MAX;
+            let until = latest.min(now + ownership::REBUILD_TIME);
+            self.ownership = Ownership::Pending { until };
         }
         let in_order = message.parts > 0 && self.reassembly.accept(&from, message.part);
         self.receive_flows_and_placements(now, message);
@@ -169,7 +173,7 @@
         if let (true, Some(summary)) = (last, &message.summary) {
             self.receive_summary(now, summary)?;
         }
-        Ok(())
+        Ok(last)
     }
 
     /// Applies what an ingress knows after an earlier owner was lost.
--- a/crates/mustardway_gate/tests/owner_change.rs
+++ b/crates/mustardway_gate/tests/owner_change.rs
@@ -102,6 +102,35 @@
     assert_matches!(new.ownership(), Ownership::Pending { .. });
 }
 
+/// Hands over from a gate of `instance` that does not serve yet.
+fn pending_handover(instance: &str) -> Handover {
+    let mut old = gate_at(instance, limits(2, 1, 4), Ownership::pending(at(0)), at(0));
+    old.hand_over(at(0), "entry-2".parse().unwrap(), &mut Vec::new())
+}
+
+#[test]
+fn handover_without_history_is_complete() {
+    let mut new = next_owner(0);
+    let message = pending_handover("entry-1");
+    assert_eq!(new.receive_handover(at(0), &message, &mut Vec::new()), Ok(true));
+    assert_matches!(new.ownership(), Ownership::Pending { .. });
+}
+
+/// Several instances that start at the same time may each have taken themselves for the owner.
+#[test]
+fn repeated_handovers_do_not_keep_gate_pending() {
+    let mut new = next_owner(0);
+    let handovers = [pending_handover("entry-1"), pending_handover("entry-3")];
+    for round in 0..20 {
+        for (phase, handover) in handovers.iter().enumerate() {
+            let now = at(500 * round + 250 * phase as u64);
+            new.receive_handover(now, handover, &mut Vec::new()).unwrap();
+            tick(&mut new, now);
+        }
+    }
+    assert_matches!(new.ownership(), Ownership::Serving { .. });
+}
+
 #[test]
 fn unplanned_change_rebuilds_from_announcements() {
     let mut new = next_owner(0);
--- a/crates/mustardway_runtime/src/admin.rs
+++ b/crates/mustardway_runtime/src/admin.rs
@@ -102,15 +102,13 @@
     }
 
     fn ready(&self) -> response::Ready {
-        let draining = self.draining.load(Ordering::Relaxed);
-        let ready = self.report.read().is_ready && !draining;
-        let reason = match self.state() {
-            response::State::Starting => "no configuration is in force yet",
-            response::State::Fenced => "the peers have not been heard yet",
-            response::State::Draining => "it is draining",
-            response::State::Serving => "it waits for targets that others hand over",
+        let obstacle = self.report.read().obstacle;
+        let reason = if self.draining.load(Ordering::Relaxed) {
+            Some("it is draining".into())
+        } else {
+            obstacle.map(|obstacle| obstacle.to_compact_string())
         };
-        response::Ready { ready, reason: (!ready).then(|| reason.into()) }
+        response::Ready { ready: reason.is_none(), reason }
     }
 
     fn status(&self) -> response::Status {
--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -8,11 +8,13 @@
 //! Modules:
 //! - [`channel`]: the channels into the loop.
 //! - [`observer`]: notifications about configuration revisions.
+//! - [`readiness`]: conditions for taking packets.
 //! - [`report`]: the published state of the loop.
 
 pub mod channel;
 pub mod observer;
 mod platform;
+pub mod readiness;
 pub mod report;
 mod snapshot;
 
@@ -96,6 +98,8 @@
     was_fenced: bool,
     /// Instances found dead since the gates were last reconciled.
     lost_instances: BTreeSet<instance::Id>,
+    /// Time of the last log line about a condition that keeps this instance from being ready.
+    obstacle_logged_at: Option<Instant>,
 }
 
 impl Control {
@@ -138,6 +142,7 @@
             reconcile_basis: (0, revision::Number(0)),
             was_fenced: true,
             lost_instances: BTreeSet::new(),
+            obstacle_logged_at: None,
         }
     }
 
@@ -427,8 +432,10 @@
         }
     }
 
-    /// Publishes the report.
-    fn write_report(&self, now: Instant) {
+    /// Publishes the report, and logs what keeps this instance from being ready.
+    fn write_report(&mut self, now: Instant) {
+        let obstacle = self.obstacle(now);
+        self.log_obstacle(obstacle, now);
         let counts = self.spread.counts();
         let peer = |record: &member::Record| PeerReport {
             id: record.member.id.clone(),
@@ -438,7 +445,7 @@
             revision: self.peer_revisions.get(&record.member.id).copied().unwrap_or_default(),
         };
         *self.report.write() = Report {
-            is_ready: self.is_ready(now),
+            obstacle,
             handed_over: self.handovers.is_complete(&self.node),
             is_reader: self.spread.is_reader(),
             confirmed_ago: self.spread.age(now),
@@ -447,19 +454,4 @@
             peers: self.membership.members().map(peer).collect(),
         };
     }
-
-    /// Returns whether this instance may take packets: a view is in force, the peers have answered,
-    /// and no gate waits for a handover.
-    fn is_ready(&self, now: Instant) -> bool {
-        let heard = self.membership.ready(now) && !self.membership.fenced(now);
-        let knows_all = heard && self.spread.is_ready(now) && self.plan.is_some();
-        if !knows_all || self.is_reconcile_due {
-            return false;
-        }
-        let gates = self.node.gates.read();
-        let pending = |gate: &Arc<parking_lot::Mutex<mustardway_gate::Gate>>| {
-            matches!(gate.lock().ownership(), mustardway_gate::Ownership::Pending { .. })
-        };
-        !gates.values().any(pending)
-    }
 }
--- a/crates/mustardway_runtime/src/control/report.rs
+++ b/crates/mustardway_runtime/src/control/report.rs
@@ -6,11 +6,13 @@
 use mustardway_types::time::Span;
 use mustardway_types::{domain, instance, revision};
 
+use super::readiness::Obstacle;
+
 /// The state that the control loop publishes on every tick.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Report {
-    /// Whether this instance may take packets.
-    pub is_ready: bool,
+    /// Condition that keeps this instance from taking packets; `None` when it is ready.
+    pub obstacle: Option<Obstacle>,
     /// Whether every gate was handed over and acknowledged by its next owner.
     pub handed_over: bool,
     /// Whether this instance reads the platform.
@@ -25,6 +27,20 @@
     pub peers: Vec<PeerReport>,
 }
 
+impl Default for Report {
+    fn default() -> Self {
+        Report {
+            obstacle: Some(Obstacle::Configuration),
+            handed_over: false,
+            is_reader: false,
+            confirmed_ago: Span::default(),
+            reads: 0,
+            failures: 0,
+            peers: Vec::new(),
+        }
+    }
+}
+
 /// The membership state and revision of one instance, as known here.
 #[derive(Debug, Clone)]
 pub struct PeerReport {
--- a/crates/mustardway_runtime/src/handover.rs
+++ b/crates/mustardway_runtime/src/handover.rs
@@ -260,8 +260,8 @@
     }
 }
 
-/// Applies a part of the state that the previous owner handed over. Acknowledges the handover after
-/// the last part.
+/// Applies a part of the state that a previous owner handed over. Acknowledges the handover after
+/// the last part, also if that owner did not serve yet: it resends the handover otherwise.
 pub fn receive(node: &Arc<Node>, from: &instance::Id, part: &Handover) {
     let Ok(id) = part.target.parse::<target::Id>() else { return };
     let snapshot = node.snapshot();
@@ -272,21 +272,25 @@
         None => expect_handover(node, &id, target),
     };
     let mut steps = Vec::new();
-    let opened = {
+    let (complete, serves) = {
         let mut gate = gate.lock();
         if matches!(gate.ownership(), Ownership::Closed { .. }) && part.parts > 0 {
             gate.take_over(now);
         }
-        if let Err(error) = gate.receive_handover(now, part, &mut steps) {
-            slog::warn!(node.logger, "refused a handover"; "target" => %id, "error" => %error);
-            return;
-        }
+        let complete = match gate.receive_handover(now, part, &mut steps) {
+            Ok(complete) => complete,
+            Err(error) => {
+                slog::warn!(node.logger, "refused a handover"; "target" => %id, "error" => %error);
+                return;
+            }
+        };
         gate.set_leaving(target.state == TargetState::Leaving);
-        matches!(gate.ownership(), Ownership::Serving { .. })
+        (complete, matches!(gate.ownership(), Ownership::Serving { .. }))
     };
     node.dispatch(steps, None);
-    if opened && part.parts > 0 && part.part + 1 == part.parts {
-        slog::info!(node.logger, "took a target over"; "target" => %id, "from" => %from);
+    if complete {
+        slog::info!(node.logger, "took a target over";
+            "target" => %id, "from" => %from, "serves" => serves);
         let accepted = Accepted { target: id.to_string() };
         node.send(from, Priority::Bulk, Kind::Accepted, &accepted);
     }
