Admission, load: steady refusing in steady overload, and none of it held against full targets

Rejections by full targets counted as failures, so all instances left the same targets in turn. Now only requests that found a free slot show that a target fails.

Cause 2: the refused share swung between 0 and 0.77, since one threshold both started refusing and was its set point, with a delay of a service time. Now refusing leads to a lower set point and is held for a second, unless the queues are empty. Where an instance has few requests in progress (below 8), their number is mostly chance: set point and threshold stay the same there, as before.

Cause 3: refusals waited for a summary of the fleet's load (0.5 to 1 s). The growth of the instance's own requests is applied to it now.

--- a/crates/mustardway_admission/src/congestion.rs
+++ b/crates/mustardway_admission/src/congestion.rs
@@ -12,10 +12,12 @@
 //! Targets that are slow or failing show no queue: requests take long there, or fail, also
 //! without one. The other targets are the reference.
 //!
-//! While requests wait longer than they should, as many are admitted as are answered, with a
-//! correction that brings the wait back to its limit. The rate of answers is the capacity as
-//! it is now, so no assumption about slots or speeds enters, and refusing ends together with
-//! its cause.
+//! Once requests wait too long, as many are admitted as are answered, with a correction that
+//! brings the wait to a set point. The rate of answers is the capacity as it is now, so no
+//! assumption about slots or speeds enters. The set point lies well below the wait at which
+//! refusing begins: a single threshold for both would switch refusing on and off, since the
+//! wait shows a change only after a service time. Refusing ends with its cause, when the queues
+//! are empty.
 
 use mustardway_types::time::{Instant, Span};
 
@@ -25,14 +27,28 @@
 const RATE_WINDOW: Window = Window { time: Span::millis(200), answers: 30.0 };
 /// The same for the number of requests in progress, which is to show a change at once.
 const PROGRESS_WINDOW: Window = Window { time: Span::millis(100), answers: 10.0 };
+/// Time constant of the usual rate of wanted requests. The fleet's load is known about as late.
+const USUAL_TIME_CONSTANT: Span = Span::seconds(1);
 /// Number of answers from which on the means count.
 const ANSWERS_MIN: f64 = 8.0;
-/// Limit of the wait, as a share of what the target latency leaves for waiting. The times of
-/// single requests spread around the mean.
-const WAIT_SHARE: f64 = 0.35;
-/// Waits between which the refused part rises from none to the whole excess, as shares of the
-/// limit.
-const GATE: (f64, f64) = (0.7, 1.0);
+/// Wait above which refusing begins, as a share of what the target latency leaves for waiting.
+/// The times of single requests spread around the mean.
+const SLACK_SHARE: f64 = 0.35;
+/// Greatest part by which the set point is below the threshold.
+const SET_POINT_REDUCTION: f64 = 0.55;
+/// Requests in progress between which their number becomes certain. The wait that fewer show is
+/// mostly chance.
+const CERTAIN: (f64, f64) = (8.0, 12.0);
+/// Waits between which the refused part of the excess rises from none to all, as multiples of the
+/// threshold.
+const GATE: (f64, f64) = (0.8, 1.0);
+/// Time constant with which the refused part falls again below these waits. It is long, so that
+/// the wait stays near the set point in steady overload.
+const GATE_TIME_CONSTANT: Span = Span::seconds(1);
+/// Wait below which queues count as empty, as a share of the set point.
+const EMPTY_SHARE: f64 = 0.5;
+/// Time constant with which the refused part falls while queues are empty.
+const EMPTY_TIME_CONSTANT: Span = Span::millis(100);
 /// Least correction of the admitted load, as a share of the answered load: a queue is worked
 /// off without refusing urgent requests as well.
 const CORRECTION_MIN: f64 = 0.7;
@@ -44,12 +60,12 @@
 const REJECTED_GATE: (f64, f64) = (0.05, 0.2);
 /// Weight of a new value in the wait at which targets reject requests.
 const FULL_WAIT_WEIGHT: f64 = 0.1;
-/// Limit of the wait, as a share of that at which targets reject requests.
+/// Greatest threshold, as a share of the wait at which targets reject requests.
 const FULL_WAIT_SHARE: f64 = 0.5;
-/// Least limit of the wait in service times. Less cannot be told from chance.
+/// Least threshold in service times. Less cannot be told from chance.
 const WAIT_MIN: f64 = 0.25;
-/// Least limit of the wait in service times where targets reject requests: a target whose slots
-/// are all busy has a queue.
+/// Least threshold in service times where targets reject requests: a target whose slots are all
+/// busy has a queue.
 const FULL_WAIT_MIN: f64 = 1.0;
 /// Time constant with which the wait at which targets reject requests is forgotten.
 const FULL_WAIT_TIME_CONSTANT: Span = Span::seconds(5);
@@ -119,6 +135,10 @@
     in_progress: f64,
     in_progress_seconds: f64,
     updated: Option<Instant>,
+    /// Usual number of wanted requests per second, if it is known.
+    usual_rate: Option<f64>,
+    /// Part of the excess that is refused, from 0 to 1.
+    gate: f64,
     /// Wait in seconds at which targets lately rejected requests.
     full_wait: Option<f64>,
 }
@@ -162,6 +182,35 @@
         self.in_progress = self.in_progress * kept + f64::from(in_progress) * passed;
         self.in_progress_seconds = self.in_progress_seconds * kept + passed;
         self.update_full_wait(times, passed, recent.rejected > 0.0);
+        self.update_gate(times, passed);
+        self.update_usual_rate(recent.wanted() / passed.max(f64::EPSILON), passed);
+    }
+
+    fn update_gate(&mut self, times: &Times, passed: f64) {
+        let wait = self.wait(times).unwrap_or_default();
+        let is_empty = wait < self.set_point(times) * EMPTY_SHARE;
+        // With few requests the greatest wait of a second is chance.
+        let time = GATE_TIME_CONSTANT.as_seconds() * self.confidence();
+        let time = if is_empty { EMPTY_TIME_CONSTANT.as_seconds() } else { time };
+        let held = self.gate * (-passed / time.max(f64::EPSILON)).exp();
+        let waits = ramp(wait / self.threshold(times), GATE);
+        self.gate = waits.max(ramp(self.rejected_share(), REJECTED_GATE)).max(held);
+    }
+
+    fn update_usual_rate(&mut self, rate: f64, passed: f64) {
+        let usual = self.usual_rate.get_or_insert(rate);
+        *usual += (rate - *usual) * (1.0 - (-passed / USUAL_TIME_CONSTANT.as_seconds()).exp());
+    }
+
+    /// Returns the factor by which callers lately want more requests than usual, at least 1 and
+    /// as far as it is certain.
+    pub fn growth(&self) -> f64 {
+        let usual = self.usual_rate.unwrap_or_default();
+        if usual <= 0.0 || self.seconds <= 0.0 {
+            return 1.0;
+        }
+        let growth = (self.counts.wanted() / self.seconds / usual).max(1.0);
+        1.0 + (growth - 1.0) * self.confidence()
     }
 
     fn update_full_wait(&mut self, times: &Times, passed: f64, has_rejections: bool) {
@@ -188,8 +237,7 @@
             return None;
         }
         let rate = self.counts.reference_served() / self.seconds;
-        let in_progress = self.in_progress / self.in_progress_seconds;
-        Some(Span((in_progress / rate * MICROS_PER_SECOND) as u64))
+        Some(Span((self.mean_in_progress() / rate * MICROS_PER_SECOND) as u64))
     }
 
     /// Returns the mean wait of a request in the queue of a target, in seconds.
@@ -197,13 +245,30 @@
         Some(self.time()?.saturating_sub(times.service).as_seconds())
     }
 
-    /// Returns the longest wait, in seconds, at which requests are in time and not rejected.
-    fn limit(&self, times: &Times) -> f64 {
+    /// Returns how far the wait is known beyond chance, from 0 to 1.
+    fn confidence(&self) -> f64 {
+        ramp(self.mean_in_progress(), CERTAIN)
+    }
+
+    /// Returns the mean number of requests in progress.
+    fn mean_in_progress(&self) -> f64 {
+        self.in_progress / self.in_progress_seconds.max(f64::EPSILON)
+    }
+
+    /// Returns the wait, in seconds, above which refusing begins: requests are then late or
+    /// rejected.
+    fn threshold(&self, times: &Times) -> f64 {
         let service = times.service.as_seconds();
-        let slack = times.aim.saturating_sub(times.service).as_seconds() * WAIT_SHARE;
-        let slack = slack.max(service * WAIT_MIN);
-        let Some(full_wait) = self.full_wait else { return slack };
-        slack.min((full_wait * FULL_WAIT_SHARE).max(service * FULL_WAIT_MIN))
+        let slack = times.aim.saturating_sub(times.service).as_seconds();
+        let in_time = (slack * SLACK_SHARE).max(service * WAIT_MIN);
+        let Some(full_wait) = self.full_wait else { return in_time };
+        in_time.min((full_wait * FULL_WAIT_SHARE).max(service * FULL_WAIT_MIN))
+    }
+
+    /// Returns the wait, in seconds, to which refusing leads. Few requests show the wait so late
+    /// that a lower one would leave targets idle.
+    fn set_point(&self, times: &Times) -> f64 {
+        self.threshold(times) * (1.0 - SET_POINT_REDUCTION * self.confidence())
     }
 
     /// Returns the share of the load that is to be refused, so that the rest is answered in
@@ -212,13 +277,12 @@
         let Some(wait) = self.wait(times).filter(|_| times.service > Span::ZERO) else {
             return 0.0;
         };
-        let limit = self.limit(times);
-        let gate = ramp(wait / limit, GATE).max(ramp(self.rejected_share(), REJECTED_GATE));
-        // The wait is to return to its limit within the time over which the rates are taken.
-        let correction = (1.0 + (limit - wait) / self.seconds).max(CORRECTION_MIN);
+        // The wait is to return to its set point within the time over which the rates are taken.
+        let error = self.set_point(times) - wait;
+        let correction = (1.0 + error / self.seconds).max(CORRECTION_MIN);
         let own_share = self.counts.served() / self.counts.wanted().max(1.0);
         let share = own_share + (served_share - own_share) * FLEET_WEIGHT;
-        gate * (1.0 - share * correction).clamp(0.0, 1.0)
+        self.gate * (1.0 - share * correction).clamp(0.0, 1.0)
     }
 }
 
--- a/crates/mustardway_admission/src/controller.rs
+++ b/crates/mustardway_admission/src/controller.rs
@@ -148,7 +148,9 @@
         let times = load.times();
         service.congestion.update(in_progress, &times, now);
         let offered = load.offered();
-        let excess = match offered >= load.slots * BUSY_ABOVE {
+        // The load of the fleet shows a step later than the own requests do.
+        let latest = offered * service.congestion.growth();
+        let excess = match latest >= load.slots * BUSY_ABOVE {
             true => service.congestion.excess(&times, load.served_share()),
             false => 0.0,
         };
--- a/crates/mustardway_load/src/sums.rs
+++ b/crates/mustardway_load/src/sums.rs
@@ -184,6 +184,10 @@
         let route = self.route(answer.route);
         route.answers += 1;
         route.short += u32::from(answer.is_short);
+        // A full target rejects requests, which shows nothing of the target itself.
+        if !answer.is_unqueued {
+            return;
+        }
         let target = self.targets.entry(answer.target).or_default();
         target.answers += 1;
         target.contributors = target.contributors.union(contributor);
@@ -191,9 +195,6 @@
             target.short += 1;
             return;
         }
-        if !answer.is_unqueued {
-            return;
-        }
         let route = self.routes.entry(answer.route).or_default();
         route.unqueued += 1;
         route.timed += 1;
--- a/crates/mustardway_load/tests/common/mod.rs
+++ b/crates/mustardway_load/tests/common/mod.rs
@@ -27,11 +27,13 @@
 pub const RATE: f64 = 14.0;
 
 /// A target. `slow` multiplies its times; `short` is the share of its answers that are short.
+/// The requests to a target that is full do not find a free slot.
 #[derive(Debug, Clone, Copy)]
 pub struct Target {
     pub key: key::Target,
     pub slow: f64,
     pub short: f64,
+    pub is_full: bool,
 }
 
 /// An instance. `factor` multiplies the times that it measures.
@@ -120,7 +122,8 @@
             fleet.join(index, index % domains);
         }
         for index in 0..targets {
-            fleet.targets.push(Target { key: target_key(index, 1), slow: 1.0, short: 0.0 });
+            let key = target_key(index, 1);
+            fleet.targets.push(Target { key, slow: 1.0, short: 0.0, is_full: false });
         }
         fleet.update_topologies();
         fleet
@@ -290,13 +293,15 @@
             let factor = self.work * noise * target.slow * share * member.factor;
             let route = numbered_route((self.requests % u64::from(self.routes)) as u16);
             member.node.record(&Sample::Requested(route));
-            member.node.record(&answer(target.key, route, factor, is_short));
+            let mut answer = answer(target.key, route, factor);
+            (answer.is_short, answer.is_unqueued) = (is_short, !target.is_full);
+            member.node.record(&Sample::Answered(answer));
         }
     }
 
     /// Records an answer at one instance that took `factor` times as long as usual.
     pub fn answer(&mut self, index: usize, target: key::Target, factor: f64) {
-        self.members[index].node.record(&answer(target, route(), factor, false));
+        self.members[index].node.record(&Sample::Answered(answer(target, route(), factor)));
     }
 
     /// Returns the requests per second that an instance knows of.
@@ -311,7 +316,8 @@
     }
 }
 
-fn answer(target: key::Target, route: key::Route, factor: f64, is_short: bool) -> Sample {
+/// Returns an answer, not a short one, from a target with a free slot.
+fn answer(target: key::Target, route: key::Route, factor: f64) -> Answer {
     let time = Span((BASE.0 as f64 * factor) as u64);
-    Sample::Answered(Answer { target, route, time, is_unqueued: true, is_short })
+    Answer { target, route, time, is_unqueued: true, is_short: false }
 }
--- a/crates/mustardway_load/tests/speed.rs
+++ b/crates/mustardway_load/tests/speed.rs
@@ -133,6 +133,20 @@
     }
 }
 
+/// Guards against an overload in which all instances leave the targets that are full.
+#[test]
+fn rejections_of_a_full_target_do_not_raise_the_short_share() {
+    let mut fleet = Fleet::new(30, 3, 40);
+    fleet.run(Span::seconds(10));
+    fleet.targets[3].short = 0.8;
+    fleet.targets[3].is_full = true;
+    fleet.run(Span::seconds(10));
+    for member in fleet.live() {
+        assert_eq!(member.node.view().short_share(target_key(3, 1)), 0.0, "{}", member.id);
+        assert_eq!(slowness(&member.node, 3), 1.0);
+    }
+}
+
 /// Guards against a change of the work of a route that is taken for a fault of every
 /// instance: none would send speeds any more.
 #[test]
