Command: `losses` tells from log files which flows were lost or late, and why

Cause: an operator could follow one flow (`timeline`), but not see how many flows a second and route lost, and for what reason.

Change: a query beside `timeline`, with the same reader of logs (now queries/log.rs). Resets by reason; copies of opening packets by what became of the earlier copy. Each flow counts once, skipped lines count with the line that names their number, and what no line explains is a row of its own. Text or JSON.

--- a/crates/mustardway_command/src/lib.rs
+++ b/crates/mustardway_command/src/lib.rs
@@ -28,10 +28,10 @@
 #[cfg(feature = "requests")]
 use crate::commands::{drain, run};
 #[cfg(feature = "requests")]
-use crate::queries::{audit, check, diff, explain, instance, timeline};
+use crate::queries::{audit, check, diff, explain, instance, losses, timeline};
 
 /// A layer-4 load balancer whose instances share nothing but what the platform
-/// publishes. Packet front: front, timeline. Request interface, commands: run, drain;
+/// publishes. Packet front: front, timeline, losses. Request interface, commands: run, drain;
 /// queries: check, diff, status, targets, peers, promises, audit, explain.
 #[derive(Debug, argh::FromArgs)]
 #[argh(error_code(1, "the command line is not understood, or the subcommand failed"))]
@@ -56,6 +56,7 @@
     Audit(audit::Audit),
     Explain(explain::Explain),
     Timeline(timeline::Timeline),
+    Losses(losses::Losses),
 }
 
 #[cfg(not(feature = "requests"))]
@@ -82,6 +83,7 @@
         Subcommand::Audit(audit) => audit.execute(),
         Subcommand::Explain(explain) => explain.execute(),
         Subcommand::Timeline(timeline) => timeline.execute(),
+        Subcommand::Losses(losses) => losses.execute(),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/mustardway_command/src/queries/timeline.rs
+++ b/crates/mustardway_command/src/queries/timeline.rs
@@ -1,11 +1,11 @@
 //! The query that reconstructs the course of a caller's flow from log files.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, Read};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
-use serde_json::{Map, Value};
+use serde_json::Value;
 
+use super::log::{self, Line, field};
 use crate::failure::Failure;
 
 /// Log messages about an instance as a whole that may explain why a flow failed.
@@ -49,29 +49,13 @@
     files: Vec<PathBuf>,
 }
 
-/// One log line with a JSON record.
-#[derive(Debug, Clone)]
-struct Line {
-    /// Seconds since the start of the month, see [`month_seconds`]. Only differences matter.
-    seconds: f64,
-    /// Time as written in the line.
-    time: String,
-    instance: String,
-    message: String,
-    fields: Map<String, Value>,
-}
-
 impl Timeline {
     /// Reads the logs and prints the timeline.
     ///
     /// # Errors
     /// Fails if a file cannot be read or no line is about the flow.
     pub fn execute(self) -> Result<(), Failure> {
-        let mut lines = Vec::new();
-        for file in &self.files {
-            read(file, &mut lines)?;
-        }
-        lines.sort_by(|one, other| one.seconds.total_cmp(&other.seconds));
+        let lines = log::read(&self.files)?;
         let selected = select(&lines, &self.caller);
         if selected.is_empty() {
             return Err(Failure::NoLines(self.caller));
@@ -84,54 +68,6 @@
     }
 }
 
-/// Adds the log lines of a file to `lines`.
-fn read(file: &Path, lines: &mut Vec<Line>) -> Result<(), Failure> {
-    let failed = |cause| Failure::Log { path: file.to_path_buf(), cause };
-    let mut bytes = Vec::new();
-    if file == Path::new("-") {
-        io::stdin().read_to_end(&mut bytes).map_err(failed)?;
-    } else {
-        bytes = std::fs::read(file).map_err(failed)?;
-    }
-    let stem = file.file_stem().unwrap_or_default().to_string_lossy().into_owned();
-    let text = String::from_utf8_lossy(&bytes);
-    lines.extend(text.lines().filter_map(|line| parse(line, &stem)));
-    Ok(())
-}
-
-/// Parses a line with a JSON record. The word before the record names the instance; if
-/// there is none, the file name does. Returns `None` for all other lines.
-fn parse(line: &str, file: &str) -> Option<Line> {
-    let start = line.find('{')?;
-    let record: Value = serde_json::from_str(&line[start..]).ok()?;
-    let Value::Object(mut fields) = record else { return None };
-    let text = |fields: &Map<String, Value>, name: &str| {
-        fields.get(name).and_then(Value::as_str).unwrap_or_default().to_owned()
-    };
-    let (message, time) = (text(&fields, "msg"), text(&fields, "ts"));
-    let prefix = line[..start].split_whitespace().next_back();
-    let instance = prefix.unwrap_or(file).to_owned();
-    fields.retain(|name, _| !["msg", "ts", "level"].contains(&name.as_str()));
-    Some(Line { seconds: month_seconds(&time)?, time, instance, message, fields })
-}
-
-/// Returns the seconds from the start of the month to a time such as
-/// `2026-03-09T00:57:39.765956166Z`.
-fn month_seconds(time: &str) -> Option<f64> {
-    let (date, clock) = time.split_once('T')?;
-    let day: f64 = date.rsplit('-').next()?.parse().ok()?;
-    let mut seconds = day * 86_400.0;
-    for (part, unit) in clock.trim_end_matches('Z').split(':').zip([3_600.0, 60.0, 1.0]) {
-        seconds += part.parse::<f64>().ok()? * unit;
-    }
-    Some(seconds)
-}
-
-/// Returns a field of the line, or an empty text if it is missing or not a text.
-fn field<'a>(line: &'a Line, name: &str) -> &'a str {
-    line.fields.get(name).and_then(Value::as_str).unwrap_or_default()
-}
-
 /// Returns whether the line is about the caller's flow. The field `flow` starts with the
 /// caller's address.
 fn is_of_flow(line: &Line, caller: &str) -> bool {
