--- a/crates/mustardway_admission/src/congestion.rs
+++ b/crates/mustardway_admission/src/congestion.rs
@@ -39,7 +39,7 @@
 /// Requests in progress between which their number becomes certain. The wait that fewer show is
 /// mostly chance.
 const CERTAIN: (f64, f64) = (8.0, 12.0);
-/// Waits between which the refused part of the excess rises from none to all, as multiples of the
+/// Waits between which the refused part of the excess rises from none to all, as shares of the
 /// threshold.
 const GATE: (f64, f64) = (0.8, 1.0);
 /// Time constant with which the refused part falls again below these waits. It is long, so that
@@ -186,15 +186,19 @@
         self.update_usual_rate(recent.wanted() / passed.max(f64::EPSILON), passed);
     }
 
+    /// Updates the refused part of the excess. It rises at once and is held for a while.
     fn update_gate(&mut self, times: &Times, passed: f64) {
         let wait = self.wait(times).unwrap_or_default();
         let is_empty = wait < self.set_point(times) * EMPTY_SHARE;
-        // With few requests the greatest wait of a second is chance.
-        let time = GATE_TIME_CONSTANT.as_seconds() * self.confidence();
-        let time = if is_empty { EMPTY_TIME_CONSTANT.as_seconds() } else { time };
-        let held = self.gate * (-passed / time.max(f64::EPSILON)).exp();
-        let waits = ramp(wait / self.threshold(times), GATE);
-        self.gate = waits.max(ramp(self.rejected_share(), REJECTED_GATE)).max(held);
+        let time_constant = match is_empty {
+            true => EMPTY_TIME_CONSTANT.as_seconds(),
+            // With few requests in progress the greatest wait of a second is chance.
+            false => GATE_TIME_CONSTANT.as_seconds() * self.confidence(),
+        };
+        let held = self.gate * (-passed / time_constant.max(f64::EPSILON)).exp();
+        let by_wait = ramp(wait / self.threshold(times), GATE);
+        let by_rejections = ramp(self.rejected_share(), REJECTED_GATE);
+        self.gate = by_wait.max(by_rejections).max(held);
     }
 
     fn update_usual_rate(&mut self, rate: f64, passed: f64) {
