Command: `losses` counts only the late flows that lines name

Cause: found on reading the change again. Lines that the rate limit skipped after a late placement counted as late too, but most placements are not. The time to look for a cause grew with the square of the lines, and the reasons of resets stood in two queries as texts.

Change: skipped placements are told as such (text and JSON); skipped resets still count with the reason of their line. Causes are searched by target and time. `timeline` and `losses` take the reasons from `ResetReason`.

--- a/crates/mustardway_command/src/queries/losses.rs
+++ b/crates/mustardway_command/src/queries/losses.rs
@@ -1,16 +1,18 @@
 //! The query that tells from log files which flows were lost or late, and why.
 //!
 //! A flow counts once: a reset goes before a late opening. A caller that sends a copy of its
-//! opening packet has waited for the timeout of the earlier one, whose fate is the cause. Instances
-//! log a part of the flows; a line tells how many like it were skipped, and these count with it.
+//! opening packet has waited for the timeout of the earlier one, whose fate is the cause.
 //!
-//! Answers that are late without a copy or a reset are not in the logs. The time that requests
-//! wait at targets is in the metrics.
+//! Instances limit the rate of their log lines. A line tells how many like it were skipped: skipped
+//! resets count with the reason of that line, and skipped placements are only counted as such,
+//! since most of them are not late. Answers that are late without a copy or a reset are not in
+//! the logs; the time that requests wait at targets is in the metrics.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 
 use displaydoc::Display;
+use mustardway_flow::note::ResetReason;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -60,6 +62,16 @@
     Unexplained,
 }
 
+/// The lost and late flows that log lines tell of.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Account {
+    /// Flows by second, route and cause.
+    pub rows: Vec<Row>,
+    /// Number of placements without a line. Late ones among them are missing.
+    pub skipped_placements: u64,
+}
+
 /// Flows of one route and second with the same cause.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -70,7 +82,7 @@
     pub route: String,
     /// Why the flows were lost or late.
     pub cause: Cause,
-    /// Number of flows, those whose lines were skipped included.
+    /// Number of flows, resets whose lines were skipped included.
     pub flows: u64,
 }
 
@@ -80,45 +92,46 @@
     /// # Errors
     /// Fails if a file cannot be read.
     pub fn execute(self) -> Result<(), Failure> {
-        let rows = find_losses(&log::read(&self.files)?);
+        let account = find_losses(&log::read(&self.files)?);
         if self.json {
-            println!("{}", serde_json::json!(rows));
+            println!("{}", serde_json::json!(account));
             return Ok(());
         }
         println!("{:>6}  {:<21}  {:>6}  cause", "second", "route", "flows");
-        for row in &rows {
-            println!("{:>6}  {:<21}  {:>6}  {}", row.second, row.route, row.flows, row.cause);
-        }
         let mut totals: BTreeMap<Cause, u64> = BTreeMap::new();
-        for row in &rows {
+        for row in &account.rows {
+            println!("{:>6}  {:<21}  {:>6}  {}", row.second, row.route, row.flows, row.cause);
             *totals.entry(row.cause).or_default() += row.flows;
         }
         for (cause, flows) in totals {
             println!("{:>6}  {:<21}  {flows:>6}  {cause}", "all", "all");
         }
+        println!("placements without a line: {}", account.skipped_placements);
         Ok(())
     }
 }
 
-/// Returns the lost and late flows by second, route and cause.
-pub fn find_losses(lines: &[Line]) -> Vec<Row> {
-    let Some(start) = lines.first().map(|line| line.seconds) else { return Vec::new() };
+/// Returns the lost and late flows that `lines` tell of, which are in the order of their times.
+pub fn find_losses(lines: &[Line]) -> Account {
+    let Some(start) = lines.first().map(|line| line.seconds) else { return Account::default() };
     let events = Events::new(lines);
     let reset: BTreeSet<&str> =
         lines.iter().filter(|line| line.message == "flow reset").map(flow).collect();
+    let mut skipped_placements = 0;
     let mut placed: BTreeMap<&str, &Line> = BTreeMap::new();
     let mut counted: BTreeSet<&str> = BTreeSet::new();
     let mut counts: BTreeMap<(u64, &str, Cause), u64> = BTreeMap::new();
     for line in lines {
         let flow = flow(line);
-        let cause = match line.message.as_str() {
-            "flow reset" => reset_cause(field(line, "reason")),
+        let (cause, flows) = match line.message.as_str() {
+            "flow reset" => (reset_cause(field(line, "reason")), 1 + number(line, "skipped")),
             "flow placed" => {
+                skipped_placements += number(line, "skipped");
                 let earlier = placed.insert(flow, line);
                 if number(line, "copies") == 0 || reset.contains(flow) {
                     continue;
                 }
-                events.late_cause(earlier, line)
+                (events.late_cause(earlier, line), 1)
             }
             _ => continue,
         };
@@ -127,15 +140,13 @@
         }
         let route = flow.split_once('>').map_or("", |(_, route)| route);
         let second = (line.seconds - start) as u64;
-        *counts.entry((second, route, cause)).or_default() += 1 + number(line, "skipped");
+        *counts.entry((second, route, cause)).or_default() += flows;
+    }
+    let mut rows = Vec::with_capacity(counts.len());
+    for ((second, route, cause), flows) in counts {
+        rows.push(Row { second, route: route.to_owned(), cause, flows });
     }
-    let row = |((second, route, cause), flows): ((u64, &str, Cause), u64)| Row {
-        second,
-        route: route.to_owned(),
-        cause,
-        flows,
-    };
-    counts.into_iter().map(row).collect()
+    Account { rows, skipped_placements }
 }
 
 fn flow(line: &Line) -> &str {
@@ -147,31 +158,31 @@
 }
 
 fn reset_cause(reason: &str) -> Cause {
-    match reason {
-        "the service is full" | "the service is full, and the caller has used up its share" => {
-            Cause::Refused
-        }
-        "its target no longer answers" => Cause::TargetLost,
-        "no target of the route may take it" => Cause::NoTarget,
-        _ => Cause::Unknown,
+    match ResetReason::ALL.into_iter().find(|known| known.to_string() == reason) {
+        Some(ResetReason::Overloaded | ResetReason::CallerShare) => Cause::Refused,
+        Some(ResetReason::TargetLost) => Cause::TargetLost,
+        Some(ResetReason::NoTarget) => Cause::NoTarget,
+        Some(ResetReason::NoRoute | ResetReason::RouteRemoved | ResetReason::UnknownToken)
+        | None => Cause::Unknown,
     }
 }
 
-/// Times of events that explain why an opening packet was not answered.
+/// Times of events that explain why an opening packet was not answered, in order.
+#[derive(Debug, Default)]
 struct Events<'a> {
-    /// Targets suspected or lost.
-    doubts: Vec<(&'a str, f64)>,
+    /// Times at which each target was suspected or lost.
+    doubts: BTreeMap<&'a str, Vec<f64>>,
     /// Starts and pauses of instances.
     absences: Vec<f64>,
 }
 
 impl<'a> Events<'a> {
     fn new(lines: &'a [Line]) -> Self {
-        let mut events = Events { doubts: Vec::new(), absences: Vec::new() };
+        let mut events = Events::default();
         for line in lines {
             match line.message.as_str() {
                 "target doubted" | "target lost" => {
-                    events.doubts.push((field(line, "target"), line.seconds));
+                    events.doubts.entry(field(line, "target")).or_default().push(line.seconds);
                 }
                 "started" | "stopping" | "the process did not run" => {
                     events.absences.push(line.seconds);
@@ -185,13 +196,18 @@
     /// Returns why the copy of an opening packet in `line` was needed. `earlier` placed an earlier
     /// copy.
     fn late_cause(&self, earlier: Option<&Line>, line: &Line) -> Cause {
-        let is_near = |at: f64| (at - line.seconds).abs() <= CAUSE_WINDOW_SECONDS;
         let Some(earlier) = earlier else {
-            let is_away = self.absences.iter().any(|at| is_near(*at));
+            let is_away = is_any_near(&self.absences, line.seconds);
             return if is_away { Cause::InstanceAway } else { Cause::Unexplained };
         };
-        let target = field(earlier, "target");
-        let is_doubted = self.doubts.iter().any(|(doubted, at)| *doubted == target && is_near(*at));
+        let doubts = self.doubts.get(field(earlier, "target"));
+        let is_doubted = doubts.is_some_and(|times| is_any_near(times, line.seconds));
         if is_doubted { Cause::DoubtedTarget } else { Cause::SilentTarget }
     }
 }
+
+/// Returns whether one of `times`, which are in order, is near `seconds`.
+fn is_any_near(times: &[f64], seconds: f64) -> bool {
+    let first = times.partition_point(|at| *at < seconds - CAUSE_WINDOW_SECONDS);
+    times.get(first).is_some_and(|at| *at <= seconds + CAUSE_WINDOW_SECONDS)
+}
--- a/crates/mustardway_command/src/queries/timeline.rs
+++ b/crates/mustardway_command/src/queries/timeline.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 
+use mustardway_flow::note::ResetReason;
 use serde_json::Value;
 
 use super::log::{self, Line, field};
@@ -22,9 +23,6 @@
 ];
 /// Log message about a change of the load of a service.
 const CONTENTION: &str = "service contended";
-/// Reasons of `flow reset` with which a full service refuses a new flow.
-const REFUSALS: [&str; 2] =
-    ["the service is full", "the service is full, and the caller has used up its share"];
 /// Fields that are not printed: every line has them, or they add nothing to a timeline.
 const HIDDEN_FIELDS: [&str; 5] = ["msg", "ts", "level", "skipped", "flow"];
 /// Time before the first and after the last line of the flow within which lines about its
@@ -76,7 +74,9 @@
 
 /// Returns whether the line tells that a full service refused a new flow.
 fn is_refusal(line: &Line) -> bool {
-    line.message == "flow reset" && REFUSALS.contains(&field(line, "reason"))
+    let refusals = [ResetReason::Overloaded, ResetReason::CallerShare];
+    let reason = field(line, "reason");
+    line.message == "flow reset" && refusals.iter().any(|refusal| refusal.to_string() == reason)
 }
 
 /// Returns the indexes of the lines that state the load of each service when its instance
