--- a/crates/mustardway_runtime/src/control.rs
+++ b/crates/mustardway_runtime/src/control.rs
@@ -42,7 +42,7 @@
 use self::channel::{Inbox, Order};
 use self::observer::{Adopted, Observer};
 use self::platform::{Response, read_roster, to_folder, to_platform_answer, to_roster_entry};
-use self::report::{PeerReport, Report};
+use self::report::Report;
 use crate::handover::{self, Coordinator};
 use crate::message::Kind;
 use crate::node::Node;
@@ -431,27 +431,4 @@
             self.observer.in_force_everywhere(in_force);
         }
     }
-
-    /// Publishes the report, and logs what keeps this instance from being ready.
-    fn write_report(&mut self, now: Instant) {
-        let obstacle = self.obstacle(now);
-        self.log_obstacle(obstacle, now);
-        let counts = self.spread.counts();
-        let peer = |record: &member::Record| PeerReport {
-            id: record.member.id.clone(),
-            domain: record.member.domain.clone(),
-            address: record.member.address,
-            state: record.state,
-            revision: self.peer_revisions.get(&record.member.id).copied().unwrap_or_default(),
-        };
-        *self.report.write() = Report {
-            obstacle,
-            handed_over: self.handovers.is_complete(&self.node),
-            is_reader: self.spread.is_reader(),
-            confirmed_ago: self.spread.age(now),
-            reads: counts.reads,
-            failures: counts.failures,
-            peers: self.membership.members().map(peer).collect(),
-        };
-    }
 }
--- a/crates/mustardway_runtime/src/control/report.rs
+++ b/crates/mustardway_runtime/src/control/report.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use mustardway_membership::member;
-use mustardway_types::time::Span;
+use mustardway_types::time::{Instant, Span};
 use mustardway_types::{domain, instance, revision};
 
+use super::Control;
 use super::readiness::Obstacle;
 
 /// The state that the control loop publishes on every tick.
@@ -55,3 +56,28 @@
     /// Last revision that the instance reported; 0 if it reported none.
     pub revision: revision::Number,
 }
+
+impl Control {
+    /// Publishes the report, and logs what keeps this instance from being ready.
+    pub(super) fn write_report(&mut self, now: Instant) {
+        let obstacle = self.obstacle(now);
+        self.log_obstacle(obstacle, now);
+        let counts = self.spread.counts();
+        let peer = |record: &member::Record| PeerReport {
+            id: record.member.id.clone(),
+            domain: record.member.domain.clone(),
+            address: record.member.address,
+            state: record.state,
+            revision: self.peer_revisions.get(&record.member.id).copied().unwrap_or_default(),
+        };
+        *self.report.write() = Report {
+            obstacle,
+            handed_over: self.handovers.is_complete(&self.node),
+            is_reader: self.spread.is_reader(),
+            confirmed_ago: self.spread.age(now),
+            reads: counts.reads,
+            failures: counts.failures,
+            peers: self.membership.members().map(peer).collect(),
+        };
+    }
+}
