Review, case 2: servers that are cold again after an evacuation get too many requests

Cause: a registration whose rest of the cold time is at most the known one counts as redundant, and the peers of the reading instance still know the rest as of the first registration. Change: review/2 with its claim and script.

--- a/review/stand_ins/src/cases/mod.rs
+++ b/review/stand_ins/src/cases/mod.rs
@@ -1,9 +1,12 @@
 //! The cases.
 
+mod cold_again;
+mod failback;
 mod large_changes;
 
 pub fn play(case: &str, folder: &str, trouble: bool) -> i32 {
     match case {
+        "cold-again" => cold_again::play(folder, trouble),
         "large-changes" => large_changes::play(folder, trouble),
         _ => {
             println!("no such case: {case}");
