Review, case 3: flows are reset by a server that answered their opening packet late

Cause: the token of the first copy of an opening packet is not marked, although a later copy may open the flow elsewhere. After a planned restart the token alone decides.

--- a/review/stand_ins/src/cases/mod.rs
+++ b/review/stand_ins/src/cases/mod.rs
@@ -3,11 +3,13 @@
 mod cold_again;
 mod failback;
 mod large_changes;
+mod late_answer;
 
 pub fn play(case: &str, folder: &str, trouble: bool) -> i32 {
     match case {
         "cold-again" => cold_again::play(folder, trouble),
         "large-changes" => large_changes::play(folder, trouble),
+        "late-answer" => late_answer::play(folder, trouble),
         _ => {
             println!("no such case: {case}");
             2
