--- a/review/stand_ins/src/deployment.rs
+++ b/review/stand_ins/src/deployment.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use crate::client::{Clients, Routers};
@@ -20,6 +21,20 @@
 /// Answered requests below which a case says nothing.
 const ANSWERS_MIN: usize = 500;
 
+/// Processes that were started and not waited for, to end them if a case takes too long.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn forget(process: u32) {
+    STARTED.lock().unwrap().retain(|started| *started != process);
+}
+
+/// Ends the processes that still run.
+pub fn end_started() {
+    for process in STARTED.lock().unwrap().iter() {
+        let _ = Command::new("kill").arg("-KILL").arg(process.to_string()).status();
+    }
+}
+
 /// A route of the configuration.
 #[derive(Debug, Clone)]
 pub struct Route {
@@ -186,9 +201,11 @@
         command.stdin(Stdio::null()).stderr(log.try_clone().unwrap()).stdout(log);
         let child = command.spawn().unwrap_or_else(|error| {
             println!("cannot start target/release/mustardway: {error}");
+            end_started();
             std::process::exit(2);
         });
         self.record.add(Fact::Done(format!("start {}", instance.name)));
+        STARTED.lock().unwrap().push(child.id());
         instance.child = Some(child);
     }
 
@@ -212,12 +229,14 @@
         let Some(mut child) = self.instances[index].child.take() else { return };
         while Instant::now() < until {
             if matches!(child.try_wait(), Ok(Some(_))) {
+                forget(child.id());
                 return;
             }
             std::thread::sleep(Duration::from_millis(10));
         }
         let _ = child.kill();
         let _ = child.wait();
+        forget(child.id());
     }
 
     /// Ends with exit code 2 if a process has ended by itself, or if not all are ready.
@@ -299,6 +318,7 @@
             if let Some(child) = &mut self.instances[index].child {
                 let _ = child.kill();
                 let _ = child.wait();
+                forget(child.id());
             }
             self.instances[index].child = None;
         }
@@ -380,6 +400,7 @@
     }
     if std::fs::write(Path::new(folder).join("record.txt"), text).is_err() {
         println!("cannot write record.txt");
+        end_started();
         std::process::exit(2);
     }
 }
--- a/review/stand_ins/src/main.rs
+++ b/review/stand_ins/src/main.rs
@@ -21,6 +21,7 @@
     std::thread::spawn(|| {
         std::thread::sleep(std::time::Duration::from_secs(110));
         println!("could not run: out of time");
+        deployment::end_started();
         std::process::exit(2);
     });
     std::process::exit(cases::play(case, folder, trouble));
