--- a/review/stand_ins/src/deployment.rs
+++ b/review/stand_ins/src/deployment.rs
@@ -28,10 +28,15 @@
     STARTED.lock().unwrap().retain(|started| *started != process);
 }
 
+/// Sends a signal to a process by the shell's own command.
+fn send_signal(signal: &str, process: u32) {
+    let _ = Command::new("sh").arg("-c").arg(format!("kill -{signal} {process}")).status();
+}
+
 /// Ends the processes that still run.
 pub fn end_started() {
     for process in STARTED.lock().unwrap().iter() {
-        let _ = Command::new("kill").arg("-KILL").arg(process.to_string()).status();
+        send_signal("KILL", *process);
     }
 }
 
@@ -220,7 +225,7 @@
         let instance = &self.instances[index];
         let Some(child) = &instance.child else { return };
         self.record.add(Fact::Done(format!("{signal} {}", instance.name)));
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+        send_signal(signal, child.id());
     }
 
     /// Waits until the process of a machine has ended, and kills it if it does not.
@@ -245,6 +250,11 @@
         while self.routers.ready() < count {
             if Instant::now() > until {
                 println!("could not run: {} of {count} instances are ready", self.routers.ready());
+                for instance in &self.instances {
+                    let log = self.folder.join(format!("{}.log", instance.name));
+                    let text = std::fs::read_to_string(log).unwrap_or_default();
+                    println!("{}: {}", instance.name, text.lines().last().unwrap_or("no log"));
+                }
                 self.stop();
                 std::process::exit(2);
             }
