Review: the stand-ins move to review/platform

The files of the review broke the test. Change: review/stand_ins is now review/platform, as the project's own stand-ins lie in platform/. The test is as it was.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
-program=review/stand_ins/target/release/review_case
+program=review/platform/target/release/review_case
 if [ ! -x "$program" ] || [ ! -x target/release/mustardway ]; then
     echo "could not run: build as the deploy file says, then review/build.sh"
     exit 2
