Flow: targets with equal token hashes get tokens of their own

Cause: of two targets with the same 31-bit token, the one with the lesser id got it at once, also if the other one had open flows. An instance without the flow in its table has the token alone. The other target got no flows at all. Ruled out: that the restarted instance had not read both registrations; in the test it has. Change: each target has several candidates for its token and uses the first one that no target of an earlier start uses. Instances need no memory to agree. Candidates that are not in use lead to their target, too, since instances may know different targets for a while.

--- a/crates/mustardway_flow/src/directory.rs
+++ b/crates/mustardway_flow/src/directory.rs
@@ -1,5 +1,11 @@
 //! Published routes and targets, with the state kept for each target.
+//!
+//! Each target has a token of its own. Where two targets have an equal candidate for
+//! their tokens, the one that started first uses it, so a target that is added never
+//! gets the packets of flows at another one. All instances choose alike, also those
+//! that have just started.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -24,6 +30,8 @@
 /// Registrations that expire while the platform is unavailable are renewed within
 /// about two seconds of its return.
 pub const REGISTRATION_GRACE: Span = Span::millis(2_500);
+/// Number of candidates for a target's token that packets of its flows may carry.
+const TOKEN_CANDIDATES: u64 = 3;
 
 /// A target and the state kept for it.
 #[derive(Debug)]
@@ -38,9 +46,6 @@
     pub started: Instant,
     /// Ratio of the expected time until a proper answer to that of an unknown target.
     pub time_factor: f64,
-    /// Whether a target with a lesser name has the same token. The target then gets
-    /// no flows.
-    pub is_shadowed: bool,
     /// Time at which the registration vanished.
     pub unregistered_at: Option<Instant>,
     /// Time until which the target is cold: it has just started and works slowly.
@@ -60,7 +65,6 @@
             key: key::Target::of(&registration.id, registration.born),
             started: Instant::default(),
             time_factor: 1.0,
-            is_shadowed: false,
             unregistered_at: None,
             cold_until: now + registration.cold,
             observation: Observation::default(),
@@ -69,6 +73,18 @@
             registration,
         }
     }
+
+    /// Returns whether a token names this target without the mark of ambiguous flows.
+    pub fn is_named_by(&self, token: Token) -> bool {
+        token == self.token
+            || (0..TOKEN_CANDIDATES)
+                .any(|number| token == Token::candidate(&self.registration.id, number))
+    }
+
+    /// Returns the order in which targets choose their tokens: that of their starts.
+    fn seniority(&self) -> (u64, &target::Id) {
+        (self.registration.born.unwrap_or(u64::MAX), &self.registration.id)
+    }
 }
 
 /// Health check, slow start and targets of one service.
@@ -93,8 +109,13 @@
     /// Indexes that can be reused.
     free: Vec<usize>,
     ids: BTreeMap<target::Id, usize>,
-    /// Indexes by token, without the bit that marks ambiguous flows.
+    /// Indexes by the tokens in use, without the bit that marks ambiguous flows.
     tokens: FxHashMap<Token, usize>,
+    /// Targets whose first candidate is the token of an older target, oldest first.
+    displaced: Vec<usize>,
+    /// Indexes by the candidates that are not in use, without the bit that marks
+    /// ambiguous flows. Computed when a token in no use is looked up.
+    unused_tokens: OnceCell<FxHashMap<Token, usize>>,
     /// Whether the lookup tables by token and by service are out of date.
     is_index_stale: bool,
 }
@@ -185,9 +206,45 @@
         self.targets.get_mut(index)?.as_mut()
     }
 
-    /// Returns the index of the target that a token names.
-    pub fn index_of_token(&self, token: Token) -> Option<usize> {
-        self.tokens.get(&token.without_mark()).copied()
+    /// Returns the index of the target that a token names. `is_gone` tells of the time at
+    /// which a target was unregistered whether the target has ended since.
+    pub fn index_of_token(&self, token: Token, is_gone: impl Fn(Instant) -> bool) -> Option<usize> {
+        let token = token.without_mark();
+        let Some(index) = self.tokens.get(&token).copied() else {
+            return self.unused_tokens().get(&token).copied();
+        };
+        let unregistered_at = self.get(index).and_then(|target| target.unregistered_at);
+        if !unregistered_at.is_some_and(is_gone) {
+            return Some(index);
+        }
+        // Instances that have started since do not know the target that is gone, and use
+        // its token for another one.
+        let mut displaced = self.displaced.iter().copied();
+        let successor = displaced.find(|index| {
+            self.get(*index).is_some_and(|target| {
+                let first = Token::of(&target.registration.id).without_mark();
+                first == token && target.unregistered_at.is_none()
+            })
+        });
+        successor.or(Some(index))
+    }
+
+    /// Returns the indexes by candidate of the candidates that are not in use. A target
+    /// changes its token if an older one with the same candidate becomes known or is
+    /// forgotten, which not all instances notice at the same time.
+    fn unused_tokens(&self) -> &FxHashMap<Token, usize> {
+        self.unused_tokens.get_or_init(|| {
+            let mut unused = FxHashMap::default();
+            for (id, index) in &self.ids {
+                for number in 0..TOKEN_CANDIDATES {
+                    let token = Token::candidate(id, number).without_mark();
+                    if !self.tokens.contains_key(&token) {
+                        unused.entry(token).or_insert(*index);
+                    }
+                }
+            }
+            unused
+        })
     }
 
     /// Returns the index of a target.
@@ -270,7 +327,7 @@
             known.time_factor = 1.0;
             known.observation.deprioritised_until = None;
         }
-        if was.service != known.registration.service {
+        if is_restarted || was.service != known.registration.service {
             self.is_index_stale = true;
         }
         let is_notable = is_restarted || was_unregistered || was.leaving != leaving;
@@ -307,22 +364,51 @@
         self.is_index_stale = true;
     }
 
-    /// Rebuilds the lookup tables by token and by service. If targets have the same
-    /// token, the one with the least name keeps it; all instances choose alike.
+    /// Rebuilds the lookup tables by token and by service.
     fn rebuild_indexes(&mut self) {
         if !std::mem::take(&mut self.is_index_stale) {
             return;
         }
-        self.tokens.clear();
         for service in self.services.values_mut() {
             service.indexes.clear();
         }
         for index in self.ids.values() {
-            let Some(target) = &mut self.targets[*index] else { continue };
-            let owner = *self.tokens.entry(target.token.without_mark()).or_insert(*index);
-            target.is_shadowed = owner != *index;
+            let Some(target) = &self.targets[*index] else { continue };
             let service = self.services.entry(target.registration.service.clone()).or_default();
             service.indexes.push(*index);
         }
+        self.assign_tokens();
+    }
+
+    /// Assigns each target the first of its candidate tokens that no older target uses.
+    fn assign_tokens(&mut self) {
+        self.unused_tokens.take();
+        self.displaced.clear();
+        self.tokens.clear();
+        for (id, index) in &self.ids {
+            self.tokens.insert(Token::of(id).without_mark(), *index);
+        }
+        let has_duplicates = self.tokens.len() < self.ids.len();
+        let mut indexes: Vec<usize> = self.ids.values().copied().collect();
+        if has_duplicates {
+            indexes.sort_by_key(|index| self.get(*index).map(Target::seniority));
+            self.tokens.clear();
+        }
+        for index in indexes {
+            let Some(target) = &mut self.targets[index] else { continue };
+            target.token = Token::of(&target.registration.id);
+            if !has_duplicates {
+                continue;
+            }
+            let mut number = 0;
+            while self.tokens.contains_key(&target.token.without_mark()) {
+                number += 1;
+                target.token = Token::candidate(&target.registration.id, number);
+            }
+            self.tokens.insert(target.token.without_mark(), index);
+            if number > 0 {
+                self.displaced.push(index);
+            }
+        }
     }
 }
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -39,7 +39,7 @@
             return self.reset(packet, ResetReason::RouteRemoved, now, actions);
         };
         let is_repeatable = route.is_repeatable();
-        let is_ambiguous = packet.token != target.token;
+        let is_ambiguous = !target.is_named_by(packet.token);
         self.observe(packet, index, now, actions);
         let record = self.table.get(&packet.flow());
         let may_be_elsewhere = record.map_or(is_ambiguous, |it| it.may_be_elsewhere(now));
@@ -57,7 +57,12 @@
         let record = self.table.get(&packet.flow());
         let open = record.filter(|record| record.stage != Stage::Opening);
         let open = open.filter(|record| self.directory.get(record.target).is_some());
-        open.map(|record| record.target).or_else(|| self.directory.index_of_token(packet.token))
+        open.map(|record| record.target).or_else(|| self.index_of_token(packet.token))
+    }
+
+    /// Returns the directory index of the target that a token names.
+    fn index_of_token(&self, token: Token) -> Option<usize> {
+        self.directory.index_of_token(token, |unregistered_at| self.is_gone(unregistered_at))
     }
 
     /// Returns whether flows of a target have to be reset. If a request may run only
@@ -220,8 +225,8 @@
         let stage = if known.is_some() { Stage::Opening } else { Stage::Open };
         let mut record = Record::new(index, stage, now);
         record.opening = known.and_then(|known| known.opening);
-        let token = self.directory.get(index).map(|target| target.token);
-        record.is_ambiguous = token.is_some_and(|token| token != packet.token);
+        let target = self.directory.get(index);
+        record.is_ambiguous = target.is_some_and(|target| !target.is_named_by(packet.token));
         record.acknowledged = packet.acknowledgement;
         self.track(*flow, record, now);
         true
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -271,7 +271,7 @@
 
     pub(super) fn is_eligible(&self, target: &Target) -> bool {
         let registration = &target.registration;
-        if registration.leaving || target.is_shadowed {
+        if registration.leaving {
             return false;
         }
         if self.directory.is_evacuated(&registration.domain)
@@ -288,7 +288,7 @@
     /// Returns whether a target that was unregistered at `since` is gone: the platform
     /// has shown for a grace period that it was not registered again. While the platform
     /// cannot be reached, nobody knows.
-    fn is_gone(&self, since: Instant) -> bool {
+    pub(super) fn is_gone(&self, since: Instant) -> bool {
         self.confirmed.is_some_and(|at| at >= since + REGISTRATION_GRACE)
     }
 
--- a/crates/mustardway_flow/src/token.rs
+++ b/crates/mustardway_flow/src/token.rs
@@ -4,6 +4,9 @@
 //! may have been sent to more than one target. Several targets may have answered such
 //! a packet, and the caller sends the token that it received last, so the token does
 //! not prove which of them holds the flow.
+//!
+//! A target has several candidates for its token. It uses the first one that no target
+//! of greater age uses, so that targets with equal candidates are told apart.
 
 use std::fmt;
 use std::str::FromStr;
@@ -11,7 +14,8 @@
 use mustardway_types::{hash, parse, target};
 use serde::{Deserialize, Serialize};
 
-/// Seed of the token hash. It must be the same at all instances.
+/// Seed of the token hash. It must be the same at all instances. The other candidates
+/// for the token of a target have the seeds that follow.
 const SEED: u64 = 0x746f_6b65_6e00_0001;
 /// Bit that is flipped if several targets may have answered the opening packet.
 const AMBIGUOUS_BIT: u32 = 1;
@@ -30,9 +34,16 @@
     /// The token that names no target.
     pub const NONE: Token = Token(0);
 
-    /// Returns the token of a target, which is the same at every instance.
+    /// Returns the token that a target has unless another one has the same, which is the
+    /// same at every instance.
     pub fn of(id: &target::Id) -> Self {
-        let hash = hash::seeded(SEED, id.as_str().as_bytes());
+        Token::candidate(id, 0)
+    }
+
+    /// Returns a candidate for the token of a target, which is the same at every
+    /// instance.
+    pub fn candidate(id: &target::Id, number: u64) -> Self {
+        let hash = hash::seeded(SEED + number, id.as_str().as_bytes());
         let folded = (hash >> 32) as u32 ^ hash as u32;
         Token(folded.max(TOKEN_MIN))
     }
