Flow: the holder of a contested flow is known to all instances

Cause: the caller's copy of an opening packet opens the flow at a second target, and the first one repeats its answer for seconds. Callers send the token that they received last. An instance that saw the flow open keeps the right target; any other one follows the token to the first target, which resets the flow. Ruled out: marks in tokens (the first target's token is written before there is a copy); copies to the same target alone (a full target does not answer). Change: the instance that sees such a flow open tells the others of its failure domain and one of each other domain, which passes it on; one that starts or was paused asks up to four peers. Nothing is sent for flows with one possible target. New: log line `flow opened at one of several targets`, metric `mustardway_flows_contested_total`. Tried and dropped: peers to ask drawn from the random numbers that placement uses.

--- a/crates/mustardway_emulator/src/host.rs
+++ b/crates/mustardway_emulator/src/host.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
+use mustardway_flow::contested::message as contested_message;
 use mustardway_flow::front::Front;
 use mustardway_flow::load;
 use mustardway_load::message as load_message;
@@ -30,6 +31,7 @@
     Membership(message::Message),
     Mirror(mirror_message::Message),
     Load(load_message::Message),
+    Contested(contested_message::Message),
     /// Report of a target's health within a failure domain.
     PeerReport {
         target: target::Id,
@@ -45,6 +47,7 @@
                 Frame::Membership(message) => message.encoded_len(),
                 Frame::Mirror(message) => message.encoded_len(),
                 Frame::Load(message) => message.encoded_len(),
+                Frame::Contested(message) => message.encoded_len(),
                 Frame::PeerReport { target, .. } => target.as_str().len(),
             }
     }
--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -61,6 +61,9 @@
             Frame::Load(message) => {
                 self.deliver_to_front(to, front::Event::Load { from, message });
             }
+            Frame::Contested(message) => {
+                self.deliver_to_front(to, front::Event::Contested { from, message });
+            }
             Frame::PeerReport { target, is_lost } => {
                 self.deliver_to_front(to, front::Event::PeerReport { from, target, is_lost });
             }
@@ -166,9 +169,10 @@
         let load_topology = load_topology::Topology::new(me, domain, live.iter().copied());
         let topology = Topology::new(me, domain, live);
         instance.neighbours.clone_from(&topology.neighbours);
+        let relays = topology.relays.iter().map(|relay| relay.id.clone()).collect();
         let neighbours = instance.neighbours.clone();
         self.deliver_to_mirror(host, mirror::Event::Topology(topology));
-        self.deliver_to_front(host, front::Event::Peers { known, neighbours });
+        self.deliver_to_front(host, front::Event::Peers { known, neighbours, relays });
         if self.site.is_load_shared {
             self.deliver_to_front(host, front::Event::LoadTopology(load_topology));
         }
@@ -246,6 +250,11 @@
                         }
                     }
                 }
+                Action::SendContested { to, message } => {
+                    if let Some(to) = host::index(&to) {
+                        self.send_frame(host, to, Frame::Contested(message));
+                    }
+                }
                 Action::SendLoad { to, message } => {
                     if let Some(to) = host::index(&to) {
                         self.send_frame(host, to, Frame::Load(message));
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -1,6 +1,7 @@
 //! The state machine of one instance of the packet front: packets and events in,
 //! verdicts and actions out.
 
+mod contested;
 mod established;
 mod load;
 mod open;
@@ -18,6 +19,8 @@
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
+use crate::contested::Registry;
+use crate::contested::message as contested_message;
 use crate::demand::Demand;
 use crate::directory::Directory;
 use crate::health::Outcome;
@@ -71,6 +74,8 @@
         known: Vec<instance::Id>,
         /// Live instances in this one's failure domain, including this one.
         neighbours: Vec<instance::Id>,
+        /// One live instance in each other failure domain.
+        relays: Vec<instance::Id>,
     },
     /// The process did not run for a while. Packets that were received meanwhile
     /// follow.
@@ -91,6 +96,13 @@
         /// Whether the target is lost; otherwise it answers again.
         is_lost: bool,
     },
+    /// A peer sent a message about contested flows.
+    Contested {
+        /// The peer.
+        from: instance::Id,
+        /// The message.
+        message: contested_message::Message,
+    },
     /// A peer sent load estimates or what they are made from.
     Load {
         /// The peer.
@@ -116,6 +128,13 @@
         /// Whether the target is lost; otherwise it answers again.
         is_lost: bool,
     },
+    /// Send a message about contested flows to a peer.
+    SendContested {
+        /// The peer.
+        to: instance::Id,
+        /// The message.
+        message: contested_message::Message,
+    },
     /// Send load estimates, or what they are made from, to a peer.
     SendLoad {
         /// The peer.
@@ -151,10 +170,13 @@
     /// Live instances in this one's failure domain, including this one. They receive
     /// packets of the same callers.
     neighbours: Vec<instance::Id>,
+    /// One live instance in each other failure domain.
+    relays: Vec<instance::Id>,
     confirmed: Option<Instant>,
     /// Time at which a flow's packets first carried an unknown token.
     unknown_tokens: FxHashMap<Flow, Instant>,
     openings: Queue,
+    contested: Registry,
     /// Directory indexes of targets that are suspected or lost and that this instance
     /// probes.
     unhealthy: BTreeSet<usize>,
@@ -187,6 +209,7 @@
         Front {
             known: vec![me.clone()],
             neighbours: vec![me.clone()],
+            relays: Vec::new(),
             me,
             home,
             directory: Directory::default(),
@@ -194,6 +217,7 @@
             confirmed: None,
             unknown_tokens: FxHashMap::default(),
             openings: Queue::default(),
+            contested: Registry::default(),
             unhealthy: BTreeSet::new(),
             reported: BTreeMap::new(),
             reachability: Reachability::default(),
@@ -228,6 +252,11 @@
         &self.table
     }
 
+    /// Returns the contested flows.
+    pub fn contested(&self) -> &Registry {
+        &self.contested
+    }
+
     /// Returns whether a configuration is known, without which no packet can be
     /// handled.
     pub fn is_configured(&self) -> bool {
@@ -263,12 +292,15 @@
             Event::Published(changes) => self.apply_changes(changes, now, actions),
             Event::Departed(departures) => self.directory.restore_departed(departures, now),
             Event::Confirmed(at) => self.confirmed = Some(at),
-            Event::Peers { known, neighbours } => {
+            Event::Peers { known, neighbours, relays } => {
                 self.known = known;
                 self.neighbours = neighbours;
+                self.relays = relays;
+                self.exchange_holders(now, actions);
             }
             Event::Paused => {
                 self.is_clearing_backlog = true;
+                self.contested.restart_requests(now);
                 self.handle_load(load_node::Event::Paused, now, actions);
             }
             Event::BacklogCleared => {
@@ -281,6 +313,9 @@
             Event::PeerReport { from, target, is_lost } => {
                 self.reported(from, &target, is_lost, now, actions);
             }
+            Event::Contested { from, message } => {
+                self.receive_contested(from, message, now, actions);
+            }
             Event::Load { from, message } => {
                 let event = load_node::Event::Received { from, message };
                 self.handle_load(event, now, actions);
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -52,16 +52,21 @@
 
     /// Returns the directory index of the flow's target. If two targets answer copies
     /// of one opening packet, the later answer changes the token that the caller
-    /// sends. Once this instance has seen the flow open, its target stays the same.
+    /// sends. Once this instance has seen the flow open, its target stays the same; else
+    /// a peer may have seen it open.
     fn target_index(&self, packet: &Packet) -> Option<usize> {
         let record = self.table.get(&packet.flow());
         let open = record.filter(|record| record.stage != Stage::Opening);
         let open = open.filter(|record| self.directory.get(record.target).is_some());
-        open.map(|record| record.target).or_else(|| self.index_of_token(packet.token))
+        if let Some(record) = open.filter(|record| record.opening.is_some()) {
+            return Some(record.target);
+        }
+        let known = self.holder(packet).or(open.map(|record| record.target));
+        known.or_else(|| self.index_of_token(packet.token))
     }
 
     /// Returns the directory index of the target that a token names.
-    fn index_of_token(&self, token: Token) -> Option<usize> {
+    pub(super) fn index_of_token(&self, token: Token) -> Option<usize> {
         self.directory.index_of_token(token, |unregistered_at| self.is_gone(unregistered_at))
     }
 
@@ -100,6 +105,7 @@
     fn observe(&mut self, packet: &Packet, index: usize, now: Instant, actions: &mut Vec<Action>) {
         let flow = packet.flow();
         let is_replaced = self.sync_record(&flow, packet, index, now);
+        let mut is_contested = self.names_other_target(packet.token, index);
         let usual_round_trip = self.load().map_or(Span::ZERO, Load::usual_round_trip);
         let mut round_trip = None;
         let is_measurable = |since: Instant| !self.is_clearing_backlog && since > self.resumed;
@@ -110,6 +116,7 @@
             record.stage = Stage::Open;
             record.acknowledged = packet.acknowledgement;
             responded = true;
+            is_contested |= record.is_ambiguous || is_replaced;
             if record.opening.is_some() && !is_replaced {
                 let waited = now.since(record.placed);
                 actions.push(Action::Waited(Wait::Open(waited)));
@@ -152,10 +159,14 @@
                 unanswered_since = record.request_since;
             }
         }
+        let opening = record.opening.filter(|_| is_contested);
         let ended = packet.flags.finishes || packet.flags.resets;
         if let Some(answer) = previous {
             self.record_answer(index, flow.route, &answer);
         }
+        if let Some(opening) = opening {
+            self.record_holder(flow, opening, index, now, actions);
+        }
         self.record_progress(&flow, &progress, round_trip);
         self.update_target(index, &progress, now, actions);
         if progress.requested && !responded && self.is_unregistered_and_silent(index) {
@@ -169,6 +180,14 @@
         }
     }
 
+    /// Returns whether a token names another target than the one at `index`, which then
+    /// has answered the opening packet of the flow as well.
+    fn names_other_target(&self, token: Token, index: usize) -> bool {
+        let target = self.directory.get(index);
+        target.is_some_and(|target| target.token.without_mark() != token.without_mark())
+            && self.index_of_token(token).is_some_and(|named| named != index)
+    }
+
     /// Records what one packet shows about the load.
     fn record_progress(&mut self, flow: &Flow, progress: &Progress, round_trip: Option<Span>) {
         let Some(load) = &mut self.load else { return };
@@ -226,7 +245,8 @@
         let mut record = Record::new(index, stage, now);
         record.opening = known.and_then(|known| known.opening);
         let target = self.directory.get(index);
-        record.is_ambiguous = target.is_some_and(|target| !target.is_named_by(packet.token));
+        record.is_ambiguous = target.is_some_and(|target| !target.is_named_by(packet.token))
+            && self.holder(packet) != Some(index);
         record.acknowledged = packet.acknowledgement;
         self.track(*flow, record, now);
         true
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -79,10 +79,19 @@
         actions: &mut Vec<Action>,
     ) -> EarlierCopy {
         let flow = packet.flow();
-        let Some(record) = self.table.get(&flow).copied() else { return EarlierCopy::Unknown };
-        if record.opening != Some(packet.sequence) {
-            return EarlierCopy::Unknown;
+        let record = self.table.get(&flow).copied();
+        let record = record.filter(|record| record.opening == Some(packet.sequence));
+        if self.contested.opening_of(&flow) != Some(packet.sequence) {
+            self.contested.forget(&flow);
         }
+        let is_open = record.is_some_and(|record| record.stage != Stage::Opening);
+        if !is_open
+            && let Some(index) = self.holder(packet)
+            && let Some(verdict) = self.forward_to(index, true)
+        {
+            return EarlierCopy::Follow(verdict);
+        }
+        let Some(record) = record else { return EarlierCopy::Unknown };
         let is_lost = self.directory.get(record.target).is_some_and(|it| it.health.is_lost());
         let is_early = now.since(record.placed) < RESPONSE_TIMEOUT && !is_lost;
         if (record.stage != Stage::Opening || is_early)
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -388,6 +388,7 @@
             self.probe_if_unhealthy(index, now, actions);
         }
         self.probe_reference(now, actions);
+        self.exchange_holders(now, actions);
         if now < self.next_sweep {
             return;
         }
@@ -397,6 +398,7 @@
             self.untrack(&flow, now);
         }
         self.unknown_tokens.retain(|_, first| now.since(*first) < UNKNOWN_TOKEN_RETENTION);
+        self.contested.remove_expired(now);
         self.directory.remove_expired(now);
     }
 }
--- a/crates/mustardway_flow/src/lib.rs
+++ b/crates/mustardway_flow/src/lib.rs
@@ -11,6 +11,7 @@
 //! Modules:
 //! - [`packet`]: the packet fields that decide where a packet goes.
 //! - [`token`]: the identifier of a target inside packets.
+//! - [`contested`]: flows whose opening packet was sent to several targets.
 //! - [`demand`]: the share of the callers' demand that this instance can place.
 //! - [`directory`]: published routes and targets, with the state kept for each
 //!   target.
@@ -28,6 +29,7 @@
 //! - [`front`]: the state machine that joins these parts.
 //! - [`note`]: decisions to log, and the reasons for drops and resets.
 
+pub mod contested;
 pub mod demand;
 pub mod directory;
 pub mod front;
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -125,6 +125,13 @@
         /// Time since the platform confirmed the published state.
         age: Option<Span>,
     },
+    /// A flow opened at one of several targets that got its opening packet.
+    Contested {
+        /// The flow.
+        flow: Flow,
+        /// The target that holds the flow.
+        target: target::Id,
+    },
     /// A flow was reset.
     Reset {
         /// The flow.
--- a/crates/mustardway_flow/tests/cold_targets.rs
+++ b/crates/mustardway_flow/tests/cold_targets.rs
@@ -55,7 +55,7 @@
         cold.cold = Span::seconds(4);
         harness.publish(put(cold));
         let neighbours = vec![me.clone()];
-        harness.handle(Event::Peers { known: known.clone(), neighbours });
+        harness.handle(Event::Peers { known: known.clone(), neighbours, relays: Vec::new() });
         harnesses.push(harness);
     }
     let mut arrivals = Vec::new();
--- a/crates/mustardway_flow/tests/common/mod.rs
+++ b/crates/mustardway_flow/tests/common/mod.rs
@@ -168,7 +168,11 @@
 
     /// Sets the number of live instances in the failure domain of the instance.
     pub fn set_neighbours(&mut self, count: usize) {
-        self.handle(Event::Peers { known: instances(count), neighbours: instances(count) });
+        self.handle(Event::Peers {
+            known: instances(count),
+            neighbours: instances(count),
+            relays: Vec::new(),
+        });
     }
 
     pub fn handle(&mut self, event: Event) {
--- a/crates/mustardway_flow/tests/delayed_confirmation.rs
+++ b/crates/mustardway_flow/tests/delayed_confirmation.rs
@@ -53,7 +53,11 @@
         let home: domain::Name = HOME.parse().expect("well formed");
         let topology = Topology::new(&names[0], &home, names.iter().map(|name| (name, &home)));
         mirror.handle(harness.now, MirrorEvent::Topology(topology), &mut Vec::new());
-        harness.handle(Event::Peers { known: names.clone(), neighbours: names });
+        harness.handle(Event::Peers {
+            known: names.clone(),
+            neighbours: names,
+            relays: Vec::new(),
+        });
         let changes = [
             Change::Put(Item::Configuration(Arc::new(configuration(1)))),
             put(registration(1, "orders", HOME)),
--- a/crates/mustardway_flow/tests/unreachable_domains.rs
+++ b/crates/mustardway_flow/tests/unreachable_domains.rs
@@ -19,7 +19,11 @@
 fn evacuated_harness() -> Harness {
     let mut harness = Harness::new(4, 40);
     harness.publish(Change::Put(Item::Evacuated(HOME.parse().expect("well formed"))));
-    harness.handle(Event::Peers { known: instances(9), neighbours: instances(3) });
+    harness.handle(Event::Peers {
+        known: instances(9),
+        neighbours: instances(3),
+        relays: Vec::new(),
+    });
     harness
 }
 
--- a/crates/mustardway_flow/tests/wrong_reports.rs
+++ b/crates/mustardway_flow/tests/wrong_reports.rs
@@ -28,7 +28,11 @@
     for number in 1..=TARGETS {
         harness.publish(put(registration(number, "orders", AWAY)));
     }
-    harness.handle(Event::Peers { known: instances(9), neighbours: instances(3) });
+    harness.handle(Event::Peers {
+        known: instances(9),
+        neighbours: instances(3),
+        relays: Vec::new(),
+    });
     harness.advance(1_000);
     for number in 1..=REPORTED {
         harness.handle(Event::PeerReport {
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -26,7 +26,7 @@
 use crate::load::{self, Document};
 use crate::metrics::{Metrics, gauge_value};
 use crate::pause::Detector;
-use crate::peers::{LOAD, MEMBERSHIP, MIRROR};
+use crate::peers::{CONTESTED, LOAD, MEMBERSHIP, MIRROR};
 use crate::probes;
 use crate::report::Report;
 
@@ -334,9 +334,10 @@
         slog::debug!(self.context.logger, "live instances changed"; "live" => self.peers.len() + 1,
             "known" => known.len(), "rank" => topology.fleet_rank);
         self.domain_instances.clone_from(&topology.neighbours);
+        let relays = topology.relays.iter().map(|relay| relay.id.clone()).collect();
         self.handle_mirror_event(mirror::Event::Topology(topology), now);
         let neighbours = self.domain_instances.clone();
-        self.handle_front_event(front::Event::Peers { known, neighbours }, now);
+        self.handle_front_event(front::Event::Peers { known, neighbours, relays }, now);
         self.handle_front_event(front::Event::LoadTopology(load_topology), now);
     }
 
@@ -410,6 +411,10 @@
                 front::Action::TellPeers { target, is_lost } => {
                     self.broadcast_status(&target, is_lost);
                 }
+                front::Action::SendContested { to, message } => {
+                    let Some(address) = self.peers.get(&to).copied() else { continue };
+                    self.send_message(&to, address, Priority::Control, CONTESTED, &message);
+                }
                 front::Action::SendLoad { to, message } => {
                     let Some(address) = self.peers.get(&to).copied() else { continue };
                     self.send_message(&to, address, Priority::Bulk, LOAD, &message);
--- a/crates/mustardway_front/src/dispatcher/messages.rs
+++ b/crates/mustardway_front/src/dispatcher/messages.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use mustardway_flow::contested::message as contested_message;
 use mustardway_flow::front;
 use mustardway_load::message as load_message;
 use mustardway_membership::{event, message as membership_message};
@@ -15,7 +16,7 @@
 use prost::Message;
 
 use super::Dispatcher;
-use crate::peers::{LOAD, MEMBERSHIP, MIRROR, TARGET_STATUS, TargetStatus};
+use crate::peers::{CONTESTED, LOAD, MEMBERSHIP, MIRROR, TARGET_STATUS, TargetStatus};
 
 impl Dispatcher {
     /// Decodes a message of a peer and passes it to the state machine that it is for.
@@ -43,6 +44,10 @@
                 let event = front::Event::Load { from: from.clone(), message };
                 self.handle_front_event(event, now);
             }),
+            CONTESTED => contested_message::Message::decode(body).map(|message| {
+                let event = front::Event::Contested { from: from.clone(), message };
+                self.handle_front_event(event, now);
+            }),
             _ => TargetStatus::decode(body)
                 .map(|status| self.handle_target_status(from, &status, now)),
         };
--- a/crates/mustardway_front/src/metrics.rs
+++ b/crates/mustardway_front/src/metrics.rs
@@ -45,6 +45,7 @@
     pub malformed: Counter,
     dropped: Family<Label, Counter>,
     flows_placed: Counter,
+    flows_contested: Counter,
     flows_reset: Family<Label, Counter>,
     targets_doubted: Counter,
     targets_lost: Counter,
@@ -87,6 +88,7 @@
             malformed: Counter::default(),
             dropped: Family::default(),
             flows_placed: Counter::default(),
+            flows_contested: Counter::default(),
             flows_reset: Family::default(),
             targets_doubted: Counter::default(),
             targets_lost: Counter::default(),
@@ -144,6 +146,11 @@
         );
         registry.register("packets_dropped", "Packets dropped, by reason", self.dropped.clone());
         registry.register("flows_placed", "New flows sent to a target", self.flows_placed.clone());
+        registry.register(
+            "flows_contested",
+            "Flows that opened at one of several targets",
+            self.flows_contested.clone(),
+        );
         registry.register("flows_reset", "Flows reset, by reason", self.flows_reset.clone());
         registry.register("flows_known", "Flows that are remembered", self.flows.clone());
         registry.register_with_unit(
@@ -263,6 +270,9 @@
             Note::Placed { .. } => {
                 self.flows_placed.inc();
             }
+            Note::Contested { .. } => {
+                self.flows_contested.inc();
+            }
             Note::Reset { reason, .. } => self.count_reset(*reason),
             Note::Doubted { .. } => {
                 self.targets_doubted.inc();
--- a/crates/mustardway_front/src/peers.rs
+++ b/crates/mustardway_front/src/peers.rs
@@ -17,15 +17,18 @@
 pub const TARGET_STATUS: Kind = Kind(18);
 /// Frame kind of messages that share load estimates.
 pub const LOAD: Kind = Kind(19);
+/// Frame kind of messages about contested flows.
+pub const CONTESTED: Kind = Kind(20);
 /// Every frame kind that an instance accepts.
-pub const KINDS: [Kind; 4] = [MEMBERSHIP, MIRROR, TARGET_STATUS, LOAD];
+pub const KINDS: [Kind; 5] = [MEMBERSHIP, MIRROR, TARGET_STATUS, LOAD, CONTESTED];
 
 /// Label values of the frame kinds in metrics.
-pub const KIND_NAMES: [(Kind, &str); 4] = [
+pub const KIND_NAMES: [(Kind, &str); 5] = [
     (MEMBERSHIP, "membership"),
     (MIRROR, "mirror"),
     (TARGET_STATUS, "target-status"),
     (LOAD, "load"),
+    (CONTESTED, "contested-flows"),
 ];
 
 /// Tells a peer whether the sender found a target lost or answering again.
--- a/crates/mustardway_front/src/report.rs
+++ b/crates/mustardway_front/src/report.rs
@@ -123,6 +123,10 @@
                     "copies" => copies, "waiting" => waiting, "age" => format_age(*age),
                     "skipped" => skipped);
             }
+            Note::Contested { flow, target } => {
+                slog::info!(log, "flow opened at one of several targets"; "flow" => %flow,
+                    "target" => %target, "skipped" => skipped);
+            }
             Note::Reset { flow, target, reason, age } => {
                 let target = target.as_ref().map_or("", |target| target.as_str());
                 slog::info!(log, "flow reset"; "flow" => %flow, "target" => target,
@@ -195,6 +199,7 @@
 fn limiter_key(note: &Note) -> &'static str {
     match note {
         Note::Placed { .. } => "placed",
+        Note::Contested { .. } => "contested",
         Note::Reset { .. } => "reset",
         Note::Doubted { .. } => "doubted",
         Note::Lost { .. } => "lost",
