Mirror: a notice without an offer is followed by a pull

Cause: an instance of another failure domain that has read the change offers it to the killed one, which it knows as the domain's first, and sends the others notices. A notice holds the reads of its receiver until the change should have arrived (2.2 s in the log), and nobody sends it. Ruled out: slow reads (25 ms in the log); that the death is noticed late, as it still is. Change: without an offer within 300 ms, the receiver of a notice pulls the change from the sender of the notice and offers it down the tree.

--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -238,6 +238,7 @@
             Event::Paused(span) => self.take_pause(span, now),
         }
         self.finish_restore_if_due(now, actions);
+        self.pull_noticed(now, actions);
         self.read_if_due(now, actions);
         self.pull_if_empty(now, actions);
         self.request_departed(now, actions);
--- a/crates/mustardway_mirror/src/node/offers.rs
+++ b/crates/mustardway_mirror/src/node/offers.rs
@@ -7,7 +7,9 @@
 //! Who was offered a change does not read the platform until it should have arrived.
 //! Otherwise all replicas would grow too old meanwhile, and every instance would read
 //! it. Offers also go, as mere notices, two steps down the tree at a time, because an
-//! instance whose link is busy forwards an offer late.
+//! instance whose link is busy forwards an offer late. Who gets a notice and soon after
+//! no offer pulls from the sender of the notice: the instance that was to offer the
+//! change may be lost.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -23,6 +25,9 @@
 const OFFERED_BYTES_MIN: usize = 4 * 1024;
 /// Time for an offered change of any size to arrive.
 const TRANSFER_TIME_MIN: Span = Span::millis(500);
+/// Time after a notice within which the change is offered. Offers are small and are
+/// forwarded at once.
+const OFFER_TIME: Span = Span::millis(300);
 /// Maximum time for an offered change to arrive.
 const TRANSFER_TIME_MAX: Span = Span::seconds(3);
 /// Bytes per second that a narrow link (10 Mbit/s) carries.
@@ -45,10 +50,20 @@
     root: Option<instance::Id>,
 }
 
+/// A change that this instance has had notice of, but no offer.
+#[derive(Debug)]
+struct Noticed {
+    from: instance::Id,
+    /// The notice, which has no changes.
+    push: Push,
+    at: Instant,
+}
+
 /// Changes that were offered by or to this instance.
 #[derive(Debug, Default)]
 pub(super) struct Offers {
     incoming: Option<Incoming>,
+    noticed: Option<Noticed>,
     /// Time until which the platform is not read. It does not end when the change has
     /// arrived, since confirmations are queued behind the copies for other peers.
     hold_until: Instant,
@@ -93,6 +108,13 @@
         }
     }
 
+    /// Records a notice, unless one of the same or a later change is recorded.
+    fn notice(&mut self, from: &instance::Id, push: &Push, now: Instant) {
+        if self.noticed.as_ref().is_none_or(|noticed| noticed.push.last() < push.last()) {
+            self.noticed = Some(Noticed { from: from.clone(), push: push.clone(), at: now });
+        }
+    }
+
     /// Returns whether an offer or a notice is to be forwarded down the tree of `root`. If
     /// so, it counts as forwarded.
     fn start_forwarding(&mut self, version: Version, root: &instance::Id) -> bool {
@@ -169,7 +191,11 @@
         self.offers.hold_reads(self.replica.version(), version, until);
         let incoming = self.offers.incoming.as_ref();
         let is_coming = incoming.is_some_and(|it| it.version >= version && now < it.pull_until);
+        if push.is_notice && !is_coming {
+            self.offers.notice(from, push, now);
+        }
         if !push.is_notice && !is_coming {
+            self.offers.noticed = None;
             self.send_pull(from, now, actions);
             let (from, root) = (from.clone(), self.forwarding_root(push));
             self.offers.incoming = Some(Incoming { version, from, pull_until: until, root });
@@ -182,6 +208,16 @@
         }
     }
 
+    /// Pulls a change from the sender of its notice if nobody has offered it.
+    pub(super) fn pull_noticed(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let is_due = |noticed: &mut Noticed| now >= noticed.at + OFFER_TIME;
+        let Some(noticed) = self.offers.noticed.take_if(is_due) else { return };
+        if noticed.push.last() > self.replica.version() {
+            let offer = Push { is_notice: false, ..noticed.push };
+            self.take_offer(&noticed.from, &offer, now, actions);
+        }
+    }
+
     /// Sends notices of an offer to instances that this one does not send the change to.
     pub(super) fn send_notices(
         &mut self,
--- a/crates/mustardway_mirror/tests/large_changes.rs
+++ b/crates/mustardway_mirror/tests/large_changes.rs
@@ -172,3 +172,114 @@
     node.handle(later, Event::Disconnected(names[1].clone()), &mut actions);
     assert!(actions.iter().any(|action| matches!(action, Action::Read(..))), "{actions:?}");
 }
+
+/// Time until the other instances know that one has lost power.
+const DETECTION_MILLIS: u64 = 2_000;
+/// The shortest time within which a change has to be in force, less the time that reading
+/// and sending a large one takes on real machines.
+const IN_FORCE: Span = Span::millis(3_000 - 300);
+
+/// Publishes a configuration `delay` milliseconds after the reader has begun a read, when
+/// an instance loses power. Returns the time until the change is in force at all others.
+fn time_in_force_without(fleet: &mut Fleet, lost: usize, routes: u16, delay: u64) -> Span {
+    let reader = fleet.reader();
+    while fleet.hosts[reader].node.reading().is_none() {
+        fleet.run(10);
+    }
+    fleet.run(delay);
+    fleet.publish_next_configuration(routes);
+    fleet.hosts[lost].running = false;
+    let published = fleet.now;
+    let others: Vec<usize> = (0..fleet.hosts.len()).filter(|number| *number != lost).collect();
+    while !others.iter().all(|number| fleet.is_current(*number)) {
+        fleet.run(10);
+        let passed = fleet.now.since(published);
+        if passed == Span::millis(DETECTION_MILLIS) {
+            fleet.update_topologies();
+        }
+        assert!(passed < Span::seconds(20), "the change does not arrive");
+    }
+    let passed = fleet.now.since(published);
+    fleet.run(DETECTION_MILLIS);
+    fleet.hosts[lost].running = true;
+    fleet.update_topologies();
+    fleet.run(3_000);
+    passed
+}
+
+/// Guards against instances that go on with an older version beside one that has lost
+/// power: they waited for a change that the lost one was to send.
+#[test]
+fn change_is_in_force_in_time_beside_a_lost_instance() {
+    for (count, domains) in [(4, 2), (7, 3), (12, 3), (30, 5)] {
+        for routes in [100, 1_000, ROUTES] {
+            let mut fleet = Fleet::new(count, domains);
+            fleet.publish_next_configuration(routes);
+            fleet.run(3_000);
+            let reader = fleet.reader();
+            for delay in [0, 10, 200, 400, 600, 800, 950] {
+                let passed = time_in_force_without(&mut fleet, reader, routes, delay);
+                assert!(
+                    passed <= IN_FORCE,
+                    "{passed}: {routes} routes, {reader} of {count} lost after {delay} ms"
+                );
+            }
+        }
+    }
+}
+
+/// Each instance loses power in turn, so that it is the reader, a relay and an inner
+/// instance of a tree.
+#[test]
+fn change_is_in_force_in_time_whichever_instance_is_lost() {
+    let mut fleet = Fleet::new(12, 2);
+    fleet.publish_next_configuration(ROUTES);
+    fleet.run(3_000);
+    for lost in 0..12 {
+        let passed = time_in_force_without(&mut fleet, lost, ROUTES, 0);
+        assert!(passed <= IN_FORCE, "{passed}: {lost} lost");
+    }
+}
+
+/// Returns whether the actions pull from `peer`.
+fn pulls_from(actions: &[Action], peer: &instance::Id) -> bool {
+    actions.iter().any(|action| match action {
+        Action::Send { to, message: Message { body: Some(Body::Pull(_)) } } => to == peer,
+        _ => false,
+    })
+}
+
+/// The instance that was to offer the change is lost.
+#[test]
+fn notice_without_an_offer_is_followed_by_a_pull() {
+    let now = Instant::default() + Span::seconds(3_600);
+    let (mut node, names) = instance_at_18(now);
+    let root = names[2].to_string();
+    let notice = Push { relay: true, is_notice: true, root, ..large_push().to_offer() };
+    let actions = receive(&mut node, now, &names[1], Body::Push(notice.clone()));
+    assert!(!pulls_from(&actions, &names[1]), "{actions:?}");
+    let mut actions = Vec::new();
+    for millis in (50..=500).step_by(50) {
+        node.handle(now + Span::millis(millis), Event::Tick, &mut actions);
+    }
+    assert!(pulls_from(&actions, &names[1]), "{actions:?}");
+    receive(&mut node, now + Span::millis(550), &names[1], Body::Push(large_push()));
+    assert_eq!(node.replica().number(), Number(20));
+}
+
+/// An offer soon follows the notice, and nothing is pulled from the sender of the notice.
+#[test]
+fn notice_before_an_offer_causes_no_pull() {
+    let now = Instant::default() + Span::seconds(3_600);
+    let (mut node, names) = instance_at_18(now);
+    let offer = Push { relay: true, root: names[2].to_string(), ..large_push().to_offer() };
+    let notice = Push { is_notice: true, ..offer.clone() };
+    let mut actions = receive(&mut node, now, &names[1], Body::Push(notice));
+    let soon = now + Span::millis(100);
+    let pulled = receive(&mut node, soon, &names[2], Body::Push(offer));
+    assert!(pulls_from(&pulled, &names[2]), "{pulled:?}");
+    for millis in (150..=500).step_by(50) {
+        node.handle(now + Span::millis(millis), Event::Tick, &mut actions);
+    }
+    assert!(!pulls_from(&actions, &names[1]), "{actions:?}");
+}
