Mirror: the loss of a peer ends the wait for what it offered

Cause: the link of a peer without power stays silent, and only a link that breaks ended the wait. Change: the wait ends when the peer is no longer among the live instances. Measured: `platform_is_read_if_the_offering_peer_is_lost` failed before and passes now.

--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -233,7 +233,10 @@
             Event::Tick => {}
             Event::Answer(ticket, answer) => self.take_answer(ticket, answer, now, actions),
             Event::Received { from, message } => self.receive(from, message, now, actions),
-            Event::Topology(topology) => self.topology = topology,
+            Event::Topology(topology) => {
+                self.offers.forget_lost_peers(&topology.others(), now);
+                self.topology = topology;
+            }
             Event::Disconnected(peer) => self.offers.forget_peer(&peer, now),
             Event::Paused(span) => self.take_pause(span, now),
         }
--- a/crates/mustardway_mirror/src/node/offers.rs
+++ b/crates/mustardway_mirror/src/node/offers.rs
@@ -86,6 +86,15 @@
         now < self.hold_until
     }
 
+    /// Ends the wait for a change that was pulled from an instance that is not among the
+    /// `live` ones any more.
+    pub(super) fn forget_lost_peers(&mut self, live: &[&instance::Id], now: Instant) {
+        let lost = self.incoming.as_ref().filter(|incoming| !live.contains(&&incoming.from));
+        if let Some(lost) = lost.map(|incoming| incoming.from.clone()) {
+            self.forget_peer(&lost, now);
+        }
+    }
+
     /// Ends the wait for a change that was pulled from `peer`, whose link broke.
     pub(super) fn forget_peer(&mut self, peer: &instance::Id, now: Instant) {
         if self.incoming.take_if(|incoming| incoming.from == *peer).is_some() {
--- a/crates/mustardway_mirror/tests/large_changes.rs
+++ b/crates/mustardway_mirror/tests/large_changes.rs
@@ -283,3 +283,19 @@
     }
     assert!(!pulls_from(&actions, &names[1]), "{actions:?}");
 }
+
+/// The instance that offered the change loses power before it has sent it.
+#[test]
+fn platform_is_read_if_the_offering_peer_is_lost() {
+    let now = Instant::default() + Span::seconds(3_600);
+    let (mut node, names) = instance_at_18(now);
+    let later = now + Span::millis(2_600);
+    let offer = Push { relay: true, ..large_push().to_offer() };
+    receive(&mut node, later, &names[1], Body::Push(offer));
+    let home = common::domain(0);
+    let live = [&names[0], &names[2]].map(|name| (name, &home));
+    let mut actions = Vec::new();
+    let topology = Topology::new(&names[0], &home, live);
+    node.handle(later + Span::millis(100), Event::Topology(topology), &mut actions);
+    assert!(actions.iter().any(|action| matches!(action, Action::Read(..))), "{actions:?}");
+}
