--- a/crates/mustardway_mirror/tests/large_changes.rs
+++ b/crates/mustardway_mirror/tests/large_changes.rs
@@ -256,7 +256,7 @@
     let (mut node, names) = instance_at_18(now);
     let root = names[2].to_string();
     let notice = Push { relay: true, is_notice: true, root, ..large_push().to_offer() };
-    let actions = receive(&mut node, now, &names[1], Body::Push(notice.clone()));
+    let actions = receive(&mut node, now, &names[1], Body::Push(notice));
     assert!(!pulls_from(&actions, &names[1]), "{actions:?}");
     let mut actions = Vec::new();
     for millis in (50..=500).step_by(50) {
