Flow: the directory can be shared between threads again

The table of unused tokens was in a cell that is not Sync, and the test of a whole instance did not build. It is in a lock that is set once.

--- a/crates/mustardway_flow/src/directory.rs
+++ b/crates/mustardway_flow/src/directory.rs
@@ -5,10 +5,9 @@
 //! gets the packets of flows at another one. All instances choose alike, also those
 //! that have just started.
 
-use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use compact_str::CompactString;
 use mustardway_load::key;
@@ -115,7 +114,7 @@
     displaced: Vec<usize>,
     /// Indexes by the candidates that are not in use, without the bit that marks
     /// ambiguous flows. Computed when a token in no use is looked up.
-    unused_tokens: OnceCell<FxHashMap<Token, usize>>,
+    unused_tokens: OnceLock<FxHashMap<Token, usize>>,
     /// Whether the lookup tables by token and by service are out of date.
     is_index_stale: bool,
 }
