Mirror: changes that no answer holds are read as the whole state

Cause: a query for changes is answered with every configuration since the last read. Above 4 MiB the answer is not taken, and the same query is repeated until the platform has dropped its history. Ruled out: a larger limit (7.9 MB here, no bound in general, memory). Change: an answer that is too large is a failure of its own and leads to a read of the whole state in pages, as a lost history does.

--- a/crates/mustardway_front/src/metrics.rs
+++ b/crates/mustardway_front/src/metrics.rs
@@ -338,6 +338,7 @@
             Err(Failure::Timeout) => "timeout",
             Err(Failure::Refused) => "refused",
             Err(Failure::Forgotten) => "forgotten",
+            Err(Failure::TooLarge) => "too-large",
             Err(Failure::Nonsense) => "nonsense",
         };
         self.platform_calls.get_or_create(&[("outcome", label)]).inc();
--- a/crates/mustardway_mirror/src/node.rs
+++ b/crates/mustardway_mirror/src/node.rs
@@ -91,6 +91,8 @@
     Refused,
     /// the platform no longer has the requested changes
     Forgotten,
+    /// the platform's answer is too large
+    TooLarge,
     /// the platform's answer is malformed
     Nonsense,
 }
@@ -366,7 +368,10 @@
 
     fn take_failure(&mut self, failure: Failure, now: Instant, actions: &mut Vec<Action>) {
         let is_eager = self.topology.domain_rank < EAGER_INSTANCES;
-        if failure == Failure::Forgotten {
+        // The whole state comes in pages. The changes after the same number would only be
+        // more in the next answer.
+        let was_full = self.needs_full_read || self.replica.version().is_empty();
+        if failure == Failure::Forgotten || failure == Failure::TooLarge && !was_full {
             self.needs_full_read = true;
             if !is_eager {
                 self.next_read = now + FULL_PUSH_TIME + self.jitter;
--- a/crates/mustardway_mirror/tests/common/mod.rs
+++ b/crates/mustardway_mirror/tests/common/mod.rs
@@ -99,6 +99,8 @@
     pub calls: usize,
     /// Number of answered queries for everything.
     pub full_reads: usize,
+    /// Maximum number of bytes of changes that an instance takes in one answer.
+    pub changes_max: Option<usize>,
 }
 
 impl Platform {
@@ -137,7 +139,11 @@
             }
             Query::Since { after, .. } => {
                 let changes = self.log.iter().filter(|update| update.number > after);
-                Ok(Answer::Since(version, changes.cloned().collect()))
+                let answer = Answer::Since(version, changes.cloned().collect());
+                match self.changes_max.is_some_and(|most| answer_bytes(&answer) > most) {
+                    true => Err(Failure::TooLarge),
+                    false => Ok(answer),
+                }
             }
         }
     }
--- a/crates/mustardway_mirror/tests/large_changes.rs
+++ b/crates/mustardway_mirror/tests/large_changes.rs
@@ -5,8 +5,8 @@
 
 use common::Fleet;
 use mustardway_mirror::message::{Body, Message, Pull, Push};
-use mustardway_mirror::node::{Action, Answer, Event, Node};
-use mustardway_mirror::publication::Update;
+use mustardway_mirror::node::{Action, Answer, Event, Failure, Node};
+use mustardway_mirror::publication::{Change, Key, Update};
 use mustardway_mirror::topology::Topology;
 use mustardway_types::instance;
 use mustardway_types::revision::{Number, Version};
@@ -299,3 +299,69 @@
     node.handle(later + Span::millis(100), Event::Topology(topology), &mut actions);
     assert!(actions.iter().any(|action| matches!(action, Action::Read(..))), "{actions:?}");
 }
+
+/// Guards against a fleet that learns nothing while more changes lie in the platform's
+/// history than one answer can hold: the same changes were asked for again and again.
+#[test]
+fn changes_that_no_answer_holds_are_in_force_in_time() {
+    for (count, domains) in [(1, 1), (4, 2), (7, 3), (30, 5)] {
+        let mut fleet = Fleet::new(count, domains);
+        fleet.publish_next_configuration(ROUTES);
+        fleet.run(3_000);
+        fleet.platform.changes_max = Some(4 << 20);
+        fleet.platform.calls = 0;
+        for _ in 0..25 {
+            fleet.publish_next_configuration(ROUTES);
+            fleet.run(60);
+        }
+        fleet.run(3_000);
+        for number in 0..count {
+            assert!(fleet.is_current(number), "instance {number} of {count}");
+        }
+        fleet.platform.publish(common::put(1, true));
+        fleet.run(3_000);
+        for number in 0..count {
+            assert!(fleet.is_current(number), "instance {number} of {count}, after the burst");
+        }
+        let seconds = 1 + 3 + 3 + 1;
+        let calls = fleet.platform.calls;
+        assert!(calls <= 4 * seconds * domains, "{calls} calls by {count} instances");
+    }
+}
+
+/// Thousands of registrations lapse and return at once.
+#[test]
+fn registrations_that_no_answer_holds_are_in_force_in_time() {
+    let mut fleet = Fleet::new(12, 3);
+    for number in 0..2_000 {
+        fleet.platform.publish(common::put(number, false));
+    }
+    fleet.run(3_000);
+    fleet.platform.changes_max = Some(200_000);
+    for number in 0..2_000 {
+        fleet.platform.publish(Change::Removed(Key::Target(common::target(number))));
+        fleet.platform.publish(common::put(number, number % 3 == 0));
+    }
+    fleet.run(3_000);
+    for number in 0..12 {
+        assert!(fleet.is_current(number), "instance {number}");
+    }
+}
+
+/// A full state that is too large to be read is asked for at a limited rate.
+#[test]
+fn full_state_that_is_too_large_is_asked_for_slowly() {
+    let now = Instant::default() + Span::seconds(3_600);
+    let mut node = Node::new(1, now);
+    let mut calls = 0;
+    for millis in (0..10_000).step_by(50) {
+        let now = now + Span::millis(millis);
+        let mut actions = Vec::new();
+        node.handle(now, Event::Tick, &mut actions);
+        while node.reading().is_some() {
+            calls += 1;
+            common::answer(&mut node, now, Err(Failure::TooLarge));
+        }
+    }
+    assert!(calls <= 15, "{calls} calls in 10 s");
+}
