Types: lengths of time may be fractions

Cause: the number before the unit had to be whole. Change: up to nine digits after a point, rounded down to a microsecond. Measured: `span_may_be_a_fraction` failed before and passes now.

--- a/crates/mustardway_types/src/time.rs
+++ b/crates/mustardway_types/src/time.rs
@@ -119,16 +119,28 @@
     type Err = parse::Error;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        const WANTED: &str = "length of time such as 250ms, 2s or 5min";
+        const WANTED: &str = "length of time such as 250ms, 2s, 2.5s or 5min";
         let error = || parse::Error::value(text, WANTED);
-        let digits = text.find(|c: char| !c.is_ascii_digit()).ok_or_else(error)?;
-        let number: u64 = text[..digits].parse().map_err(|_| error())?;
-        for (unit, micros) in UNITS {
-            if text[digits..] != *unit {
-                continue;
-            }
-            return number.checked_mul(micros).map(Span).ok_or_else(error);
-        }
-        Err(error())
+        let end = text.find(|c: char| !c.is_ascii_digit() && c != '.').ok_or_else(error)?;
+        let (number, unit) = text.split_at(end);
+        let (_, micros) = UNITS.into_iter().find(|(name, _)| *name == unit).ok_or_else(error)?;
+        let (whole, fraction) = match number.split_once('.') {
+            Some((whole, fraction)) => (whole, fraction_of(fraction, micros).ok_or_else(error)?),
+            None => (number, 0),
+        };
+        let whole: u64 = whole.parse().map_err(|_| error())?;
+        let span = whole.checked_mul(micros).and_then(|span| span.checked_add(fraction));
+        span.map(Span).ok_or_else(error)
+    }
+}
+
+/// Returns the part of `micros` that the digits after a decimal point state, rounded down.
+fn fraction_of(digits: &str, micros: u64) -> Option<u64> {
+    const DIGITS_MAX: usize = 9;
+    if digits.len() > DIGITS_MAX {
+        return None;
     }
+    let number: u64 = digits.parse().ok()?;
+    let parts = u128::from(number) * u128::from(micros);
+    u64::try_from(parts / 10_u128.pow(digits.len() as u32)).ok()
 }
--- a/crates/mustardway_types/tests/text_forms.rs
+++ b/crates/mustardway_types/tests/text_forms.rs
@@ -12,6 +12,26 @@
     }
 }
 
+/// Guards against a process that does not start because a bound of its settings is a
+/// fraction.
+#[test]
+fn span_may_be_a_fraction() {
+    let parsed = |text: &str| text.parse::<Span>().unwrap();
+    assert_eq!(parsed("6.5s"), Span::millis(6_500));
+    assert_eq!(parsed("0.25s"), Span::millis(250));
+    assert_eq!(parsed("6.0s"), Span::seconds(6));
+    assert_eq!(parsed("1.5min"), Span::seconds(90));
+    assert_eq!(parsed("0.123456789ms"), Span(123));
+    assert_eq!(parsed("0.000000001h"), Span(3));
+    for text in ["1.s", ".5s", "1.2.3s", ".s", "1.+5s", "1.0000000000s", "18446744073709551615.9us"]
+    {
+        let parsed = text.parse::<Span>();
+        let is_valid = text.ends_with("us");
+        assert_eq!(parsed.is_ok(), is_valid, "{text}");
+    }
+    assert_matches!("307445734561.9min".parse::<Span>(), Err(parse::Error::Value { .. }));
+}
+
 #[test]
 fn span_without_unit_or_out_of_range_is_rejected() {
     assert_matches!("250".parse::<Span>(), Err(parse::Error::Value { .. }));
