Mirror: the history keeps one configuration

Cause: the history kept every configuration, although peers are only ever sent the last one. Change: a configuration takes the place of the earlier one in the history. Peers get what they got before. Measured: `superseded_configurations_are_not_kept` kept 256 before, 1 now.

--- a/crates/mustardway_mirror/src/replica.rs
+++ b/crates/mustardway_mirror/src/replica.rs
@@ -431,8 +431,12 @@
         true
     }
 
-    /// Appends a change to the history and drops the oldest one if it is full.
+    /// Appends a change to the history and drops the oldest one if it is full. Of several
+    /// configurations only the last one is ever sent, and a large one takes a megabyte.
     fn record(&mut self, update: Update) {
+        if update.change.key() == Key::Configuration {
+            self.history.retain(|known| known.change.key() != Key::Configuration);
+        }
         if self.history.len() == HISTORY_MAX
             && let Some(oldest) = self.history.pop_front()
         {
--- a/crates/mustardway_mirror/tests/replica_order.rs
+++ b/crates/mustardway_mirror/tests/replica_order.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use assert_matches::assert_matches;
 use common::{Platform, answer, configuration, instance, put, target, version};
 use mustardway_mirror::message::{Body, Push};
 use mustardway_mirror::node::{Action, Answer, Event, Failure, Node, Query};
-use mustardway_mirror::publication::{Change, Key, Update};
+use mustardway_mirror::publication::{Change, Configuration, Item, Key, Update};
 use mustardway_mirror::replica::Replica;
 use mustardway_mirror::topology::Topology;
 use mustardway_mirror::usage::Usage;
@@ -213,6 +215,27 @@
     assert_eq!(replica.changes_after(version(0, 9), start()), Some(Vec::new()));
 }
 
+/// Guards against memory that grows by a megabyte with each large configuration.
+#[test]
+fn superseded_configurations_are_not_kept() {
+    let mut replica = Replica::default();
+    let mut published = Vec::new();
+    for number in 1..=300 {
+        let content = Arc::new(Configuration { version: number, ..Configuration::default() });
+        published.push(Arc::downgrade(&content));
+        let change = Change::Put(Item::Configuration(content));
+        let configuration = Update { number: Number(2 * number), change };
+        let target = Update { number: Number(2 * number + 1), change: put(number, false) };
+        let updates = vec![configuration, target];
+        replica.apply_changes(Number(2 * number + 1), updates, start());
+    }
+    let kept = published.iter().filter(|content| content.strong_count() > 0).count();
+    assert_eq!(kept, 1);
+    // Peers that are behind get all targets and the last configuration.
+    let after = replica.changes_after(version(0, 401), start()).expect("known");
+    assert_eq!(after.len(), 101);
+}
+
 /// The instances of high rank read the whole state and push it, so that the others do
 /// not all read it.
 #[test]
