Flow: a share of weight 0 gets no new flows

Seen by the review, without a case: a service of weight 0 got new flows once the other services of its route had no target. Cause: where no other share was left, one was drawn without regard to the weights. Change: shares of weight 0 are left out; a route with nothing else is reset at once. Measured: `share_of_weight_zero_gets_no_flows` failed before and passes now.

--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -173,6 +173,7 @@
     ) -> Placed {
         let route = self.directory.route(packet.destination);
         let mut shares = route.map_or_else(Vec::new, |route| route.shares.clone());
+        shares.retain(|share| share.weight > 0);
         while !shares.is_empty() {
             let share = shares.swap_remove(self.draw_share(&shares));
             self.demand.count(&share.service, now);
@@ -214,12 +215,9 @@
         }
     }
 
-    /// Returns the index of one of `shares`, drawn by weight.
+    /// Returns the index of one of `shares`, drawn by weight. No weight is 0.
     fn draw_share(&mut self, shares: &[Share]) -> usize {
         let total: u64 = shares.iter().map(|share| u64::from(share.weight)).sum();
-        if total == 0 {
-            return self.rng.random_range(0..shares.len());
-        }
         let mut drawn = self.rng.random_range(0..total);
         for (index, share) in shares.iter().enumerate() {
             let weight = u64::from(share.weight);
--- a/crates/mustardway_flow/tests/opening_packets.rs
+++ b/crates/mustardway_flow/tests/opening_packets.rs
@@ -163,6 +163,30 @@
     assert!((146..=254).contains(&files), "{files} of 2000");
 }
 
+/// A weight of 0 takes a service out of use, also if the others have no target.
+#[test]
+fn share_of_weight_zero_gets_no_flows() {
+    let share = |service: &str, weight| mustardway_mirror::publication::Share {
+        service: service.parse().expect("well formed"),
+        weight,
+    };
+    let mut harness = Harness::new(0, 0);
+    let mut split = common::configuration(2);
+    split.routes[0].shares = vec![share("orders", 1), share("files", 0)];
+    harness.configure(split.clone());
+    harness.publish(put(registration(1, "orders", HOME)));
+    harness.publish(put(registration(2, "files", HOME)));
+    for from in 0..50 {
+        assert_eq!(harness.open(from, 1), Some(1));
+    }
+    harness.lose_target(1, Outcome::Silent);
+    assert_matches!(harness.send(&opening(100, 1, 0)), Verdict::Reset(_));
+    split.version = 3;
+    split.routes[0].shares = vec![share("files", 0)];
+    harness.configure(split);
+    assert_matches!(harness.send(&opening(101, 1, 0)), Verdict::Reset(_));
+}
+
 #[test]
 fn placement_is_logged() {
     let mut harness = Harness::new(1, 0);
--- a/crates/mustardway_mirror/src/publication.rs
+++ b/crates/mustardway_mirror/src/publication.rs
@@ -57,7 +57,8 @@
 pub struct Share {
     /// Service that gets the share.
     pub service: service::Name,
-    /// Weight of the share among all shares of the route.
+    /// Weight of the share among all shares of the route. A share of weight 0 gets no new
+    /// flows.
     pub weight: u32,
 }
 
