Emulator: links that lose packets, and targets that answer late

New: `Kind::Lossy`; targets repeat their answers to opening packets while links lose packets; a target that gets data of a flow that another one holds resets it, and the rule on false resets counts that.

--- a/crates/mustardway_emulator/src/disruption.rs
+++ b/crates/mustardway_emulator/src/disruption.rs
@@ -53,6 +53,8 @@
     StopHost(usize),
     /// End the graceful stop of an instance.
     TerminateHost(usize),
+    /// End the losses on the links of a failure domain.
+    EndLosses,
     /// End the partition between two failure domains.
     HealCut(usize, usize),
     /// End the outage of the platform. If `lapsed` is set, all registrations expire.
@@ -130,6 +132,10 @@
                     self.cut(domain, other, partition, lasts);
                 }
             }
+            Kind::Lossy { domain, share, lasts } => {
+                self.network.set_lossy(Some((domain, share)));
+                self.schedule(lasts, FollowUp::EndLosses);
+            }
             Kind::BridgeCut { domains, lasts } => {
                 self.cut(domains.0, domains.1, Partition::Silent, lasts);
             }
@@ -225,6 +231,7 @@
                 self.hosts[host].alive = false;
                 self.schedule(RESTART_TIME, FollowUp::StartHost(host));
             }
+            FollowUp::EndLosses => self.network.set_lossy(None),
             FollowUp::HealCut(first, second) => self.network.heal(first, second, self.now),
             FollowUp::RestorePlatform { lapsed } => {
                 self.platform.is_down = false;
--- a/crates/mustardway_emulator/src/network.rs
+++ b/crates/mustardway_emulator/src/network.rs
@@ -24,13 +24,16 @@
     partitions: BTreeMap<(usize, usize), Partition>,
     /// Time at which the latest partition between two failure domains ended.
     healed: BTreeMap<(usize, usize), Instant>,
+    /// The failure domain whose links to the others lose packets, and the share of lost
+    /// ones.
+    lossy: Option<(usize, f64)>,
 }
 
 impl Network {
     /// Creates a network without partitions. `domain_delay` is the one-way delay
     /// between failure domains.
     pub(crate) fn new(domain_delay: Span) -> Self {
-        Network { domain_delay, partitions: BTreeMap::new(), healed: BTreeMap::new() }
+        Network { domain_delay, partitions: BTreeMap::new(), healed: BTreeMap::new(), lossy: None }
     }
 
     /// Returns the one-way delay between two failure domains.
@@ -43,6 +46,22 @@
         self.partitions.get(&pair(first, second)).copied()
     }
 
+    /// Starts or ends the losses on the links between a failure domain and the others.
+    pub(crate) fn set_lossy(&mut self, lossy: Option<(usize, f64)>) {
+        self.lossy = lossy;
+    }
+
+    /// Returns whether the links of a failure domain lose packets.
+    pub(crate) fn is_lossy(&self) -> bool {
+        self.lossy.is_some()
+    }
+
+    /// Returns the share of the packets between two failure domains that are lost.
+    pub(crate) fn loss(&self, first: usize, second: usize) -> Option<f64> {
+        let (domain, share) = self.lossy?;
+        (first != second && (first == domain || second == domain)).then_some(share)
+    }
+
     /// Starts a partition between two failure domains.
     pub(crate) fn cut(&mut self, first: usize, second: usize, partition: Partition) {
         self.partitions.insert(pair(first, second), partition);
--- a/crates/mustardway_emulator/src/rules.rs
+++ b/crates/mustardway_emulator/src/rules.rs
@@ -44,6 +44,23 @@
         self.record_violation(Rule::FalseReset, detail);
     }
 
+    /// Checks a reset by a target that does not hold the flow: the target that holds it must
+    /// be gone or affected by a disruption.
+    pub(crate) fn check_foreign_reset(&mut self, host: usize, target: usize, flow: u32) {
+        let Some((holder, incarnation)) = self.flows[flow as usize].target else { return };
+        let since = self.now - IMPAIRMENT_GRACE;
+        let server = &self.servers[holder];
+        let is_healthy =
+            server.alive && server.incarnation == incarnation && server.changed_at < since;
+        let instance = &self.hosts[host];
+        let was_cut = self.network.was_cut(instance.domain, server.domain, since);
+        if !is_healthy || was_cut || instance.frozen_until >= since {
+            return;
+        }
+        let detail = format_compact!("by {} a flow at {}", self.servers[target].id, server.id);
+        self.record_violation(Rule::FalseReset, detail);
+    }
+
     /// Checks a request that a target starts to run, and counts the run.
     pub(crate) fn check_run(&mut self, request: usize, target: usize) {
         self.requests[request].runs += 1;
--- a/crates/mustardway_emulator/src/scenario.rs
+++ b/crates/mustardway_emulator/src/scenario.rs
@@ -97,6 +97,16 @@
         /// Duration of the power loss.
         lasts: Span,
     },
+    /// The links between a failure domain and the others lose packets. Targets repeat
+    /// their answers to opening packets meanwhile.
+    Lossy {
+        /// Index of the failure domain.
+        domain: usize,
+        /// Share of the packets that are lost.
+        share: f64,
+        /// Duration of the losses.
+        lasts: Span,
+    },
     /// A rolling restart: a share of the instances are stopped gracefully and
     /// restarted, one after the other.
     Roll {
--- a/crates/mustardway_emulator/src/target.rs
+++ b/crates/mustardway_emulator/src/target.rs
@@ -35,6 +35,8 @@
 /// The target's end of a flow, with the latest request on it and its state.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Flow {
+    /// Whether the caller has acknowledged this target's answer to the opening packet.
+    pub(crate) is_open: bool,
     pub(crate) request: Option<(usize, Stage)>,
 }
 
@@ -175,7 +177,7 @@
             return Admission::Reject;
         };
         let stage = if admission == Admission::Run { Stage::Running } else { Stage::Waiting };
-        self.flows.insert(flow, Flow { request: Some((request, stage)) });
+        self.flows.insert(flow, Flow { is_open: true, request: Some((request, stage)) });
         admission
     }
 
--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -89,6 +89,8 @@
     ToTarget { host: usize, target: usize, flow: u32, packet: Packet },
     /// A reply arrives at a caller.
     ToCaller { flow: u32, reply: Reply },
+    /// A target repeats its answer to an opening packet unless the flow is open.
+    RepeatAnswer { target: usize, incarnation: u32, flow: u32, token: Token, repeats: u32 },
     /// A target has finished a request.
     RequestDone { target: usize, incarnation: u32, flow: u32, request: usize },
     /// An instance's tick is due.
@@ -311,6 +313,9 @@
                 self.packet_at_target(host, target, flow, packet);
             }
             Event::ToCaller { flow, reply } => self.receive_reply(flow, reply),
+            Event::RepeatAnswer { target, incarnation, flow, token, repeats } => {
+                self.repeat_answer(target, incarnation, flow, token, repeats);
+            }
             Event::RequestDone { target, incarnation, flow, request } => {
                 self.request_done(target, incarnation, flow, request);
             }
--- a/crates/mustardway_emulator/src/world/request.rs
+++ b/crates/mustardway_emulator/src/world/request.rs
@@ -25,6 +25,12 @@
 /// Probability that the network loses a caller's packet or a target's reply.
 /// Acknowledgements of answers and resets by instances are not lost.
 const PACKET_LOSS: f64 = 0.000_5;
+/// Time after which a target repeats its answer to an opening packet. It doubles with
+/// each repeat, three times at most.
+const ANSWER_REPEAT: Span = Span::millis(200);
+const ANSWER_DOUBLINGS: u32 = 3;
+/// Maximum number of repeats of an answer to an opening packet.
+const ANSWER_REPEATS_MAX: u32 = 8;
 /// Factor on the service time of a cold target.
 const COLD_SLOWDOWN: f64 = 1.6;
 
@@ -181,7 +187,7 @@
         }
         self.report.forwarded_bytes += bytes as u64;
         self.report.cross_domain_bytes += if from == to { 0 } else { bytes as u64 };
-        if self.network.partition(from, to).is_some() {
+        if self.network.partition(from, to).is_some() || self.is_lost(from, to) {
             return;
         }
         let at = sent_at + self.network.delay(from, to);
@@ -214,8 +220,7 @@
         if packet.flags.opens {
             server.flows.entry(flow).or_default();
             self.check_opening(host, target);
-            let token = packet.token;
-            self.answer_caller(flow, Reply::Opened { target, incarnation, token });
+            self.answer_opening(target, incarnation, flow, packet.token, 0);
             return;
         }
         let Some(flow_state) = self.servers[target].flows.get(&flow).copied() else {
@@ -224,7 +229,15 @@
         };
         // The data continues a flow that another target or incarnation accepted.
         let is_own = self.flows[flow as usize].target == Some((target, incarnation));
-        let Some(request) = self.flows[flow as usize].request.filter(|_| is_own) else { return };
+        if !is_own {
+            self.check_foreign_reset(host, target, flow);
+            self.answer_caller(flow, Reply::Reset { host: None });
+            return;
+        }
+        if let Some(flow_state) = self.servers[target].flows.get_mut(&flow) {
+            flow_state.is_open = true;
+        }
+        let Some(request) = self.flows[flow as usize].request else { return };
         if packet.length == 0 {
             return;
         }
@@ -237,6 +250,49 @@
         }
     }
 
+    /// Returns whether a packet between two failure domains is lost.
+    fn is_lost(&mut self, first: usize, second: usize) -> bool {
+        let loss = self.network.loss(first, second);
+        loss.is_some_and(|share| self.rng.random_bool(share))
+    }
+
+    /// Answers an opening packet for the first time or once more.
+    fn answer_opening(
+        &mut self,
+        target: usize,
+        incarnation: u32,
+        flow: u32,
+        token: Token,
+        repeats: u32,
+    ) {
+        if self.network.is_lossy() || repeats > 0 {
+            let delay = Span(ANSWER_REPEAT.0 << repeats.min(ANSWER_DOUBLINGS));
+            let repeats = repeats + 1;
+            let event = Event::RepeatAnswer { target, incarnation, flow, token, repeats };
+            self.queue.add(self.now + delay, event);
+        }
+        if !self.is_lost(self.servers[target].domain, self.flows[flow as usize].domain) {
+            self.answer_caller(flow, Reply::Opened { target, incarnation, token });
+        }
+    }
+
+    /// Repeats the answer to an opening packet whose flow is not open at the target.
+    pub(super) fn repeat_answer(
+        &mut self,
+        target: usize,
+        incarnation: u32,
+        flow: u32,
+        token: Token,
+        repeats: u32,
+    ) {
+        let server = &self.servers[target];
+        let is_waiting = server.flows.get(&flow).is_some_and(|flow_state| !flow_state.is_open);
+        let is_running = server.alive && server.incarnation == incarnation;
+        if is_running && is_waiting && repeats <= ANSWER_REPEATS_MAX {
+            self.answer_opening(target, incarnation, flow, token, repeats);
+        }
+    }
+
     /// Runs, queues or rejects a request at a target, unless the target leaves it
     /// unanswered.
     fn admit_request(&mut self, target: usize, flow: u32, request: usize) {
--- a/crates/mustardway_emulator/tests/found_faults.rs
+++ b/crates/mustardway_emulator/tests/found_faults.rs
@@ -117,3 +117,28 @@
     let report = simulate(&site, &scenario, 195);
     assert!(report.violations.is_empty(), "{report}");
 }
+
+/// Flows of a failure domain without targets cross links that lose packets, so that several
+/// targets answer one opening packet, some of them late. Instances that had not seen the
+/// flow open sent its packets to a target that answered late, which reset it.
+#[test]
+fn late_answers_while_instances_restart() {
+    for (preset, seeds) in [(Preset::FrioAustral, 144..150), (Preset::SanJose, 103..109)] {
+        for seed in seeds {
+            let lasts = Span::seconds(5);
+            let down = Kind::DomainTargetsDown { domain: 0, lasts: Span::seconds(22) };
+            let mut scenario = Scenario::quiet(24).with(1.0, down);
+            for (at, domain) in [(3.0, 2), (9.0, 1), (15.0, 2)] {
+                scenario = scenario.with(at, Kind::Lossy { domain, share: 0.05, lasts });
+            }
+            let restarts = match seed % 3 {
+                0 => Kind::Roll { share: 1.0, gap: Span::millis(2_500) },
+                1 => Kind::PowerOff { share: 0.3, lasts: Span::millis(1_500) },
+                _ => Kind::Roll { share: 1.0, gap: Span::millis(900) },
+            };
+            let scenario = scenario.with(5.0, restarts.clone()).with(13.0, restarts);
+            let report = simulate(&preset.site(), &scenario, seed);
+            assert!(report.violations.is_empty(), "seed {seed}: {report}");
+        }
+    }
+}
