Flow: names in contested flows, two candidates for a token looked up; docs

Reading the diff: names of the registry say what is heard and asked. A third candidate for a token is used only if two others are taken, and its table is not needed.

--- a/crates/mustardway_flow/src/contested.rs
+++ b/crates/mustardway_flow/src/contested.rs
@@ -54,8 +54,9 @@
     /// Flows whose holders the peers have not been told.
     unannounced: VecDeque<Flow>,
     next_announcement: Instant,
-    started: Option<Instant>,
-    /// Peers that were asked after the start.
+    /// Time since which this instance has heard all announcements.
+    listening_since: Option<Instant>,
+    /// Peers that were asked for the flows from before that.
     asked: Vec<instance::Id>,
     next_request: Instant,
     /// Whether a peer that knew all contested flows has answered.
@@ -133,7 +134,7 @@
         let mut entries = Vec::new();
         for flow in self.unannounced.drain(..count) {
             let Some(holder) = self.holders.get(&flow) else { continue };
-            entries.push(entry(flow, holder, now));
+            entries.push(encode(flow, holder, now));
         }
         let bytes = (Entry::BYTES_MAX * entries.len() * peers) as u64;
         self.next_announcement = now + Span(bytes * 1_000_000 / ANNOUNCED_BYTES_PER_SECOND);
@@ -142,24 +143,24 @@
 
     /// Returns the answer to the request of a peer that has started.
     pub fn answer(&self, now: Instant) -> Holders {
-        let has_seen_all = self.started.is_some_and(|started| now.since(started) >= RETENTION);
+        let has_heard_all = self.listening_since.is_some_and(|at| now.since(at) >= RETENTION);
         let mut entries = Vec::new();
         for (flow, holder) in &self.holders {
-            entries.push(entry(*flow, holder, now));
+            entries.push(encode(*flow, holder, now));
         }
-        Holders { entries, relay: false, is_complete: self.is_complete || has_seen_all }
+        Holders { entries, relay: false, is_complete: self.is_complete || has_heard_all }
     }
 
     /// Records that the sender of an answer knew all contested flows.
-    pub fn complete(&mut self) {
+    pub fn mark_complete(&mut self) {
         self.is_complete = true;
     }
 
     /// Returns whether a peer is to be asked now for the flows that opened before this
     /// instance started.
     pub fn is_request_due(&mut self, now: Instant) -> bool {
-        let started = *self.started.get_or_insert(now);
-        let is_over = self.is_complete || now.since(started) >= RETENTION;
+        let listening_since = *self.listening_since.get_or_insert(now);
+        let is_over = self.is_complete || now.since(listening_since) >= RETENTION;
         !is_over && self.asked.len() < REQUESTS_MAX && now >= self.next_request
     }
 
@@ -176,8 +177,8 @@
     }
 
     /// Asks the peers once more, since this instance may have missed announcements.
-    pub fn restart_requests(&mut self, now: Instant) {
-        self.started = Some(now);
+    pub fn ask_again(&mut self, now: Instant) {
+        self.listening_since = Some(now);
         self.asked.clear();
         self.is_complete = false;
     }
@@ -198,6 +199,6 @@
     }
 }
 
-fn entry(flow: Flow, holder: &Holder, now: Instant) -> Entry {
+fn encode(flow: Flow, holder: &Holder, now: Instant) -> Entry {
     Entry::new(flow, holder.token, holder.opening, now.since(holder.opened))
 }
--- a/crates/mustardway_flow/src/directory.rs
+++ b/crates/mustardway_flow/src/directory.rs
@@ -30,7 +30,7 @@
 /// about two seconds of its return.
 pub const REGISTRATION_GRACE: Span = Span::millis(2_500);
 /// Number of candidates for a target's token that packets of its flows may carry.
-const TOKEN_CANDIDATES: u64 = 3;
+const TOKEN_CANDIDATES: u64 = 2;
 
 /// A target and the state kept for it.
 #[derive(Debug)]
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -300,7 +300,7 @@
             }
             Event::Paused => {
                 self.is_clearing_backlog = true;
-                self.contested.restart_requests(now);
+                self.contested.ask_again(now);
                 self.handle_load(load_node::Event::Paused, now, actions);
             }
             Event::BacklogCleared => {
--- a/crates/mustardway_flow/src/front/contested.rs
+++ b/crates/mustardway_flow/src/front/contested.rs
@@ -98,7 +98,7 @@
             Some(Body::Answer(holders)) => {
                 self.contested.merge(&holders.entries, now);
                 if holders.is_complete {
-                    self.contested.complete();
+                    self.contested.mark_complete();
                 }
             }
             None => {}
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -82,9 +82,11 @@
         let record = self.table.get(&flow).copied();
         let record = record.filter(|record| record.opening == Some(packet.sequence));
         if self.contested.opening_of(&flow) != Some(packet.sequence) {
+            // A new flow uses the addresses of an earlier one.
             self.contested.forget(&flow);
         }
         let is_open = record.is_some_and(|record| record.stage != Stage::Opening);
+        // The flow may be open, as a peer has told.
         if !is_open
             && let Some(index) = self.holder(packet)
             && let Some(verdict) = self.forward_to(index, true)
