Command: a start waits for a settings file that is being written

Cause: a start read the file once. A running instance keeps its settings in this case. Change: a start reads a file that is not valid again for up to 500 ms.

--- a/crates/mustardway_command/src/commands/front.rs
+++ b/crates/mustardway_command/src/commands/front.rs
@@ -3,7 +3,8 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::SystemTime;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
 
 use mustardway_flow::load;
 use mustardway_front::run::{self, ReloadableSettings, SettingsSource};
@@ -17,6 +18,10 @@
 
 /// Environment variable that names the settings file if the command line does not.
 const SETTINGS_VARIABLE: &str = "MUSTARDWAY_SETTINGS";
+/// Time within which a settings file is written that is being replaced.
+const WRITE_TIME: Duration = Duration::from_millis(500);
+/// Interval between two reads of a settings file that is not valid.
+const READ_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Run an instance of the packet front until a signal (TERM or INT) stops it as
 /// planned; HUP reads the settings again
@@ -44,7 +49,7 @@
                 "give --settings, or set the environment variable {SETTINGS_VARIABLE}"
             )]);
         };
-        let settings = match read(&path) {
+        let settings = match read_written(&path) {
             Ok(settings) => settings,
             Err(lines) => return fail(&lines),
         };
@@ -70,6 +75,19 @@
     })
 }
 
+/// Reads the settings file, once more if it is being written. Returns every problem as one
+/// line of text.
+fn read_written(path: &Path) -> Result<Front, Vec<String>> {
+    let started = Instant::now();
+    loop {
+        let settings = read(path);
+        if settings.is_ok() || started.elapsed() >= WRITE_TIME {
+            return settings;
+        }
+        thread::sleep(READ_INTERVAL);
+    }
+}
+
 /// Serves packets until the instance has stopped.
 async fn serve(settings: Front, path: PathBuf) -> io::Result<()> {
     let log = log::Log::start(start::log_settings(&settings.log), io::stdout());
--- a/tests/front_process.rs
+++ b/tests/front_process.rs
@@ -98,3 +98,19 @@
     instance.wait_for_line("at the next start");
     std::fs::remove_file(&path).expect("settings file can be removed");
 }
+
+/// Guards against a process that ends since it is started while its settings file is being
+/// written.
+#[test]
+fn settings_may_be_written_during_a_start() {
+    let path = settings_path("written");
+    let whole = settings(2, "");
+    std::fs::write(&path, "").expect("settings file can be written");
+    let mut instance = Instance::start(&path);
+    for part in [&whole[..whole.len() / 2], &whole] {
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        std::fs::write(&path, part).expect("settings file can be written");
+    }
+    instance.wait_for_line("\"started\"");
+    std::fs::remove_file(&path).expect("settings file can be removed");
+}
