--- a/crates/mustardway_types/src/time.rs
+++ b/crates/mustardway_types/src/time.rs
@@ -119,7 +119,7 @@
     type Err = parse::Error;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        const WANTED: &str = "length of time such as 250ms, 2s, 2.5s or 5min";
+        const WANTED: &str = "length of time such as 250ms, 2s or 5min";
         let error = || parse::Error::value(text, WANTED);
         let end = text.find(|c: char| !c.is_ascii_digit() && c != '.').ok_or_else(error)?;
         let (number, unit) = text.split_at(end);
