Front: logs and metrics that tell what happened to a flow that moved between instances

- a line and a counter where an instance gets the first packet of a flow that opened elsewhere, with the target that it chose;
- a warning and a counter where a peer tells a holder other than the target that got the packets;
- a histogram of how late the timer ticks come, and a warning from 150 ms on, the shortest time by which targets are judged.

No decision changes. The test of the warning is contested_flows::misdirected_packets_are_reported.

--- a/crates/mustardway_command/src/queries/timeline.rs
+++ b/crates/mustardway_command/src/queries/timeline.rs
@@ -10,11 +10,12 @@
 use crate::failure::Failure;
 
 /// Log messages about an instance as a whole that may explain why a flow failed.
-const INSTANCE_MESSAGES: [&str; 9] = [
+const INSTANCE_MESSAGES: [&str; 10] = [
     "started",
     "stopping",
     "stopped",
     "the process did not run",
+    "the process ran late",
     "the platform does not answer",
     "the platform answers again",
     "failure domain evacuated",
--- a/crates/mustardway_flow/src/front/contested.rs
+++ b/crates/mustardway_flow/src/front/contested.rs
@@ -7,6 +7,8 @@
 use crate::contested::message::{Body, Entry, Holders, Message, Request};
 use crate::note::Note;
 use crate::packet::{Flow, Packet};
+use crate::table::Stage;
+use crate::token::Token;
 
 impl Front {
     /// Returns the directory index of the target that holds the flow of a packet, if that
@@ -91,12 +93,14 @@
             }
             Some(Body::Announcement(holders)) => {
                 let new = self.contested.merge(&holders.entries, now);
+                self.note_misdirected(&new, actions);
                 if holders.relay && !new.is_empty() {
                     self.tell_domain(&new, actions);
                 }
             }
             Some(Body::Answer(holders)) => {
-                self.contested.merge(&holders.entries, now);
+                let new = self.contested.merge(&holders.entries, now);
+                self.note_misdirected(&new, actions);
                 if holders.is_complete {
                     self.contested.mark_complete();
                 }
@@ -104,6 +108,27 @@
             None => {}
         }
     }
+
+    /// Logs the flows whose packets this instance has sent to another target than the
+    /// holder that a peer has told now.
+    fn note_misdirected(&self, entries: &[Entry], actions: &mut Vec<Action>) {
+        for entry in entries {
+            let flow = entry.flow();
+            let Some(record) = self.table.get(&flow) else { continue };
+            if record.stage == Stage::Opening || record.opening.is_some() {
+                continue;
+            }
+            let Some(holder) = self.index_of_token(Token(entry.token)) else { continue };
+            if holder == record.target {
+                continue;
+            }
+            let id_of = |index| self.directory.get(index).map(|it| it.registration.id.clone());
+            let (Some(target), Some(holder)) = (id_of(record.target), id_of(holder)) else {
+                continue;
+            };
+            actions.push(Action::Note(Note::Misdirected { flow, target, holder }));
+        }
+    }
 }
 
 fn announcement(entries: &[Entry], relay: bool) -> Message {
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -104,7 +104,7 @@
     /// Updates the flow and its target from one packet.
     fn observe(&mut self, packet: &Packet, index: usize, now: Instant, actions: &mut Vec<Action>) {
         let flow = packet.flow();
-        let is_replaced = self.sync_record(&flow, packet, index, now);
+        let is_replaced = self.sync_record(&flow, packet, index, now, actions);
         let mut is_contested = self.names_other_target(packet.token, index);
         let usual_round_trip = self.load().map_or(Span::ZERO, Load::usual_round_trip);
         let mut round_trip = None;
@@ -234,7 +234,14 @@
 
     /// Makes the record of a flow agree with the target of its packet. Returns whether it was
     /// replaced, so that the time at which the target got the opening packet is not known.
-    fn sync_record(&mut self, flow: &Flow, packet: &Packet, index: usize, now: Instant) -> bool {
+    fn sync_record(
+        &mut self,
+        flow: &Flow,
+        packet: &Packet,
+        index: usize,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> bool {
         let known = self.table.get(flow).copied();
         if known.is_some_and(|record| record.target == index) {
             return false;
@@ -249,6 +256,13 @@
             && self.holder(packet) != Some(index);
         record.acknowledged = packet.acknowledgement;
         self.track(*flow, record, now);
+        if known.is_none()
+            && let Some(target) = self.directory.get(index)
+        {
+            let is_marked = !target.is_named_by(packet.token);
+            let target = target.registration.id.clone();
+            actions.push(Action::Note(Note::Moved { flow: *flow, target, is_marked }));
+        }
         true
     }
 
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -132,6 +132,25 @@
         /// The target that holds the flow.
         target: target::Id,
     },
+    /// A packet of an open flow came that this instance had not seen open.
+    Moved {
+        /// The flow.
+        flow: Flow,
+        /// The target that the packet was forwarded to.
+        target: target::Id,
+        /// Whether the token carries the mark of flows whose opening packet may have
+        /// reached several targets.
+        is_marked: bool,
+    },
+    /// Packets of a contested flow were forwarded to a target that does not hold it.
+    Misdirected {
+        /// The flow.
+        flow: Flow,
+        /// The target that got the packets.
+        target: target::Id,
+        /// The target that holds the flow, as a peer has told since.
+        holder: target::Id,
+    },
     /// A flow was reset.
     Reset {
         /// The flow.
--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -4,14 +4,16 @@
 mod common;
 
 use common::{
-    AWAY, Harness, acknowledgement, forwarded_to, instances, opening, put, registration, request,
+    AWAY, Harness, acknowledgement, forwarded_to, id, instances, opening, put, registration,
+    request,
 };
-use mustardway_flow::contested::message::{Body, Entry, Request};
+use mustardway_flow::contested::message::{Body, Entry, Message, Request};
 use mustardway_flow::front::{Action, Event};
 use mustardway_flow::health::Outcome;
+use mustardway_flow::note::Note;
 use mustardway_flow::packet::Packet;
 use mustardway_types::instance;
-use prost::Message;
+use prost::Message as _;
 
 const TARGETS: u64 = 8;
 
@@ -298,15 +300,34 @@
 fn unknown_holder_is_ignored() {
     let mut fleet = Fleet::new(2, 0);
     let (early, _, from) = contest(&mut fleet, 1, 0, 0);
-    fleet.harnesses[1].handle(Event::Contested {
-        from: instances(1).swap_remove(0),
-        message: Body::Request(Request {}).into(),
-    });
-    let mut sent = fleet.harnesses[1].take_actions();
-    let Some(Action::SendContested { message, .. }) = sent.pop() else { panic!("no answer") };
+    let message = answer_of(&mut fleet.harnesses[1]);
     let mut harness = Harness::new(0, 0);
     harness.publish(put(registration(early, "orders", AWAY)));
     harness.handle(Event::Contested { from: instances(2).swap_remove(1), message });
     assert!(!harness.front.contested().is_empty());
     assert_eq!(forwarded_to(harness.send(&request(from, 1, early))), Some(early));
 }
+
+/// The packets of a flow go to the target that answered late, and then a peer tells the holder.
+#[test]
+fn misdirected_packets_are_reported() {
+    let mut fleet = Fleet::new(2, 0);
+    let (early, late, from) = contest(&mut fleet, 1, 0, 0);
+    let mut harness = Harness::new(TARGETS, 0);
+    harness.send(&request(from, 1, early));
+    harness.take_actions();
+    let message = answer_of(&mut fleet.harnesses[1]);
+    harness.handle(Event::Contested { from: instances(2).swap_remove(1), message });
+    let flow = request(from, 1, early).flow();
+    let note = Note::Misdirected { flow, target: id(early), holder: id(late) };
+    assert!(harness.actions.contains(&Action::Note(note)));
+}
+
+/// Returns what an instance answers to one that has just started.
+fn answer_of(harness: &mut Harness) -> Message {
+    let from = instances(1).swap_remove(0);
+    harness.handle(Event::Contested { from, message: Body::Request(Request {}).into() });
+    let mut sent = harness.take_actions();
+    let Some(Action::SendContested { message, .. }) = sent.pop() else { panic!("no answer") };
+    message
+}
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -30,6 +30,8 @@
 use crate::probes;
 use crate::report::Report;
 
+/// Interval of the timer that drives the state machines.
+pub const TICK_INTERVAL: Span = Span::millis(50);
 /// Packets that are read in one go before other events are handled.
 const PACKETS_PER_BATCH: usize = 64;
 /// Size of the receive buffer: envelope, header and 1,200 bytes of data, with a
@@ -142,6 +144,8 @@
     /// Checks for a pause of the process and drives the timers of all state machines.
     pub fn tick(&mut self) {
         let now = self.now();
+        let delay = self.pause_detector.time_since_tick(now).saturating_sub(TICK_INTERVAL);
+        self.report.observe_tick_delay(delay, now);
         if let Some((paused, missed)) = self.pause_detector.tick(now) {
             self.report.metrics().pauses.inc();
             slog::warn!(self.context.logger, "the process did not run";
--- a/crates/mustardway_front/src/metrics.rs
+++ b/crates/mustardway_front/src/metrics.rs
@@ -46,6 +46,8 @@
     dropped: Family<Label, Counter>,
     flows_placed: Counter,
     flows_contested: Counter,
+    flows_moved: Counter,
+    flows_misdirected: Counter,
     flows_reset: Family<Label, Counter>,
     targets_doubted: Counter,
     targets_lost: Counter,
@@ -63,6 +65,8 @@
     pub load: load_metrics::Metrics,
     /// Pauses of the process.
     pub pauses: Counter,
+    /// Delays of the timer ticks.
+    pub(crate) tick_delay: Histogram,
     /// Log lines suppressed by a rate limit.
     pub log_lines_skipped: Counter,
     /// Flows in the flow table.
@@ -89,6 +93,8 @@
             dropped: Family::default(),
             flows_placed: Counter::default(),
             flows_contested: Counter::default(),
+            flows_moved: Counter::default(),
+            flows_misdirected: Counter::default(),
             flows_reset: Family::default(),
             targets_doubted: Counter::default(),
             targets_lost: Counter::default(),
@@ -104,6 +110,7 @@
             peer_bytes_received: Family::default(),
             load: load_metrics::Metrics::default(),
             pauses: Counter::default(),
+            tick_delay: Histogram::new(BUCKETS_SECONDS),
             log_lines_skipped: Counter::default(),
             flows: Gauge::default(),
             live_instances: Gauge::default(),
@@ -151,6 +158,16 @@
             "Flows that opened at one of several targets",
             self.flows_contested.clone(),
         );
+        registry.register(
+            "flows_moved",
+            "Flows that were continued here and had opened elsewhere",
+            self.flows_moved.clone(),
+        );
+        registry.register(
+            "flows_misdirected",
+            "Flows whose packets went to another target than the holder",
+            self.flows_misdirected.clone(),
+        );
         registry.register("flows_reset", "Flows reset, by reason", self.flows_reset.clone());
         registry.register("flows_known", "Flows that are remembered", self.flows.clone());
         registry.register_with_unit(
@@ -247,6 +264,12 @@
         );
         registry.register("ready", "1 where new flows are welcome", self.ready.clone());
         registry.register("pauses", "Times that the process did not run", self.pauses.clone());
+        registry.register_with_unit(
+            "tick_delay",
+            "Time by which a timer tick came late",
+            Unit::Seconds,
+            self.tick_delay.clone(),
+        );
         registry.register(
             "log_lines_skipped",
             "Log lines left out",
@@ -273,6 +296,12 @@
             Note::Contested { .. } => {
                 self.flows_contested.inc();
             }
+            Note::Moved { .. } => {
+                self.flows_moved.inc();
+            }
+            Note::Misdirected { .. } => {
+                self.flows_misdirected.inc();
+            }
             Note::Reset { reason, .. } => self.count_reset(*reason),
             Note::Doubted { .. } => {
                 self.targets_doubted.inc();
--- a/crates/mustardway_front/src/pause.rs
+++ b/crates/mustardway_front/src/pause.rs
@@ -23,6 +23,11 @@
         Detector { last_tick: now, boot_time_at_tick: time_since_boot() }
     }
 
+    /// Returns the time since the last tick.
+    pub fn time_since_tick(&self, now: Instant) -> Span {
+        now.since(self.last_tick)
+    }
+
     /// Returns whether the process was paused since the last tick.
     pub fn was_paused(&self, now: Instant) -> bool {
         now.since(self.last_tick) >= PAUSE_MIN
--- a/crates/mustardway_front/src/report.rs
+++ b/crates/mustardway_front/src/report.rs
@@ -19,6 +19,9 @@
 /// Log lines per second of reset flows. The limit is higher, since resets are what an
 /// operator searches for first when a caller complains.
 const RESET_LINES_PER_SECOND: rate::PerSecond = rate::PerSecond(100);
+/// Delay of a timer tick from which it is logged: the shortest timeout by which an
+/// instance judges targets (150 ms).
+const TICK_DELAY_LOGGED_MIN: Span = Span::millis(150);
 /// Interval of the log lines with counters.
 const COUNTER_LOG_INTERVAL: Span = Span::seconds(10);
 
@@ -90,6 +93,21 @@
         }
     }
 
+    /// Records by how much a timer tick came late, and logs long delays.
+    pub fn observe_tick_delay(&self, delay: Span, now: Instant) {
+        self.metrics.tick_delay.observe(delay.as_seconds());
+        if delay < TICK_DELAY_LOGGED_MIN {
+            return;
+        }
+        match self.limiter.admit("late", now) {
+            Some(skipped) => slog::warn!(self.logger, "the process ran late"; "by" => %delay,
+                "skipped" => skipped),
+            None => {
+                self.metrics.log_lines_skipped.inc();
+            }
+        }
+    }
+
     /// Counts a probe, and logs its outcome unless probes exceed the rate limit.
     pub fn log_probe(&self, target: &target::Id, outcome: Outcome, now: Instant) {
         self.metrics.count_probe(outcome);
@@ -127,6 +145,14 @@
                 slog::info!(log, "flow opened at one of several targets"; "flow" => %flow,
                     "target" => %target, "skipped" => skipped);
             }
+            Note::Moved { flow, target, is_marked } => {
+                slog::info!(log, "flow continued that opened elsewhere"; "flow" => %flow,
+                    "target" => %target, "marked" => is_marked, "skipped" => skipped);
+            }
+            Note::Misdirected { flow, target, holder } => {
+                slog::warn!(log, "packets of a flow were sent to another target than its holder";
+                    "flow" => %flow, "target" => %target, "holder" => %holder, "skipped" => skipped);
+            }
             Note::Reset { flow, target, reason, age } => {
                 let target = target.as_ref().map_or("", |target| target.as_str());
                 slog::info!(log, "flow reset"; "flow" => %flow, "target" => target,
@@ -200,6 +226,8 @@
     match note {
         Note::Placed { .. } => "placed",
         Note::Contested { .. } => "contested",
+        Note::Moved { .. } => "moved",
+        Note::Misdirected { .. } => "misdirected",
         Note::Reset { .. } => "reset",
         Note::Doubted { .. } => "doubted",
         Note::Lost { .. } => "lost",
--- a/crates/mustardway_front/src/run.rs
+++ b/crates/mustardway_front/src/run.rs
@@ -18,7 +18,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::adapter::Adapter;
-use crate::dispatcher::{Context, Dispatcher};
+use crate::dispatcher::{Context, Dispatcher, TICK_INTERVAL};
 use crate::http;
 use crate::input::Input;
 use crate::load;
@@ -26,8 +26,6 @@
 use crate::peers::{InboundHandler, KINDS};
 use crate::signals::{Received, Signals};
 
-/// Interval of the timer that drives the state machines.
-const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval of the check whether the settings file has changed: a third of the 6 s
 /// within which a changed configuration must be in force.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
@@ -145,7 +143,7 @@
     }
     slog::info!(logger, "started"; "id" => %settings.id, "domain" => %settings.domain,
         "packets" => %settings.packets, "peer" => %settings.peer);
-    let mut ticks = tokio::time::interval(TICK_INTERVAL);
+    let mut ticks = tokio::time::interval(TICK_INTERVAL.into());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut polls = tokio::time::interval(SETTINGS_POLL_INTERVAL);
     polls.set_missed_tick_behavior(MissedTickBehavior::Delay);
