--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -150,6 +150,25 @@
     unreachable!("two targets are soon chosen")
 }
 
+/// Opens a flow whose opening packet and its copy go through the instances 0 and 1 to different
+/// targets, of which none has been seen to hold it. Returns both targets and the caller.
+fn copy_elsewhere(fleet: &mut Fleet) -> (u64, u64, u16) {
+    for from in 1.. {
+        let early = fleet.send(0, &opening(from, 1, 0)).expect("the flow is placed");
+        fleet.advance(200);
+        let late = fleet.send(1, &opening(from, 1, 1)).expect("the flow is placed");
+        if early != late {
+            return (early, late, from);
+        }
+    }
+    unreachable!("two targets are soon chosen")
+}
+
+/// Returns a request that follows another one.
+fn later_request(from: u16, number: u64) -> Packet {
+    Packet { sequence: 1_201, acknowledgement: 7_001, ..request(from, 1, number) }
+}
+
 /// Guards against flows that are reset by a target that answered their opening packet
 /// late: instances that had not seen the flow open followed its token.
 #[test]
@@ -310,3 +329,15 @@
     assert!(!harness.front.contested().is_empty());
     assert_eq!(forwarded_to(harness.send(&request(from, 1, early))), Some(early));
 }
+
+/// The caller's next packet goes through another instance than the copy of its opening packet.
+#[test]
+fn contested_flow_that_opens_through_a_third_instance_is_told_of() {
+    let mut fleet = Fleet::new(4, 0);
+    let (early, late, from) = copy_elsewhere(&mut fleet);
+    assert_eq!(fleet.send(2, &marked(acknowledgement(from, 1, late))), Some(late));
+    for number in [3, 0, 1] {
+        let target = fleet.send(number, &later_request(from, early));
+        assert_eq!(target, Some(late), "instance {number}");
+    }
+}
