--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -341,3 +341,16 @@
         assert_eq!(target, Some(late), "instance {number}");
     }
 }
+
+/// The flow opens at the first target, through an instance that saw no opening packet.
+#[test]
+fn late_answer_to_a_copy_moves_no_flow_that_opened_through_a_third_instance() {
+    for number in [0, 1, 3] {
+        let mut fleet = Fleet::new(4, 0);
+        let (early, late, from) = copy_elsewhere(&mut fleet);
+        assert_eq!(fleet.send(2, &acknowledgement(from, 1, early)), Some(early));
+        let packet = marked(later_request(from, late));
+        assert_eq!(fleet.send(2, &packet), Some(early));
+        assert_eq!(fleet.send(number, &packet), Some(early), "instance {number}");
+    }
+}
