--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -354,3 +354,16 @@
         assert_eq!(fleet.send(number, &packet), Some(early), "instance {number}");
     }
 }
+
+/// Data was sent before this packet, so the token may come from a later answer than the first.
+#[test]
+fn instance_that_missed_the_first_packet_names_no_holder() {
+    for number in [0, 1] {
+        let mut fleet = Fleet::new(4, 0);
+        let (early, late, from) = copy_elsewhere(&mut fleet);
+        assert_eq!(fleet.send(2, &acknowledgement(from, 1, early)), Some(early));
+        fleet.send(number, &marked(later_request(from, late)));
+        let target = fleet.send(3, &later_request(from, early));
+        assert_eq!(target, Some(early), "misled by instance {number}");
+    }
+}
