--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -367,3 +367,15 @@
         assert_eq!(target, Some(early), "misled by instance {number}");
     }
 }
+
+/// The announcement of the holder waits behind a packet with the late answer's token.
+#[test]
+fn holder_that_is_told_of_later_gets_the_packets_that_follow() {
+    let mut fleet = Fleet::new(2, 0);
+    let (early, late, from) = copy_elsewhere(&mut fleet);
+    let opens = marked(acknowledgement(from, 1, late));
+    assert_eq!(forwarded_to(fleet.harnesses[1].send(&opens)), Some(late));
+    fleet.harnesses[0].send(&later_request(from, early));
+    fleet.exchange();
+    assert_eq!(fleet.send(0, &later_request(from, early)), Some(late));
+}
