--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -379,3 +379,25 @@
     fleet.exchange();
     assert_eq!(fleet.send(0, &later_request(from, early)), Some(late));
 }
+
+/// An instance that did not run for a moment handles many copies at once.
+#[test]
+fn ten_contested_flows_at_once_are_told_of_at_once() {
+    let mut fleet = Fleet::new(22, 0);
+    fleet.advance(2_000);
+    let mut early = Vec::new();
+    for from in 1..=10 {
+        early.push(fleet.send(0, &opening(from, 1, 0)).expect("the flow is placed"));
+    }
+    fleet.advance(200);
+    let mut late = Vec::new();
+    for from in 1..=10 {
+        let target = fleet.send(0, &opening(from, 1, 1)).expect("the flow is placed");
+        fleet.send(0, &marked(acknowledgement(from, 1, target)));
+        late.push(target);
+    }
+    for from in 1..=10 {
+        let (early, late) = (early[usize::from(from) - 1], late[usize::from(from) - 1]);
+        assert_eq!(fleet.send(1, &request(from, 1, early)), Some(late), "flow {from}");
+    }
+}
