--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -401,3 +401,26 @@
         assert_eq!(fleet.send(1, &request(from, 1, early)), Some(late), "flow {from}");
     }
 }
+
+/// The peers' answers are on the way.
+#[test]
+fn started_instance_is_not_ready_before_it_knows_the_holders() {
+    let mut fleet = Fleet::new(4, 0);
+    let (early, late, from) = contest(&mut fleet, 1, 0, 0);
+    let now = fleet.harnesses[3].now;
+    fleet.harnesses[3] = start(instances(4).swap_remove(3));
+    fleet.harnesses[3].now = now;
+    fleet.harnesses[3].handle(Event::Confirmed(now));
+    let names = instances(4);
+    let (known, neighbours) = (names.clone(), names);
+    fleet.harnesses[3].handle(Event::Peers { known, neighbours, relays: Vec::new() });
+    let harness = &mut fleet.harnesses[3];
+    harness.advance(50);
+    if harness.front.is_ready() {
+        assert_eq!(forwarded_to(harness.send(&request(from, 1, early))), Some(late));
+    }
+    fleet.exchange();
+    fleet.advance(50);
+    assert!(fleet.harnesses[3].front.is_ready());
+    assert_eq!(fleet.send(3, &request(from, 1, early)), Some(late));
+}
