--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -22,6 +22,8 @@
     harnesses: Vec<Harness>,
     /// Instances that are not running.
     stopped: Vec<usize>,
+    /// Instances that do not know of the last one, which has just started.
+    unaware: Vec<usize>,
     /// Bytes of the messages about contested flows.
     bytes: usize,
 }
@@ -30,7 +32,8 @@
     fn new(near: usize, far: usize) -> Self {
         let names = instances(near + far);
         let harnesses = names.into_iter().map(start).collect();
-        let mut fleet = Fleet { near, harnesses, stopped: Vec::new(), bytes: 0 };
+        let mut fleet =
+            Fleet { near, harnesses, stopped: Vec::new(), unaware: Vec::new(), bytes: 0 };
         fleet.update_peers();
         fleet
     }
@@ -43,6 +46,11 @@
             .collect()
     }
 
+    /// Returns whether an instance does not know of another one, which it sends nothing.
+    fn is_unaware(&self, number: usize, other: usize) -> bool {
+        other == self.harnesses.len() - 1 && self.unaware.contains(&number)
+    }
+
     fn update_peers(&mut self) {
         let names = instances(self.harnesses.len());
         let named = |numbers: Vec<usize>| -> Vec<instance::Id> {
@@ -54,9 +62,11 @@
                 true => Vec::new(),
                 false => self.domain_of(other_domain),
             };
+            let mut neighbours = self.domain_of(number);
+            neighbours.retain(|other| !self.is_unaware(number, *other));
             let event = Event::Peers {
                 known: names.clone(),
-                neighbours: named(self.domain_of(number)),
+                neighbours: named(neighbours),
                 relays: named(others.into_iter().take(1).collect()),
             };
             self.harnesses[number].handle(event);
@@ -81,7 +91,8 @@
             }
             for (from, to, message) in messages {
                 let to = names.iter().position(|name| *name == to).expect("a known instance");
-                if self.stopped.contains(&to) || self.stopped.contains(&from) {
+                let is_lost = self.stopped.contains(&to) || self.stopped.contains(&from);
+                if is_lost || self.is_unaware(from, to) {
                     continue;
                 }
                 let from = names[from].clone();
@@ -424,3 +435,26 @@
     assert!(fleet.harnesses[3].front.is_ready());
     assert_eq!(fleet.send(3, &request(from, 1, early)), Some(late));
 }
+
+/// The instance that sees the flow open has not yet learned of the one that has started, which
+/// has had an answer of another peer.
+#[test]
+fn flow_contested_while_a_peer_does_not_know_a_started_instance_reaches_that() {
+    let mut fleet = Fleet::new(4, 0);
+    fleet.stopped.push(3);
+    fleet.update_peers();
+    fleet.advance(500);
+    let now = fleet.harnesses[0].now;
+    fleet.harnesses[3] = start(instances(4).swap_remove(3));
+    fleet.harnesses[3].now = now;
+    fleet.harnesses[3].handle(Event::Confirmed(now));
+    fleet.stopped.clear();
+    fleet.unaware = vec![0];
+    fleet.update_peers();
+    fleet.advance(50);
+    let (early, late, from) = contest(&mut fleet, 1, 0, 0);
+    fleet.unaware.clear();
+    fleet.update_peers();
+    fleet.advance(2_000);
+    assert_eq!(fleet.send(3, &request(from, 1, early)), Some(late));
+}
