--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -458,3 +458,21 @@
     fleet.advance(2_000);
     assert_eq!(fleet.send(3, &request(from, 1, early)), Some(late));
 }
+
+/// Peers that do not yet know the instance that has started do not answer it.
+#[test]
+fn unanswered_questions_about_holders_are_asked_again() {
+    let mut fleet = Fleet::new(6, 0);
+    let (early, late, from) = contest(&mut fleet, 1, 0, 0);
+    fleet.unaware = (0..5).collect();
+    fleet.restart(5);
+    for _ in 0..8 {
+        fleet.advance(50);
+    }
+    fleet.unaware.clear();
+    fleet.update_peers();
+    for _ in 0..40 {
+        fleet.advance(50);
+    }
+    assert_eq!(fleet.send(5, &request(from, 1, early)), Some(late));
+}
