--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -4,12 +4,14 @@
 mod common;
 
 use common::{
-    AWAY, Harness, acknowledgement, forwarded_to, instances, opening, put, registration, request,
+    AWAY, HOME, Harness, acknowledgement, forwarded_to, instances, opening, put, registration,
+    request,
 };
 use mustardway_flow::contested::message::{Body, Entry, Request};
-use mustardway_flow::front::{Action, Event};
+use mustardway_flow::front::{Action, Event, Verdict};
 use mustardway_flow::health::Outcome;
 use mustardway_flow::packet::Packet;
+use mustardway_mirror::publication::{Change, Item};
 use mustardway_types::instance;
 use prost::Message;
 
@@ -476,3 +478,15 @@
     }
     assert_eq!(fleet.send(5, &request(from, 1, early)), Some(late));
 }
+
+/// The copy reaches an instance after a change of rotation. The targets elsewhere are down.
+#[test]
+fn copy_of_an_open_flow_is_not_reset_where_the_domain_is_evacuated() {
+    let mut fleet = Fleet::new(2, 0);
+    let target = fleet.send(0, &opening(1, 1, 0)).expect("the flow is placed");
+    assert_eq!(fleet.send(0, &acknowledgement(1, 1, target)), Some(target));
+    let home = HOME.parse().expect("well formed");
+    fleet.harnesses[1].publish(Change::Put(Item::Evacuated(home)));
+    let verdict = fleet.harnesses[1].send(&opening(1, 1, 1));
+    assert!(!matches!(verdict, Verdict::Reset(_)), "{verdict:?}");
+}
