--- a/crates/mustardway_flow/tests/opening_packets.rs
+++ b/crates/mustardway_flow/tests/opening_packets.rs
@@ -13,6 +13,7 @@
 use mustardway_flow::note::DropReason;
 use mustardway_flow::packet::Packet;
 use mustardway_mirror::publication::{Change, Item};
+use mustardway_types::time::Span;
 
 #[test]
 fn early_copy_goes_to_the_same_target() {
@@ -237,3 +238,15 @@
         assert_ne!(harness.open(from, 1), Some(3));
     }
 }
+
+/// The answer and the caller's next packet wait at the instance as well.
+#[test]
+fn copy_that_waited_behind_a_stall_goes_to_the_same_target() {
+    let mut harness = Harness::new(8, 0);
+    for from in 0..30 {
+        let first = harness.open(from, 1);
+        harness.now = harness.now + Span::millis(210);
+        assert_eq!(forwarded_to(harness.send(&opening(from, 1, 1))), first);
+        harness.advance(50);
+    }
+}
