--- a/crates/mustardway_flow/tests/flow_affinity.rs
+++ b/crates/mustardway_flow/tests/flow_affinity.rs
@@ -5,6 +5,7 @@
 use assert_matches::assert_matches;
 use common::{
     HOME, Harness, acknowledgement, configuration, forwarded_to, id, opening, put, registration,
+    request,
 };
 use mustardway_flow::front::Verdict;
 use mustardway_flow::note::DropReason;
@@ -95,3 +96,19 @@
     assert!(tokens.len() >= 16_999, "{} tokens", tokens.len());
     assert!(!tokens.contains(&Token::NONE));
 }
+
+/// The earlier flow moved to other instances, and ended there.
+#[test]
+fn new_flow_from_a_port_used_before_goes_to_the_target_of_its_token() {
+    let mut harness = Harness::new(8, 0);
+    let placed_here = harness.establish(1, 1);
+    let seen_here = 8;
+    harness.send(&request(2, 1, seen_here));
+    harness.advance(3_000);
+    for (from, earlier) in [(1, placed_here), (2, seen_here)] {
+        let target = earlier % 8 + 1;
+        let packet = acknowledgement(from, 1, target);
+        let packet = Packet { sequence: 3_000_000_001, acknowledgement: 2_000_000_001, ..packet };
+        assert_eq!(forwarded_to(harness.send(&packet)), Some(target));
+    }
+}
