--- a/crates/mustardway_flow/tests/lost_targets.rs
+++ b/crates/mustardway_flow/tests/lost_targets.rs
@@ -488,3 +488,18 @@
     let flow = opening(1, 1, 0).flow();
     assert!(harness.take_resets().iter().any(|reset| reset.flow == flow));
 }
+
+/// The routers have moved two callers between their opening and their next packets.
+#[test]
+fn two_missing_follow_ups_and_one_failed_probe_reset_nothing() {
+    let mut harness = Harness::new(1, 0);
+    harness.establish(1, 1);
+    harness.advance(500);
+    harness.open(2, 1);
+    harness.open(3, 1);
+    harness.advance(60);
+    harness.take_actions();
+    harness.finish_probe(1, Outcome::Silent);
+    let resets = harness.take_resets();
+    assert!(resets.is_empty(), "{resets:?}");
+}
