--- a/crates/mustardway_flow/tests/flow_affinity.rs
+++ b/crates/mustardway_flow/tests/flow_affinity.rs
@@ -11,6 +11,7 @@
 use mustardway_flow::note::DropReason;
 use mustardway_flow::packet::Packet;
 use mustardway_flow::token::Token;
+use mustardway_types::time::Span;
 
 #[test]
 fn unseen_flow_goes_to_the_target_of_its_token() {
@@ -81,7 +82,7 @@
 fn unknown_route_is_reset_only_with_fresh_state() {
     let mut harness = Harness::new(1, 0);
     assert_matches!(harness.send(&opening(1, 9, 0)), Verdict::Reset(_));
-    harness.now = harness.now + mustardway_types::time::Span::seconds(5);
+    harness.now = harness.now + Span::seconds(5);
     assert_eq!(harness.send(&opening(2, 9, 0)), Verdict::Drop(DropReason::NoRoute));
 }
 
@@ -112,3 +113,14 @@
         assert_eq!(forwarded_to(harness.send(&packet)), Some(target));
     }
 }
+
+/// The route may have been added again, and the flow opened at an instance that knows.
+#[test]
+fn removed_route_resets_no_flow_where_the_state_is_old() {
+    let mut harness = Harness::new(1, 0);
+    let mut without = configuration(2);
+    without.routes.remove(0);
+    harness.configure(without);
+    harness.now = harness.now + Span::seconds(4);
+    assert_matches!(harness.send(&acknowledgement(1, 1, 1)), Verdict::Drop(_));
+}
