--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -4,14 +4,15 @@
 mod common;
 
 use common::{
-    AWAY, Harness, acknowledgement, forwarded_to, id, instances, opening, put, registration,
+    AWAY, HOME, Harness, acknowledgement, forwarded_to, id, instances, opening, put, registration,
     request,
 };
 use mustardway_flow::contested::message::{Body, Entry, Message, Request};
-use mustardway_flow::front::{Action, Event};
+use mustardway_flow::front::{Action, Event, Verdict};
 use mustardway_flow::health::Outcome;
 use mustardway_flow::note::Note;
 use mustardway_flow::packet::Packet;
+use mustardway_mirror::publication::{Change, Item};
 use mustardway_types::instance;
 use prost::Message as _;
 
@@ -24,6 +25,8 @@
     harnesses: Vec<Harness>,
     /// Instances that are not running.
     stopped: Vec<usize>,
+    /// Instances that do not know of the last one, which has just started.
+    unaware: Vec<usize>,
     /// Bytes of the messages about contested flows.
     bytes: usize,
 }
@@ -32,7 +35,8 @@
     fn new(near: usize, far: usize) -> Self {
         let names = instances(near + far);
         let harnesses = names.into_iter().map(start).collect();
-        let mut fleet = Fleet { near, harnesses, stopped: Vec::new(), bytes: 0 };
+        let mut fleet =
+            Fleet { near, harnesses, stopped: Vec::new(), unaware: Vec::new(), bytes: 0 };
         fleet.update_peers();
         fleet
     }
@@ -45,6 +49,11 @@
             .collect()
     }
 
+    /// Returns whether an instance does not know of another one, which it sends nothing.
+    fn is_unaware(&self, number: usize, other: usize) -> bool {
+        other == self.harnesses.len() - 1 && self.unaware.contains(&number)
+    }
+
     fn update_peers(&mut self) {
         let names = instances(self.harnesses.len());
         let named = |numbers: Vec<usize>| -> Vec<instance::Id> {
@@ -56,9 +65,11 @@
                 true => Vec::new(),
                 false => self.domain_of(other_domain),
             };
+            let mut neighbours = self.domain_of(number);
+            neighbours.retain(|other| !self.is_unaware(number, *other));
             let event = Event::Peers {
                 known: names.clone(),
-                neighbours: named(self.domain_of(number)),
+                neighbours: named(neighbours),
                 relays: named(others.into_iter().take(1).collect()),
             };
             self.harnesses[number].handle(event);
@@ -83,7 +94,8 @@
             }
             for (from, to, message) in messages {
                 let to = names.iter().position(|name| *name == to).expect("a known instance");
-                if self.stopped.contains(&to) || self.stopped.contains(&from) {
+                let is_lost = self.stopped.contains(&to) || self.stopped.contains(&from);
+                if is_lost || self.is_unaware(from, to) {
                     continue;
                 }
                 let from = names[from].clone();
@@ -152,6 +164,25 @@
     unreachable!("two targets are soon chosen")
 }
 
+/// Opens a flow whose opening packet and its copy go through the instances 0 and 1 to different
+/// targets, of which none has been seen to hold it. Returns both targets and the caller.
+fn copy_elsewhere(fleet: &mut Fleet) -> (u64, u64, u16) {
+    for from in 1.. {
+        let early = fleet.send(0, &opening(from, 1, 0)).expect("the flow is placed");
+        fleet.advance(200);
+        let late = fleet.send(1, &opening(from, 1, 1)).expect("the flow is placed");
+        if early != late {
+            return (early, late, from);
+        }
+    }
+    unreachable!("two targets are soon chosen")
+}
+
+/// Returns a request that follows another one.
+fn later_request(from: u16, number: u64) -> Packet {
+    Packet { sequence: 1_201, acknowledgement: 7_001, ..request(from, 1, number) }
+}
+
 /// Guards against flows that are reset by a target that answered their opening packet
 /// late: instances that had not seen the flow open followed its token.
 #[test]
@@ -331,3 +362,151 @@
     let Some(Action::SendContested { message, .. }) = sent.pop() else { panic!("no answer") };
     message
 }
+
+/// The caller's next packet goes through another instance than the copy of its opening packet.
+#[test]
+fn contested_flow_that_opens_through_a_third_instance_is_told_of() {
+    let mut fleet = Fleet::new(4, 0);
+    let (early, late, from) = copy_elsewhere(&mut fleet);
+    assert_eq!(fleet.send(2, &marked(acknowledgement(from, 1, late))), Some(late));
+    for number in [3, 0, 1] {
+        let target = fleet.send(number, &later_request(from, early));
+        assert_eq!(target, Some(late), "instance {number}");
+    }
+}
+
+/// The flow opens at the first target, through an instance that saw no opening packet.
+#[test]
+fn late_answer_to_a_copy_moves_no_flow_that_opened_through_a_third_instance() {
+    for number in [0, 1, 3] {
+        let mut fleet = Fleet::new(4, 0);
+        let (early, late, from) = copy_elsewhere(&mut fleet);
+        assert_eq!(fleet.send(2, &acknowledgement(from, 1, early)), Some(early));
+        let packet = marked(later_request(from, late));
+        assert_eq!(fleet.send(2, &packet), Some(early));
+        assert_eq!(fleet.send(number, &packet), Some(early), "instance {number}");
+    }
+}
+
+/// Data was sent before this packet, so the token may come from a later answer than the first.
+#[test]
+fn instance_that_missed_the_first_packet_names_no_holder() {
+    for number in [0, 1] {
+        let mut fleet = Fleet::new(4, 0);
+        let (early, late, from) = copy_elsewhere(&mut fleet);
+        assert_eq!(fleet.send(2, &acknowledgement(from, 1, early)), Some(early));
+        fleet.send(number, &marked(later_request(from, late)));
+        let target = fleet.send(3, &later_request(from, early));
+        assert_eq!(target, Some(early), "misled by instance {number}");
+    }
+}
+
+/// The announcement of the holder waits behind a packet with the late answer's token.
+#[test]
+fn holder_that_is_told_of_later_gets_the_packets_that_follow() {
+    let mut fleet = Fleet::new(2, 0);
+    let (early, late, from) = copy_elsewhere(&mut fleet);
+    let opens = marked(acknowledgement(from, 1, late));
+    assert_eq!(forwarded_to(fleet.harnesses[1].send(&opens)), Some(late));
+    fleet.harnesses[0].send(&later_request(from, early));
+    fleet.exchange();
+    assert_eq!(fleet.send(0, &later_request(from, early)), Some(late));
+}
+
+/// An instance that did not run for a moment handles many copies at once.
+#[test]
+fn ten_contested_flows_at_once_are_told_of_at_once() {
+    let mut fleet = Fleet::new(22, 0);
+    fleet.advance(2_000);
+    let mut early = Vec::new();
+    for from in 1..=10 {
+        early.push(fleet.send(0, &opening(from, 1, 0)).expect("the flow is placed"));
+    }
+    fleet.advance(200);
+    let mut late = Vec::new();
+    for from in 1..=10 {
+        let target = fleet.send(0, &opening(from, 1, 1)).expect("the flow is placed");
+        fleet.send(0, &marked(acknowledgement(from, 1, target)));
+        late.push(target);
+    }
+    for from in 1..=10 {
+        let (early, late) = (early[usize::from(from) - 1], late[usize::from(from) - 1]);
+        assert_eq!(fleet.send(1, &request(from, 1, early)), Some(late), "flow {from}");
+    }
+}
+
+/// The peers' answers are on the way.
+#[test]
+fn started_instance_is_not_ready_before_it_knows_the_holders() {
+    let mut fleet = Fleet::new(4, 0);
+    let (early, late, from) = contest(&mut fleet, 1, 0, 0);
+    let now = fleet.harnesses[3].now;
+    fleet.harnesses[3] = start(instances(4).swap_remove(3));
+    fleet.harnesses[3].now = now;
+    fleet.harnesses[3].handle(Event::Confirmed(now));
+    let names = instances(4);
+    let (known, neighbours) = (names.clone(), names);
+    fleet.harnesses[3].handle(Event::Peers { known, neighbours, relays: Vec::new() });
+    let harness = &mut fleet.harnesses[3];
+    harness.advance(50);
+    if harness.front.is_ready() {
+        assert_eq!(forwarded_to(harness.send(&request(from, 1, early))), Some(late));
+    }
+    fleet.exchange();
+    fleet.advance(50);
+    assert!(fleet.harnesses[3].front.is_ready());
+    assert_eq!(fleet.send(3, &request(from, 1, early)), Some(late));
+}
+
+/// The instance that sees the flow open has not yet learned of the one that has started, which
+/// has had an answer of another peer.
+#[test]
+fn flow_contested_while_a_peer_does_not_know_a_started_instance_reaches_that() {
+    let mut fleet = Fleet::new(4, 0);
+    fleet.stopped.push(3);
+    fleet.update_peers();
+    fleet.advance(500);
+    let now = fleet.harnesses[0].now;
+    fleet.harnesses[3] = start(instances(4).swap_remove(3));
+    fleet.harnesses[3].now = now;
+    fleet.harnesses[3].handle(Event::Confirmed(now));
+    fleet.stopped.clear();
+    fleet.unaware = vec![0];
+    fleet.update_peers();
+    fleet.advance(50);
+    let (early, late, from) = contest(&mut fleet, 1, 0, 0);
+    fleet.unaware.clear();
+    fleet.update_peers();
+    fleet.advance(2_000);
+    assert_eq!(fleet.send(3, &request(from, 1, early)), Some(late));
+}
+
+/// Peers that do not yet know the instance that has started do not answer it.
+#[test]
+fn unanswered_questions_about_holders_are_asked_again() {
+    let mut fleet = Fleet::new(6, 0);
+    let (early, late, from) = contest(&mut fleet, 1, 0, 0);
+    fleet.unaware = (0..5).collect();
+    fleet.restart(5);
+    for _ in 0..8 {
+        fleet.advance(50);
+    }
+    fleet.unaware.clear();
+    fleet.update_peers();
+    for _ in 0..40 {
+        fleet.advance(50);
+    }
+    assert_eq!(fleet.send(5, &request(from, 1, early)), Some(late));
+}
+
+/// The copy reaches an instance after a change of rotation. The targets elsewhere are down.
+#[test]
+fn copy_of_an_open_flow_is_not_reset_where_the_domain_is_evacuated() {
+    let mut fleet = Fleet::new(2, 0);
+    let target = fleet.send(0, &opening(1, 1, 0)).expect("the flow is placed");
+    assert_eq!(fleet.send(0, &acknowledgement(1, 1, target)), Some(target));
+    let home = HOME.parse().expect("well formed");
+    fleet.harnesses[1].publish(Change::Put(Item::Evacuated(home)));
+    let verdict = fleet.harnesses[1].send(&opening(1, 1, 1));
+    assert!(!matches!(verdict, Verdict::Reset(_)), "{verdict:?}");
+}
--- a/crates/mustardway_flow/tests/flow_affinity.rs
+++ b/crates/mustardway_flow/tests/flow_affinity.rs
@@ -5,11 +5,13 @@
 use assert_matches::assert_matches;
 use common::{
     HOME, Harness, acknowledgement, configuration, forwarded_to, id, opening, put, registration,
+    request,
 };
 use mustardway_flow::front::Verdict;
 use mustardway_flow::note::DropReason;
 use mustardway_flow::packet::Packet;
 use mustardway_flow::token::Token;
+use mustardway_types::time::Span;
 
 #[test]
 fn unseen_flow_goes_to_the_target_of_its_token() {
@@ -80,7 +82,7 @@
 fn unknown_route_is_reset_only_with_fresh_state() {
     let mut harness = Harness::new(1, 0);
     assert_matches!(harness.send(&opening(1, 9, 0)), Verdict::Reset(_));
-    harness.now = harness.now + mustardway_types::time::Span::seconds(5);
+    harness.now = harness.now + Span::seconds(5);
     assert_eq!(harness.send(&opening(2, 9, 0)), Verdict::Drop(DropReason::NoRoute));
 }
 
@@ -95,3 +97,30 @@
     assert!(tokens.len() >= 16_999, "{} tokens", tokens.len());
     assert!(!tokens.contains(&Token::NONE));
 }
+
+/// The earlier flow moved to other instances, and ended there.
+#[test]
+fn new_flow_from_a_port_used_before_goes_to_the_target_of_its_token() {
+    let mut harness = Harness::new(8, 0);
+    let placed_here = harness.establish(1, 1);
+    let seen_here = 8;
+    harness.send(&request(2, 1, seen_here));
+    harness.advance(3_000);
+    for (from, earlier) in [(1, placed_here), (2, seen_here)] {
+        let target = earlier % 8 + 1;
+        let packet = acknowledgement(from, 1, target);
+        let packet = Packet { sequence: 3_000_000_001, acknowledgement: 2_000_000_001, ..packet };
+        assert_eq!(forwarded_to(harness.send(&packet)), Some(target));
+    }
+}
+
+/// The route may have been added again, and the flow opened at an instance that knows.
+#[test]
+fn removed_route_resets_no_flow_where_the_state_is_old() {
+    let mut harness = Harness::new(1, 0);
+    let mut without = configuration(2);
+    without.routes.remove(0);
+    harness.configure(without);
+    harness.now = harness.now + Span::seconds(4);
+    assert_matches!(harness.send(&acknowledgement(1, 1, 1)), Verdict::Drop(_));
+}
