Flow: the holder of a contested flow is agreed before the flow opens

Cause: a flow whose opening packet went to two targets was told of after it had opened, by the instance that happened to see it, and by nobody where the first packet came through an instance that had seen no opening packet. Until the message was handled, other instances followed the token of the answer that came last, to the wrong target. On instances that run in stalls that takes 100 ms and more. An instance that saw a later packet first named the wrong holder for 60 s; one that had just started was ready before its peers had answered it, asked four of them once, and was not told of what happened before a peer knew of it.

Ruled out: handling messages before packets alone, since the sender may stall as well; asking the peers for each flow that moves, which costs a round trip for thousands of flows that are not contested.

Change: only the packet that follows the opening packet in the caller's stream names the holder. The instance that gets it announces the holder and holds the flow's packets until all peers in its failure domain have confirmed, 150 ms at most. The instance that sent the copy tells of it at the next tick if the flow has not opened there, so any instance can name the holder. A holder that a peer tells goes before the own record of the same flow. An instance that has started waits for the answers of the peers that it asked, 300 ms at most, before it is ready; asks again until one answers; and is told what was announced before a peer knew of it.

--- a/crates/mustardway_emulator/src/host.rs
+++ b/crates/mustardway_emulator/src/host.rs
@@ -5,6 +5,7 @@
 use mustardway_flow::contested::message as contested_message;
 use mustardway_flow::front::Front;
 use mustardway_flow::load;
+use mustardway_flow::packet::Packet;
 use mustardway_load::message as load_message;
 use mustardway_membership::{event, member, message, node, roster, settings};
 use mustardway_mirror::message as mirror_message;
@@ -79,6 +80,8 @@
     pub(crate) topology_version: Option<u64>,
     /// Live instances in this instance's failure domain, including itself.
     pub(crate) neighbours: Vec<instance::Id>,
+    /// Held packets, each with its flow.
+    pub(crate) held: Vec<(u32, Packet)>,
 }
 
 impl Host {
@@ -128,6 +131,7 @@
             inbound: link,
             topology_version: None,
             neighbours: Vec::new(),
+            held: Vec::new(),
         }
     }
 
--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -236,6 +236,11 @@
                         self.send_reset(host, flow);
                     }
                 }
+                Action::Resume => {
+                    for (flow, packet) in std::mem::take(&mut self.hosts[host].held) {
+                        self.packet_at_host(host, flow, packet, false);
+                    }
+                }
                 Action::Probe(probe) => {
                     let target = self.servers.iter().position(|server| server.id == probe.target);
                     if let Some(target) = target {
--- a/crates/mustardway_emulator/src/world/request.rs
+++ b/crates/mustardway_emulator/src/world/request.rs
@@ -172,6 +172,7 @@
             }
             Verdict::Reset(_) => self.send_reset(host, flow),
             Verdict::Drop(_) => {}
+            Verdict::Hold => self.hosts[host].held.push((flow, packet)),
         }
         self.apply_front_actions(host, actions);
     }
--- a/crates/mustardway_flow/src/contested/message.rs
+++ b/crates/mustardway_flow/src/contested/message.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Message {
     /// Content of the message. It is `None` if the receiver does not know the variant.
-    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
     pub body: Option<Body>,
 }
 
@@ -27,6 +27,9 @@
     /// All known flows, in answer to a [`Request`].
     #[prost(message, tag = "3")]
     Answer(Holders),
+    /// An announcement was received.
+    #[prost(message, tag = "4")]
+    Confirmation(Confirmation),
 }
 
 /// Request for all known flows.
@@ -45,6 +48,29 @@
     /// Whether the sender knows all flows that are open.
     #[prost(bool, tag = "3")]
     pub is_complete: bool,
+    /// Number of an announcement that the receiver confirms; 0 for all others.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// Flows of whose opening packet a copy was sent to another target and whose holders
+    /// the sender does not know.
+    #[prost(message, repeated, tag = "5")]
+    pub copies: Vec<Entry>,
+}
+
+impl Holders {
+    /// Returns all entries, and for each whether its holder is known.
+    pub fn all(&self) -> impl Iterator<Item = (&Entry, bool)> {
+        let held = self.entries.iter().map(|entry| (entry, true));
+        held.chain(self.copies.iter().map(|entry| (entry, false)))
+    }
+}
+
+/// Confirmation that an announcement was received.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Confirmation {
+    /// Number of the announcement.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
 }
 
 /// A flow and the target that holds it.
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -55,6 +55,8 @@
     Reset(Reset),
     /// Drop the packet.
     Drop(DropReason),
+    /// Hold the packet until [`Action::Resume`].
+    Hold,
 }
 
 /// An input to the state machine other than a packet.
@@ -119,6 +121,8 @@
 pub enum Action {
     /// Reset a flow.
     Reset(Reset),
+    /// Decide again on all packets that are held, in the order of their arrival.
+    Resume,
     /// Probe a target.
     Probe(Probe),
     /// Report the health of a target to the peers in the same failure domain.
@@ -177,6 +181,11 @@
     unknown_tokens: FxHashMap<Flow, Instant>,
     openings: Queue,
     contested: Registry,
+    /// Whether a packet was held since the last [`Action::Resume`].
+    has_held: bool,
+    /// Whether peers that were asked after a start or a pause may still tell the holders of
+    /// flows that opened before.
+    is_catching_up: bool,
     /// Directory indexes of targets that are suspected or lost and that this instance
     /// probes.
     unhealthy: BTreeSet<usize>,
@@ -218,6 +227,8 @@
             unknown_tokens: FxHashMap::default(),
             openings: Queue::default(),
             contested: Registry::default(),
+            has_held: false,
+            is_catching_up: false,
             unhealthy: BTreeSet::new(),
             reported: BTreeMap::new(),
             reachability: Reachability::default(),
@@ -265,7 +276,7 @@
 
     /// Returns whether the routers should send new flows to this instance.
     pub fn is_ready(&self) -> bool {
-        self.is_configured() && self.unmet_since.is_none()
+        self.is_configured() && self.unmet_since.is_none() && !self.is_catching_up
     }
 
     /// Decides what to do with a caller's packet.
@@ -294,9 +305,12 @@
             Event::Confirmed(at) => self.confirmed = Some(at),
             Event::Peers { known, neighbours, relays } => {
                 self.known = known;
-                self.neighbours = neighbours;
+                let earlier = std::mem::replace(&mut self.neighbours, neighbours);
+                actions.extend(self.tell_started(&earlier, now));
                 self.relays = relays;
+                self.contested.retain_peers(&self.neighbours);
                 self.exchange_holders(now, actions);
+                self.resume_held(now, actions);
             }
             Event::Paused => {
                 self.is_clearing_backlog = true;
--- a/crates/mustardway_flow/src/front/contested.rs
+++ b/crates/mustardway_flow/src/front/contested.rs
@@ -1,13 +1,14 @@
-//! Contested flows at this instance: their holders, and the exchange with peers.
+//! Contested flows at this instance: their holders, the packets that wait for them, and the
+//! exchange with peers.
 
 use mustardway_types::instance;
 use mustardway_types::time::Instant;
 
 use super::{Action, Front};
-use crate::contested::message::{Body, Entry, Holders, Message, Request};
+use crate::contested::message::{Body, Confirmation, Entry, Holders, Message, Request};
 use crate::note::Note;
 use crate::packet::{Flow, Packet};
-use crate::table::Stage;
+use crate::table::{Record, Stage};
 use crate::token::Token;
 
 impl Front {
@@ -36,9 +37,66 @@
         self.announce_holders(now, actions);
     }
 
-    /// Tells the peers about contested flows, and asks them after a start.
+    /// Returns whether a packet for the target at `index` has to wait: its flow may be
+    /// contested, and it is not yet agreed which target holds it.
+    pub(super) fn must_wait(
+        &mut self,
+        packet: &Packet,
+        index: usize,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let flow = packet.flow();
+        if self.contested.is_waiting(&flow, now) {
+            return true;
+        }
+        let record = self.table.get(&flow).copied();
+        let is_open = record.is_some_and(|record| record.stage != Stage::Opening);
+        if is_open || self.holder(packet).is_some() {
+            return false;
+        }
+        if self.contested.is_catching_up(now) {
+            return true;
+        }
+        if !self.may_be_contested(packet, record.as_ref(), index) {
+            return false;
+        }
+        let opening = self.contested.opening_of(&flow).or(record.and_then(|it| it.opening));
+        match opening {
+            Some(opening) if packet.is_first_after(opening) => {
+                self.record_holder(flow, opening, index, now, actions);
+            }
+            // Another instance got the first packet, or sent the copy.
+            _ if self.neighbours.len() > 1 => self.contested.await_holder(flow, now),
+            _ => {}
+        }
+        self.contested.is_waiting(&flow, now)
+    }
+
+    /// Returns whether several targets may have got the opening packet of a flow that this
+    /// instance has not seen open.
+    fn may_be_contested(&self, packet: &Packet, record: Option<&Record>, index: usize) -> bool {
+        let target = self.directory.get(index);
+        let is_marked = target.is_some_and(|target| !target.is_named_by(packet.token));
+        let is_elsewhere = record.is_some_and(|it| it.is_ambiguous || it.target != index);
+        is_marked || is_elsewhere || self.contested.opening_of(&packet.flow()).is_some()
+    }
+
+    /// Lets the held packets be decided on again once a wait has ended.
+    pub(super) fn resume_held(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let has_ended = self.contested.take_ended_waits(now);
+        let has_caught_up = self.is_catching_up && !self.contested.is_catching_up(now);
+        self.is_catching_up = self.contested.is_catching_up(now);
+        if self.has_held && (has_ended || has_caught_up) {
+            self.has_held = false;
+            actions.push(Action::Resume);
+        }
+    }
+
+    /// Exchanges contested flows with the peers, and asks them after a start.
     pub(super) fn exchange_holders(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.announce_holders(now, actions);
+        self.announce_copies(now, actions);
         if !self.contested.is_request_due(now) {
             return;
         }
@@ -54,6 +112,20 @@
         }
     }
 
+    /// Tells instances that have become known what was announced before.
+    pub(super) fn tell_started(&self, earlier: &[instance::Id], now: Instant) -> Vec<Action> {
+        let recent = self.contested.recent(now);
+        let mut actions = Vec::new();
+        if recent.all().next().is_none() {
+            return actions;
+        }
+        for to in self.near_peers().filter(|id| !earlier.contains(id)).cloned() {
+            let message = Body::Announcement(recent.clone()).into();
+            actions.push(Action::SendContested { to, message });
+        }
+        actions
+    }
+
     /// Returns the other live instances in this failure domain.
     fn near_peers(&self) -> impl Iterator<Item = &instance::Id> {
         self.neighbours.iter().filter(|id| **id != self.me)
@@ -63,18 +135,32 @@
         if !self.contested.is_announcement_due(now) {
             return;
         }
-        let peers = self.near_peers().count() + self.relays.len();
-        let entries = self.contested.take_announcement(peers, now);
-        self.tell_domain(&entries, actions);
+        let near: Vec<instance::Id> = self.near_peers().cloned().collect();
+        let holders = self.contested.take_announcement(&near, self.relays.len(), now);
+        self.tell_domain(&holders, actions);
         for to in self.relays.clone() {
-            actions.push(Action::SendContested { to, message: announcement(&entries, true) });
+            let holders = Holders { relay: true, number: 0, ..holders.clone() };
+            actions.push(Action::SendContested { to, message: Body::Announcement(holders).into() });
+        }
+    }
+
+    /// Tells the peers in this failure domain of copies whose flows did not open through this
+    /// instance at once.
+    fn announce_copies(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if !self.contested.are_copies_due(now) {
+            return;
+        }
+        let copies = self.contested.take_copies(self.near_peers().count(), now);
+        if !copies.copies.is_empty() {
+            self.tell_domain(&copies, actions);
         }
     }
 
     /// Sends an announcement to the peers in this failure domain.
-    fn tell_domain(&self, entries: &[Entry], actions: &mut Vec<Action>) {
+    fn tell_domain(&self, holders: &Holders, actions: &mut Vec<Action>) {
         for to in self.near_peers().cloned() {
-            actions.push(Action::SendContested { to, message: announcement(entries, false) });
+            let message = Body::Announcement(holders.clone()).into();
+            actions.push(Action::SendContested { to, message });
         }
     }
 
@@ -92,21 +178,38 @@
                 actions.push(Action::SendContested { to: from, message });
             }
             Some(Body::Announcement(holders)) => {
-                let new = self.contested.merge(&holders.entries, now);
-                self.note_misdirected(&new, actions);
+                let new = self.learn(&holders, now, actions);
+                if holders.number > 0 {
+                    let message = Body::Confirmation(Confirmation { number: holders.number });
+                    actions.push(Action::SendContested { to: from, message: message.into() });
+                }
                 if holders.relay && !new.is_empty() {
-                    self.tell_domain(&new, actions);
+                    self.tell_domain(&Holders { entries: new, ..Holders::default() }, actions);
                 }
             }
             Some(Body::Answer(holders)) => {
-                let new = self.contested.merge(&holders.entries, now);
-                self.note_misdirected(&new, actions);
-                if holders.is_complete {
-                    self.contested.mark_complete();
-                }
+                self.learn(&holders, now, actions);
+                self.contested.record_answer(holders.is_complete);
+            }
+            Some(Body::Confirmation(confirmation)) => {
+                self.contested.confirm(&from, confirmation.number);
             }
             None => {}
         }
+        self.resume_held(now, actions);
+    }
+
+    /// Records what a peer tells, and returns the holders that were not known.
+    fn learn(&mut self, told: &Holders, now: Instant, actions: &mut Vec<Action>) -> Vec<Entry> {
+        let new = self.contested.merge(told, now);
+        self.note_misdirected(&new, actions);
+        for entry in &told.copies {
+            let Some(record) = self.table.get(&entry.flow()).copied() else { continue };
+            if record.stage != Stage::Opening && record.has_seen_first_after(entry.opening) {
+                self.record_holder(entry.flow(), entry.opening, record.target, now, actions);
+            }
+        }
+        new
     }
 
     /// Logs the flows whose packets this instance has sent to another target than the
@@ -115,7 +218,8 @@
         for entry in entries {
             let flow = entry.flow();
             let Some(record) = self.table.get(&flow) else { continue };
-            if record.stage == Stage::Opening || record.opening.is_some() {
+            let is_other = record.opening.is_some_and(|opening| opening != entry.opening);
+            if record.stage == Stage::Opening || is_other {
                 continue;
             }
             let Some(holder) = self.index_of_token(Token(entry.token)) else { continue };
@@ -130,7 +234,3 @@
         }
     }
 }
-
-fn announcement(entries: &[Entry], relay: bool) -> Message {
-    Body::Announcement(Holders { entries: entries.to_vec(), relay, is_complete: false }).into()
-}
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -40,6 +40,10 @@
         };
         let is_repeatable = route.is_repeatable();
         let is_ambiguous = !target.is_named_by(packet.token);
+        if self.must_wait(packet, index, now, actions) {
+            self.has_held = true;
+            return Verdict::Hold;
+        }
         self.observe(packet, index, now, actions);
         let record = self.table.get(&packet.flow());
         let may_be_elsewhere = record.map_or(is_ambiguous, |it| it.may_be_elsewhere(now));
@@ -52,16 +56,17 @@
 
     /// Returns the directory index of the flow's target. If two targets answer copies
     /// of one opening packet, the later answer changes the token that the caller
-    /// sends. Once this instance has seen the flow open, its target stays the same; else
-    /// a peer may have seen it open.
+    /// sends. The holder of a contested flow gets its packets; else the target stays the
+    /// same once this instance has seen the flow open.
     fn target_index(&self, packet: &Packet) -> Option<usize> {
         let record = self.table.get(&packet.flow());
         let open = record.filter(|record| record.stage != Stage::Opening);
         let open = open.filter(|record| self.directory.get(record.target).is_some());
-        if let Some(record) = open.filter(|record| record.opening.is_some()) {
-            return Some(record.target);
-        }
-        let known = self.holder(packet).or(open.map(|record| record.target));
+        let opening = open.and_then(|record| record.opening);
+        let is_contested = opening
+            .is_none_or(|opening| self.contested.opening_of(&packet.flow()) == Some(opening));
+        let holder = self.holder(packet).filter(|_| is_contested);
+        let known = holder.or(open.map(|record| record.target));
         known.or_else(|| self.index_of_token(packet.token))
     }
 
@@ -111,6 +116,7 @@
         let is_measurable = |since: Instant| !self.is_clearing_backlog && since > self.resumed;
         let Some(record) = self.table.get_mut(&flow) else { return };
         record.last_packet = now;
+        record.first.get_or_insert(packet.sequence);
         let mut responded = false;
         if record.stage == Stage::Opening {
             record.stage = Stage::Open;
@@ -159,7 +165,7 @@
                 unanswered_since = record.request_since;
             }
         }
-        let opening = record.opening.filter(|_| is_contested);
+        let opening = record.opening.filter(|it| is_contested && record.has_seen_first_after(*it));
         let ended = packet.flags.finishes || packet.flags.resets;
         if let Some(answer) = previous {
             self.record_answer(index, flow.route, &answer);
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -147,6 +147,9 @@
         record.opening = Some(packet.sequence);
         record.is_ambiguous = is_ambiguous;
         self.track(flow, record, now);
+        if is_ambiguous {
+            self.contested.record_copy(flow, packet.sequence, now);
+        }
         if packet.acknowledgement == 0 {
             self.record_sample(&Sample::Opened(key::Route::of(packet.destination)));
         }
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -389,6 +389,7 @@
         }
         self.probe_reference(now, actions);
         self.exchange_holders(now, actions);
+        self.resume_held(now, actions);
         if now < self.next_sweep {
             return;
         }
--- a/crates/mustardway_flow/src/note.rs
+++ b/crates/mustardway_flow/src/note.rs
@@ -25,11 +25,15 @@
     Stale,
     /// it would open a flow, but the routers are about to choose other instances
     Withdrawing,
+    /// peers do not know its target yet, and too many packets wait
+    Unconfirmed,
+    /// no target may take it, but its flow may have opened through another instance
+    UnknownCopy,
 }
 
 impl DropReason {
     /// All reasons, in the order of declaration.
-    pub const ALL: [DropReason; 7] = [
+    pub const ALL: [DropReason; 9] = [
         DropReason::Unconfigured,
         DropReason::NoRoute,
         DropReason::UnknownToken,
@@ -37,6 +41,8 @@
         DropReason::NoToken,
         DropReason::Stale,
         DropReason::Withdrawing,
+        DropReason::Unconfirmed,
+        DropReason::UnknownCopy,
     ];
 
     /// Returns the label value used in metrics.
@@ -49,6 +55,8 @@
             DropReason::NoToken => "no-token",
             DropReason::Stale => "stale",
             DropReason::Withdrawing => "withdrawing",
+            DropReason::Unconfirmed => "unconfirmed",
+            DropReason::UnknownCopy => "unknown-copy",
         }
     }
 }
--- a/crates/mustardway_flow/src/packet.rs
+++ b/crates/mustardway_flow/src/packet.rs
@@ -58,6 +58,12 @@
     pub fn flow(&self) -> Flow {
         Flow { caller: self.source, route: self.destination }
     }
+
+    /// Returns whether the packet is the first one that its caller sent after the opening
+    /// packet with sequence number `opening`, or carries the same data as that.
+    pub fn is_first_after(&self, opening: u32) -> bool {
+        self.sequence == opening.wrapping_add(1)
+    }
 }
 
 /// A reset that this instance sends to a caller.
--- a/crates/mustardway_flow/src/table.rs
+++ b/crates/mustardway_flow/src/table.rs
@@ -17,6 +17,9 @@
 /// set a shorter time.
 const IDLE_TIMEOUT_MAX: Span = Span::seconds(60);
 
+/// Number of bytes that a caller sends on one flow at most.
+pub(crate) const SENT_MAX_BYTES: u32 = 1 << 24;
+
 /// The stage of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -44,6 +47,8 @@
     pub placed: Instant,
     /// Time of the caller's last packet.
     pub last_packet: Instant,
+    /// Sequence number of the first packet that this instance saw on the open flow.
+    pub first: Option<u32>,
     /// Sequence number up to which the caller has received.
     pub acknowledged: u32,
     /// Sequence number of the end of the data that the caller has sent; none before
@@ -67,6 +72,21 @@
         self.is_ambiguous && self.opening.is_none()
     }
 
+    /// Returns whether a packet with the given sequence number may belong to this flow rather
+    /// than to another one of the same addresses.
+    pub fn may_include(&self, sequence: u32) -> bool {
+        self.opening.or(self.first).is_none_or(|known| {
+            let distance = sequence.wrapping_sub(known).min(known.wrapping_sub(sequence));
+            distance < SENT_MAX_BYTES
+        })
+    }
+
+    /// Returns whether this instance saw the first packet after the opening packet with
+    /// sequence number `opening`.
+    pub fn has_seen_first_after(&self, opening: u32) -> bool {
+        self.first == Some(opening.wrapping_add(1))
+    }
+
     /// Creates the record of a flow that was just placed or is seen for the first
     /// time.
     pub fn new(target: usize, stage: Stage, now: Instant) -> Self {
@@ -77,6 +97,7 @@
             is_ambiguous: false,
             placed: now,
             last_packet: now,
+            first: None,
             acknowledged: 0,
             sent_end: None,
             request_since: None,
--- a/crates/mustardway_flow/tests/any_packets.rs
+++ b/crates/mustardway_flow/tests/any_packets.rs
@@ -78,6 +78,8 @@
         }
         Verdict::Reset(reset) => reset.flow == packet.flow(),
         Verdict::Drop(_) => true,
+        // Opening packets never wait for the holder of their flow.
+        Verdict::Hold => !packet.flags.opens,
     }
 }
 
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use mustardway_flow::front::{self, Front, Verdict};
+use mustardway_flow::note::DropReason;
 use mustardway_load::topology as load_topology;
 use mustardway_membership::{action, event, member, node, roster};
 use mustardway_mirror::node as mirror;
@@ -34,6 +35,8 @@
 pub const TICK_INTERVAL: Span = Span::millis(50);
 /// Packets that are read in one go before other events are handled.
 const PACKETS_PER_BATCH: usize = 64;
+/// Maximum number of packets that are held.
+const HELD_PACKETS_MAX: usize = 256;
 /// Size of the receive buffer: envelope, header and 1,200 bytes of data, with a
 /// margin.
 const DATAGRAM_MAX_BYTES: usize = 2_048;
@@ -85,6 +88,8 @@
     /// Time at which the latest packet arrived.
     last_packet_at: Instant,
     buffer: Vec<u8>,
+    /// Held packets, the oldest first.
+    held: Vec<Vec<u8>>,
 }
 
 impl Dispatcher {
@@ -104,6 +109,7 @@
             load_documents: watch::Sender::default(),
             last_packet_at: now,
             buffer: vec![0; DATAGRAM_MAX_BYTES],
+            held: Vec::new(),
             context,
         }
     }
@@ -276,9 +282,25 @@
             }
             Verdict::Reset(reset) => self.send_reset(&reset),
             Verdict::Drop(reason) => self.report.metrics().count_dropped(reason),
+            Verdict::Hold if self.held.len() < HELD_PACKETS_MAX => {
+                self.held.push(self.buffer[codec.envelope_len()..end].to_vec());
+            }
+            Verdict::Hold => self.report.metrics().count_dropped(DropReason::Unconfirmed),
         }
     }
 
+    /// Decides again on the held packets.
+    fn resume_held(&mut self, now: Instant) {
+        let envelope = self.context.adapter.codec.envelope_len();
+        let mut actions = Vec::new();
+        for packet in std::mem::take(&mut self.held) {
+            let end = envelope + packet.len();
+            self.buffer[envelope..end].copy_from_slice(&packet);
+            self.handle_packet(end, now, &mut actions);
+        }
+        self.apply_front_actions(actions, now);
+    }
+
     fn send_reset(&self, reset: &mustardway_flow::packet::Reset) {
         let (bytes, address) = self.context.adapter.codec.encode_reset(reset);
         self.send_datagram(&bytes, address.into());
@@ -409,6 +431,7 @@
         for action in actions {
             match action {
                 front::Action::Reset(reset) => self.send_reset(&reset),
+                front::Action::Resume => self.resume_held(now),
                 front::Action::Probe(probe) => {
                     probes::spawn(&self.context.adapter, probe, self.context.inputs.clone());
                 }
