Flow: an instance's own stall does not count as the silence of a target

An instance that did not run for a while handles packets that waited in its socket. It compared the time at which it handled a copy of an opening packet with the time at which it had placed the flow, took the difference of 150 ms for the silence of the target, and sent the copy to a second one: a contested flow without any loss. Pauses were recognised from 400 ms on only; a quota of the processor stops a process for up to 100 ms at a time, several times in a row.

Change: if the last tick is 100 ms ago or more (ticks come every 50 ms), the packets that are handled before the socket is empty or the next regular tick show nothing about targets: copies follow the first packet, retransmissions and missing follow-ups do not count.

--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -39,6 +39,10 @@
 /// (3 s).
 const FRESHNESS_MAX: Span = Span::seconds(3);
 
+/// Time between two ticks from which packets may have waited at this instance: twice the
+/// longest interval of the ticks.
+const STALL_MIN: Span = Span::millis(100);
+
 /// What to do with a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -200,6 +204,10 @@
     reference_probed: Instant,
     /// Whether the packets being handled were received while the process did not run.
     is_clearing_backlog: bool,
+    /// Time of the latest tick.
+    last_tick: Instant,
+    /// Whether packets may have waited while this instance stalled, for less than a pause.
+    is_behind: bool,
     /// Time at which the latest pause and the handling of its packets ended.
     resumed: Instant,
     demand: Demand,
@@ -236,6 +244,8 @@
             responsiveness: Responsiveness::default(),
             reference_probed: Instant::default(),
             is_clearing_backlog: false,
+            last_tick: Instant::default(),
+            is_behind: false,
             resumed: Instant::default(),
             demand: Demand::default(),
             unmet_since: None,
@@ -318,6 +328,7 @@
                 self.handle_load(load_node::Event::Paused, now, actions);
             }
             Event::BacklogCleared => {
+                self.is_behind = false;
                 if std::mem::take(&mut self.is_clearing_backlog) {
                     self.resumed = now;
                 }
@@ -340,6 +351,12 @@
         }
     }
 
+    /// Returns whether the packets that are handled now may have waited at this instance,
+    /// so that their times show nothing about targets.
+    fn is_behind(&self, now: Instant) -> bool {
+        self.is_behind || now.since(self.last_tick) >= STALL_MIN
+    }
+
     /// Returns the time since the platform confirmed the published state.
     fn age(&self, now: Instant) -> Option<Span> {
         self.confirmed.map(|at| now.since(at))
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -315,7 +315,8 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(target) = self.directory.get(index) else { return };
-        if now.since(since) < RESPONSE_TIMEOUT || target.observation.has_responded_after(since) {
+        let is_early = now.since(since) < RESPONSE_TIMEOUT || self.is_behind(now);
+        if is_early || target.observation.has_responded_after(since) {
             return;
         }
         self.suspect(index, Some(flow), now, actions);
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -95,7 +95,8 @@
         }
         let Some(record) = record else { return EarlierCopy::Unknown };
         let is_lost = self.directory.get(record.target).is_some_and(|it| it.health.is_lost());
-        let is_early = now.since(record.placed) < RESPONSE_TIMEOUT && !is_lost;
+        let is_early = now.since(record.placed) < RESPONSE_TIMEOUT || self.is_behind(now);
+        let is_early = is_early && !is_lost;
         if (record.stage != Stage::Opening || is_early)
             && let Some(verdict) = self.forward_to(record.target, record.is_ambiguous)
         {
