Flow: a copy of an opening packet whose flow may be open elsewhere is not reset

Callers could see: a copy of the opening packet of a flow that is open through another instance is answered with a reset, where no target may take new flows, as while the only reachable failure domain is evacuated, or where the route is not known yet. The reset carries the number of copies as its sequence number, so a caller whose flow is open usually ignores it.

Change: such a copy is dropped if this instance has not placed the opening packet itself. The first opening packet, and copies of one that was placed here, are still reset at once: their callers have no open flow, and waiting would not help them.

--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -39,7 +39,7 @@
         actions: &mut Vec<Action>,
     ) -> Verdict {
         if self.directory.route(packet.destination).is_none() {
-            if !self.is_fresh(now) {
+            if !self.is_fresh(now) || self.is_copy_of_unknown(packet) {
                 return Verdict::Drop(DropReason::NoRoute);
             }
             return self.reset(packet, ResetReason::NoRoute, now, actions);
@@ -56,10 +56,21 @@
             Placed::Nowhere if self.is_withdrawing(packet, now) => {
                 Verdict::Drop(DropReason::Withdrawing)
             }
+            Placed::Nowhere if self.is_copy_of_unknown(packet) => {
+                Verdict::Drop(DropReason::UnknownCopy)
+            }
             Placed::Nowhere => self.reset(packet, ResetReason::NoTarget, now, actions),
         }
     }
 
+    /// Returns whether a packet is a copy of an opening packet that another instance got.
+    /// The flow may have opened there.
+    fn is_copy_of_unknown(&self, packet: &Packet) -> bool {
+        let record = self.table.get(&packet.flow());
+        let is_known = record.is_some_and(|record| record.opening == Some(packet.sequence));
+        packet.acknowledgement > 0 && !is_known
+    }
+
     /// Returns whether the routers are about to send the caller's copies of an opening
     /// packet to instances in other failure domains, in time for an answer. A reset
     /// would make the caller use up its retries here.
