Flow: callers that moved together are one piece of evidence against a target that is silent

Callers could see: their flows are reset although the target is sound. If the routers choose another instance for several callers between their opening and their next packets, as in a rolling restart, each missing packet counted against the target after 60 ms, and a single probe without an answer made it lost.

Tried and not taken: missing follow-ups count once against any probe. The emulator's targets_in_one_domain_crash failed, since targets that refuse connections were found lost later.

Change: missing follow-ups count once if the probe gets no answer; if the connection is refused or another target answers, all count as before, since that is an answer of the machine.

--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -367,7 +367,21 @@
             if target.is_some_and(|target| target.observation.has_responded_after(record.placed)) {
                 continue;
             }
-            self.suspect(record.target, Some(opening.flow), now, actions);
+            self.suspect_opening(record.target, opening.flow, now, actions);
+        }
+    }
+
+    /// Suspects a target whose caller sent nothing here after its opening packet.
+    fn suspect_opening(
+        &mut self,
+        index: usize,
+        flow: Flow,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        self.suspect(index, Some(flow), now, actions);
+        if let Some(target) = self.directory.get_mut(index) {
+            target.health.record_missing_follow_up();
         }
     }
 
--- a/crates/mustardway_flow/src/health.rs
+++ b/crates/mustardway_flow/src/health.rs
@@ -117,6 +117,8 @@
     is_lost: bool,
     /// Number of times that a caller's packet was left unanswered.
     unanswered: u32,
+    /// Number of these times at which a caller sent nothing after its opening packet.
+    missing_follow_ups: u32,
     /// Number of probes that failed.
     failed_probes: u32,
     /// Time of the first piece of evidence.
@@ -214,6 +216,7 @@
         let is_first = !self.is_suspected(now);
         if is_first {
             self.unanswered = 0;
+            self.missing_follow_ups = 0;
             self.failed_probes = 0;
             self.first_evidence = now;
         }
@@ -221,6 +224,18 @@
         is_first
     }
 
+    /// Records that the packet that was just recorded as unanswered is an opening packet whose
+    /// caller sent nothing more here. The routers may have chosen another instance for it.
+    pub fn record_missing_follow_up(&mut self) {
+        self.missing_follow_ups = self.unanswered.min(self.missing_follow_ups + 1);
+    }
+
+    /// Returns the number of unanswered packets that count if the target did not answer a
+    /// probe. A change of rotation lets the follow-ups of several callers miss at once.
+    fn unanswered_if_silent(&self) -> u32 {
+        self.unanswered - self.missing_follow_ups.saturating_sub(1).min(self.unanswered)
+    }
+
     /// Records that a peer reports the target lost. If this instance is to probe it,
     /// it does so after `delay`.
     pub fn record_report(&mut self, delay: Span, now: Instant) {
@@ -233,6 +248,7 @@
     pub fn record_suspicion(&mut self, delay: Span, now: Instant) {
         if !self.is_suspected(now) {
             self.unanswered = 0;
+            self.missing_follow_ups = 0;
             self.failed_probes = 0;
             self.first_evidence = now;
         }
@@ -332,13 +348,18 @@
         }
         if !context.responsiveness.is_silence_conclusive(self.probe_sent) {
             self.unanswered = self.unanswered.min(1);
+            self.missing_follow_ups = 0;
             self.next_probe = now + RETRY_DELAY;
             return Transition::Unchanged;
         }
         self.failed_probes += 1;
         // A peer's report counts only in addition to what callers showed here.
         let is_confirmed = self.unanswered > 0 && self.is_reported(now);
-        let evidence = self.unanswered + self.failed_probes + u32::from(is_confirmed);
+        let unanswered = match outcome {
+            Outcome::Silent => self.unanswered_if_silent(),
+            _ => self.unanswered,
+        };
+        let evidence = unanswered + self.failed_probes + u32::from(is_confirmed);
         if evidence < EVIDENCE_MIN && !self.is_terminated {
             self.next_probe = now + RETRY_DELAY;
             return Transition::Unchanged;
@@ -356,6 +377,7 @@
     fn clear(&mut self) {
         self.is_lost = false;
         self.unanswered = 0;
+        self.missing_follow_ups = 0;
         self.failed_probes = 0;
         self.reported = None;
         self.reported_lost = None;
