Flow: a record of an earlier flow with the same addresses is not used

Callers could see: a caller uses a port again while an instance still remembers the earlier flow, which had moved away and ended elsewhere. If the new flow moved to that instance, its packets went to the earlier flow's target, which resets them.

Change: a record whose sequence numbers are 16 MB or more away from the packet's belongs to another flow and is removed, as contested flows already were told apart.

--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -26,6 +26,11 @@
         if packet.token == Token::NONE {
             return Verdict::Drop(DropReason::NoToken);
         }
+        let record = self.table.get(&packet.flow());
+        if record.is_some_and(|record| !record.may_include(packet.sequence)) {
+            // A new flow uses the addresses of an earlier one.
+            self.untrack(&packet.flow(), now);
+        }
         let Some(index) = self.target_index(packet) else {
             return self.handle_unknown_token(packet, now, actions);
         };
