Flow: a removed route resets flows only where the published state is fresh

Callers could see: a route is removed and added again, and an instance that has learned only of the removal resets flows that opened through others since. All other resets for something absent already needed a fresh state.

Change: with a state older than 3 s the packets are dropped, as opening packets of unknown routes are. An instance that lags by less than 3 s may still reset such a flow; that is open.

--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -41,6 +41,9 @@
             return Verdict::Drop(DropReason::ForeignToken);
         }
         let Some(route) = self.directory.route(packet.destination) else {
+            if !self.is_fresh(now) {
+                return Verdict::Drop(DropReason::NoRoute);
+            }
             return self.reset(packet, ResetReason::RouteRemoved, now, actions);
         };
         let is_repeatable = route.is_repeatable();
