--- a/crates/mustardway_emulator/tests/gazette_under_load.rs
+++ b/crates/mustardway_emulator/tests/gazette_under_load.rs
@@ -16,7 +16,7 @@
 const ADMITTING: Settings =
     Settings { placement: Placement::ExpectedTime, admission: Admission::ByPriority };
 /// Seeds over which placements are compared.
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=10;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=60;
 /// Least goodput beyond the capacity, as a share of that at the capacity.
 const GOODPUT_MIN: f64 = 0.95;
 /// Class of the most urgent requests.
