--- a/crates/mustardway_emulator/src/disruption.rs
+++ b/crates/mustardway_emulator/src/disruption.rs
@@ -9,6 +9,7 @@
 use crate::arrival_rate::Burst;
 use crate::network::Partition;
 use crate::scenario::Kind;
+use crate::strain::Quota;
 use crate::target::Server;
 use crate::world::{Event, World, route_address};
 
@@ -43,6 +44,8 @@
     /// Crash a target for the given period, until it has crashed the given number of
     /// times.
     FlapTarget(usize, Span, usize),
+    /// Let a target stand still for a moment, and again later.
+    Stutter { target: usize, gap: Span, until: Instant },
     /// End the burst that was added to `bursts` with the given number.
     EndBurst(usize),
     /// End the delays and losses of the platform.
@@ -124,6 +127,25 @@
                 for host in self.pick_hosts(share) {
                     self.hosts[host].frozen_until = self.now + lasts;
                     self.hosts[host].changed_at = self.now + lasts;
+                    self.hosts[host].impaired_until = self.now + lasts;
+                }
+            }
+            Kind::Throttle { share, run, period, crowded, lasts } => {
+                let (from, until) = (self.now, self.now + lasts);
+                for host in self.pick_hosts(share) {
+                    self.throttle(host, Quota { from, until, run, period, crowded });
+                }
+            }
+            Kind::Stutter { service, share, gap, lasts } => {
+                let until = self.now + lasts;
+                for target in self.pick_targets(service, share) {
+                    self.stutter(target, gap, until);
+                }
+            }
+            Kind::Drops { share, lasts } => self.begin_drops(share, lasts),
+            Kind::Unchecked { share, lasts } => {
+                for host in self.pick_hosts(share) {
+                    self.leave_unchecked(host, lasts);
                 }
             }
             Kind::Cut { domain, lasts, refuses } => {
@@ -188,6 +210,7 @@
                 let (service, domain) = (self.servers[old].service, self.servers[old].domain);
                 let new = self.add_target(service, domain);
                 self.servers[old].is_replaced = true;
+                self.servers[new].impaired_at = self.now;
                 self.run_follow_up(FollowUp::StartTarget(new));
             }
             FollowUp::DrainTarget(target) => {
@@ -205,6 +228,7 @@
                 let server = &mut self.servers[target];
                 if std::mem::take(&mut server.unanswered_share) > 0.0 {
                     server.changed_at = self.now;
+                    server.impaired_at = self.now;
                 }
                 server.slowdown = 1.0;
             }
@@ -215,12 +239,19 @@
                     self.schedule(period + period, next);
                 }
             }
+            FollowUp::Stutter { target, gap, until } => self.stutter(target, gap, until),
             FollowUp::EndBurst(burst) => self.bursts[burst].factor = 1.0,
             FollowUp::RestorePlatformSpeed => {
                 self.platform.delay = Span::ZERO;
                 self.platform.loss = 0.0;
             }
-            FollowUp::StartHost(host) => self.start_host(host),
+            FollowUp::StartHost(host) => {
+                let is_fault = !self.hosts[host].is_stopping;
+                self.start_host(host);
+                if is_fault {
+                    self.hosts[host].impaired_until = self.now;
+                }
+            }
             FollowUp::StopHost(host) => {
                 if self.hosts[host].runs(self.now) {
                     self.hosts[host].is_stopping = true;
--- a/crates/mustardway_emulator/src/host.rs
+++ b/crates/mustardway_emulator/src/host.rs
@@ -69,6 +69,8 @@
     pub(crate) frozen_until: Instant,
     /// Time at which the instance last started or resumes after its latest pause.
     pub(crate) changed_at: Instant,
+    /// Time up to which a fault affects the instance. Planned restarts are none.
+    pub(crate) impaired_until: Instant,
     /// Number of restarts.
     pub(crate) incarnation: u32,
     /// The outgoing direction of the link.
@@ -123,6 +125,7 @@
             is_stopping: false,
             frozen_until: now,
             changed_at: now,
+            impaired_until: Instant::default(),
             incarnation,
             outbound: link,
             inbound: link,
--- a/crates/mustardway_emulator/src/main.rs
+++ b/crates/mustardway_emulator/src/main.rs
@@ -64,6 +64,12 @@
     /// troubles of every kind, and large configurations
     #[argh(switch)]
     large: bool,
+    /// planned work alone, on machines that run late
+    #[argh(switch)]
+    planned: bool,
+    /// divisor of the site's instances, targets and rates
+    #[argh(option, default = "1")]
+    divisor: usize,
     /// print the decisions of this instance, such as i-0003, or of all
     #[argh(option)]
     log: Option<String>,
@@ -130,7 +136,7 @@
     let Arguments { site, subcommand } = argh::from_env();
     let site = site.site();
     let is_clean = match subcommand {
-        Subcommand::Emulate(emulate) => emulate.run(&site),
+        Subcommand::Emulate(emulate) => emulate.run(&site.divided(emulate.divisor)),
         Subcommand::Experiment(experiment) => experiment.run(&site),
         Subcommand::Search(search) => search.run(&site),
         Subcommand::Load(experiment) => experiment.run(site),
@@ -171,6 +177,7 @@
             Emulate { quiet: true, .. } => Scenario::quiet(30),
             Emulate { mixed: true, .. } => Scenario::mixed(seed, domains, services),
             Emulate { restored: true, .. } => Scenario::restored(seed, domains, services),
+            Emulate { planned: true, .. } => Scenario::planned(seed, domains, services),
             Emulate { large: true, .. } => Scenario::large(seed, domains, services),
             _ => random_scenario(site, seed),
         }
--- a/crates/mustardway_emulator/src/probe.rs
+++ b/crates/mustardway_emulator/src/probe.rs
@@ -31,11 +31,15 @@
             None if server.is_replaced => Outcome::Replaced,
             None if !server.alive && server.is_silent => Outcome::Silent,
             None if !server.alive => Outcome::Refused,
+            None if self.strain.stands_still(target, deadline) => Outcome::Silent,
             None if !self.servers[target].accept_probe(now) => Outcome::Silent,
             None => Outcome::Alive,
         };
         let (incarnation, id) = (self.hosts[host].incarnation, self.servers[target].id.clone());
-        let result = |outcome| Event::ProbeResult { host, incarnation, id: id.clone(), outcome };
+        let result = |outcome| {
+            let id = id.clone();
+            Event::ProbeResult { host, incarnation, id, outcome, deadline }
+        };
         if outcome == Outcome::Silent {
             self.queue.add(deadline, result(Outcome::Silent));
             return;
--- a/crates/mustardway_emulator/src/rules.rs
+++ b/crates/mustardway_emulator/src/rules.rs
@@ -32,15 +32,16 @@
         let Some((target, incarnation)) = self.flows[flow as usize].target else { return };
         let since = self.now - IMPAIRMENT_GRACE;
         let server = &self.servers[target];
-        let is_answering = server.unanswered_share == 0.0 && server.changed_at < since;
+        let is_answering = server.unanswered_share == 0.0 && server.impaired_at < since;
         let is_healthy = server.alive && server.incarnation == incarnation && is_answering;
         let instance = &self.hosts[host];
         let was_cut = self.network.was_cut(instance.domain, server.domain, since);
         let is_routed = self.is_routed(self.flows[flow as usize].route);
-        if !is_healthy || was_cut || instance.changed_at >= since || !is_routed {
+        if !is_healthy || was_cut || instance.impaired_until >= since || !is_routed {
             return;
         }
-        let detail = format_compact!("by {} a flow at {}", instance.id, server.id);
+        let caller = self.flows[flow as usize].address;
+        let detail = format_compact!("by {} the flow of {caller} at {}", instance.id, server.id);
         self.record_violation(Rule::FalseReset, detail);
     }
 
@@ -51,13 +52,14 @@
         let since = self.now - IMPAIRMENT_GRACE;
         let server = &self.servers[holder];
         let is_healthy =
-            server.alive && server.incarnation == incarnation && server.changed_at < since;
+            server.alive && server.incarnation == incarnation && server.impaired_at < since;
         let instance = &self.hosts[host];
         let was_cut = self.network.was_cut(instance.domain, server.domain, since);
         if !is_healthy || was_cut || instance.frozen_until >= since {
             return;
         }
-        let detail = format_compact!("by {} a flow at {}", self.servers[target].id, server.id);
+        let (caller, other) = (self.flows[flow as usize].address, &self.servers[target].id);
+        let detail = format_compact!("by {other} the flow of {caller} at {}", server.id);
         self.record_violation(Rule::FalseReset, detail);
     }
 
--- a/crates/mustardway_emulator/src/scenario.rs
+++ b/crates/mustardway_emulator/src/scenario.rs
@@ -122,6 +122,49 @@
         /// Duration of the pause.
         lasts: Span,
     },
+    /// A quota limits the processor of a share of the instances: in each period they run
+    /// for a part of it only. Planned work: no rule makes an exception for it. Targets
+    /// repeat their answers to opening packets from then on.
+    Throttle {
+        /// Share of the instances.
+        share: f64,
+        /// Part of each period in which an instance runs.
+        run: Span,
+        /// Length of a period.
+        period: Span,
+        /// Share of the periods in which packets take the whole of `run`, so that messages
+        /// wait until the next one.
+        crowded: f64,
+        /// Duration of the quota.
+        lasts: Span,
+    },
+    /// A share of a service's targets stand still for 150 to 600 ms now and then. Targets
+    /// repeat their answers to opening packets from then on.
+    Stutter {
+        /// Index of the service.
+        service: usize,
+        /// Share of the service's targets.
+        share: f64,
+        /// Usual time from one time that a target stands still to the next.
+        gap: Span,
+        /// Duration of the fault.
+        lasts: Span,
+    },
+    /// A share of the callers' packets, acknowledgements included, are lost because
+    /// instances do not read them in time. Packets of a flow within 20 ms are lost together.
+    Drops {
+        /// Share of the packets.
+        share: f64,
+        /// Duration of the losses.
+        lasts: Span,
+    },
+    /// A share of the instances do not answer the routers' checks in time, though they run.
+    Unchecked {
+        /// Share of the instances.
+        share: f64,
+        /// Time for which the checks go unanswered.
+        lasts: Span,
+    },
     /// A network partition separates a failure domain from all others and from the
     /// platform.
     Cut {
--- a/crates/mustardway_emulator/src/target.rs
+++ b/crates/mustardway_emulator/src/target.rs
@@ -73,6 +73,8 @@
     /// Time at which the target last started, crashed or recovered from leaving
     /// requests unanswered.
     pub(crate) changed_at: Instant,
+    /// Time at which the target last crashed, started after a crash or recovered.
+    pub(crate) impaired_at: Instant,
     /// Times within the last second at which opening packets arrived while the target
     /// was cold.
     pub(crate) cold_arrivals: VecDeque<Instant>,
@@ -108,6 +110,7 @@
             queue: VecDeque::new(),
             flows: BTreeMap::new(),
             changed_at: now,
+            impaired_at: Instant::default(),
             cold_arrivals: VecDeque::new(),
             probe_connections: (now, 0),
         }
@@ -145,6 +148,7 @@
         self.alive = false;
         self.is_silent = is_silent;
         self.changed_at = now;
+        self.impaired_at = now;
         self.flows.clear();
         self.queue.clear();
         self.running = 0;
@@ -155,6 +159,9 @@
         self.alive = true;
         self.incarnation += 1;
         self.changed_at = now;
+        if self.impaired_at > Instant::default() {
+            self.impaired_at = now;
+        }
         self.leaving_since = None;
         self.cold_until = now + cold;
     }
--- a/crates/mustardway_emulator/src/world.rs
+++ b/crates/mustardway_emulator/src/world.rs
@@ -31,6 +31,7 @@
 use crate::router::Upstream;
 use crate::scenario::Scenario;
 use crate::site::Site;
+use crate::strain::Strain;
 use crate::target::Server;
 use crate::variant::Variant;
 
@@ -104,7 +105,14 @@
     /// The platform's answer, or the failure of the call, reaches the instance.
     PlatformAnswer(Call, Result<Answer, Failure>),
     /// The outcome of a probe reaches the instance.
-    ProbeResult { host: usize, incarnation: u32, id: target::Id, outcome: Outcome },
+    ProbeResult {
+        host: usize,
+        incarnation: u32,
+        id: target::Id,
+        outcome: Outcome,
+        /// Time from which the probe counts as silent.
+        deadline: Instant,
+    },
     /// The routers' next readiness check is due.
     ReadinessCheck,
     /// A target's next heartbeat is due.
@@ -129,6 +137,7 @@
     pub(crate) queue: Queue<Event>,
     pub(crate) rng: Pcg32,
     pub(crate) network: Network,
+    pub(crate) strain: Strain,
     pub(crate) platform: Platform,
     /// End of the latest time in which the platform did not answer some instance. It
     /// may lie in the future.
@@ -218,6 +227,7 @@
             .map(|service| service.name.parse().expect("the names in a site are valid"));
         let mut world = World {
             network: Network::new(site.domain_delay),
+            strain: Strain::new(seed),
             now: start,
             traffic_start: start + STARTUP_TIME,
             queue: Queue::default(),
@@ -301,6 +311,7 @@
     }
 
     fn handle_event(&mut self, event: Event) {
+        let Some(event) = self.defer_if_late(event) else { return };
         match event {
             Event::NewRequest { domain, class } => self.start_request(domain, class),
             Event::Retry { request } => self.send_request(request),
@@ -324,7 +335,7 @@
             Event::Frame { from, to, frame } => self.receive_frame(from, to, frame),
             Event::PlatformCall(call) => self.call_platform(call),
             Event::PlatformAnswer(call, answer) => self.platform_answered(call, answer),
-            Event::ProbeResult { host, incarnation, id, outcome } => {
+            Event::ProbeResult { host, incarnation, id, outcome, .. } => {
                 self.probe_finished(host, incarnation, id, outcome);
             }
             Event::ReadinessCheck => self.check_readiness(),
@@ -340,8 +351,9 @@
     /// Checks the readiness of every instance on behalf of the routers. Also expires
     /// registrations and checks the routes of the instances.
     fn check_readiness(&mut self) {
-        for (upstream, host) in self.upstreams.iter_mut().zip(&self.hosts) {
-            upstream.record_check(host.is_ready(self.now));
+        for (index, (upstream, host)) in self.upstreams.iter_mut().zip(&self.hosts).enumerate() {
+            let is_answered = self.strain.answers_checks(index, self.now);
+            upstream.record_check(is_answered && host.is_ready(self.now));
         }
         self.expire();
         self.check_routes();
--- a/crates/mustardway_emulator/src/world/request.rs
+++ b/crates/mustardway_emulator/src/world/request.rs
@@ -23,7 +23,8 @@
 /// Time between the acknowledgements of two parts of an answer.
 const PART_GAP: Span = Span(300);
 /// Probability that the network loses a caller's packet or a target's reply.
-/// Acknowledgements of answers and resets by instances are not lost.
+/// Acknowledgements of answers and resets by instances are not lost, except in
+/// disruptions that say so.
 const PACKET_LOSS: f64 = 0.000_5;
 /// Time after which a target repeats its answer to an opening packet. It doubles with
 /// each repeat, three times at most.
@@ -116,7 +117,7 @@
         let host =
             router::route(&self.upstreams, flow_state.domain, flow_state.address, flow_state.route);
         let Some(host) = host else { return };
-        if self.rng.random_bool(PACKET_LOSS) {
+        if self.strain.drops(flow, self.now) || self.rng.random_bool(PACKET_LOSS) {
             return;
         }
         let at = self.now + self.site.caller_delay;
@@ -265,7 +266,7 @@
         token: Token,
         repeats: u32,
     ) {
-        if self.network.is_lossy() || repeats > 0 {
+        if self.network.is_lossy() || self.strain.repeats_answers || repeats > 0 {
             let delay = Span(ANSWER_REPEAT.0 << repeats.min(ANSWER_DOUBLINGS));
             let repeats = repeats + 1;
             let event = Event::RepeatAnswer { target, incarnation, flow, token, repeats };
@@ -426,6 +427,9 @@
                 flow_state.route,
             );
             let Some(host) = host else { continue };
+            if self.strain.drops(flow, self.now) {
+                continue;
+            }
             let at = self.now + self.site.caller_delay + Span(PART_GAP.0 * u64::from(part));
             self.queue.add(at, Event::ToHost { host, flow, packet, is_held: false });
         }
