--- a/crates/mustardway_emulator/src/disruption.rs
+++ b/crates/mustardway_emulator/src/disruption.rs
@@ -45,7 +45,7 @@
     /// times.
     FlapTarget(usize, Span, usize),
     /// Let a target stand still for a moment, and again later.
-    Stutter { target: usize, gap: Span, until: Instant },
+    Stutter { target: usize, gap: Span, longest: Span, until: Instant },
     /// End the burst that was added to `bursts` with the given number.
     EndBurst(usize),
     /// End the delays and losses of the platform.
@@ -136,10 +136,10 @@
                     self.throttle(host, Quota { from, until, run, period, crowded });
                 }
             }
-            Kind::Stutter { service, share, gap, lasts } => {
+            Kind::Stutter { service, share, gap, longest, lasts } => {
                 let until = self.now + lasts;
                 for target in self.pick_targets(service, share) {
-                    self.stutter(target, gap, until);
+                    self.stutter(target, gap, longest, until);
                 }
             }
             Kind::Drops { share, lasts } => self.begin_drops(share, lasts),
@@ -239,7 +239,9 @@
                     self.schedule(period + period, next);
                 }
             }
-            FollowUp::Stutter { target, gap, until } => self.stutter(target, gap, until),
+            FollowUp::Stutter { target, gap, longest, until } => {
+                self.stutter(target, gap, longest, until);
+            }
             FollowUp::EndBurst(burst) => self.bursts[burst].factor = 1.0,
             FollowUp::RestorePlatformSpeed => {
                 self.platform.delay = Span::ZERO;
--- a/crates/mustardway_emulator/src/planned.rs
+++ b/crates/mustardway_emulator/src/planned.rs
@@ -29,7 +29,9 @@
         for service in 0..services {
             let gap = Span::millis(rng.random_range(1_500..5_000));
             let share = rng.random_range(0.2..1.0);
-            scenario = scenario.with(0.0, Kind::Stutter { service, share, gap, lasts: all });
+            let longest = Span::millis(rng.random_range(200..600));
+            let stutter = Kind::Stutter { service, share, gap, longest, lasts: all };
+            scenario = scenario.with(0.0, stutter);
         }
         let share = rng.random_range(0.001..0.03);
         scenario = scenario.with(0.0, Kind::Drops { share, lasts: all });
@@ -40,10 +42,10 @@
             let at = rng.random_range(1.0..14.0);
             scenario = scenario.with(at, draw_planned(&mut rng, services));
         }
-        for _ in 0..rng.random_range(0..4) {
+        for _ in 0..rng.random_range(0..8) {
             let at = rng.random_range(1.0..16.0);
             let lasts = Span::millis(rng.random_range(600..2_000));
-            scenario = scenario.with(at, Kind::Unchecked { share: 0.1, lasts });
+            scenario = scenario.with(at, Kind::Unchecked { share: 0.2, lasts });
         }
         scenario
     }
--- a/crates/mustardway_emulator/src/rules.rs
+++ b/crates/mustardway_emulator/src/rules.rs
@@ -41,7 +41,9 @@
             return;
         }
         let caller = self.flows[flow as usize].address;
-        let detail = format_compact!("by {} the flow of {caller} at {}", instance.id, server.id);
+        let stage = self.stage_at(target, flow);
+        let detail =
+            format_compact!("by {} the flow of {caller} {stage} at {}", instance.id, server.id);
         self.record_violation(Rule::FalseReset, detail);
     }
 
@@ -59,10 +61,17 @@
             return;
         }
         let (caller, other) = (self.flows[flow as usize].address, &self.servers[target].id);
-        let detail = format_compact!("by {other} the flow of {caller} at {}", server.id);
+        let stage = self.stage_at(holder, flow);
+        let detail = format_compact!("by {other} the flow of {caller} {stage} at {}", server.id);
         self.record_violation(Rule::FalseReset, detail);
     }
 
+    /// Returns whether a target has the end of the handshake of a flow.
+    fn stage_at(&self, target: usize, flow: u32) -> &'static str {
+        let is_open = self.servers[target].flows.get(&flow).is_some_and(|it| it.is_open);
+        if is_open { "open" } else { "opening" }
+    }
+
     /// Checks a request that a target starts to run, and counts the run.
     pub(crate) fn check_run(&mut self, request: usize, target: usize) {
         self.requests[request].runs += 1;
--- a/crates/mustardway_emulator/src/scenario.rs
+++ b/crates/mustardway_emulator/src/scenario.rs
@@ -138,7 +138,7 @@
         /// Duration of the quota.
         lasts: Span,
     },
-    /// A share of a service's targets stand still for 150 to 600 ms now and then. Targets
+    /// A share of a service's targets stand still for 150 ms or more now and then. Targets
     /// repeat their answers to opening packets from then on.
     Stutter {
         /// Index of the service.
@@ -147,6 +147,8 @@
         share: f64,
         /// Usual time from one time that a target stands still to the next.
         gap: Span,
+        /// Longest time for which a target stands still.
+        longest: Span,
         /// Duration of the fault.
         lasts: Span,
     },
--- a/crates/mustardway_emulator/src/strain.rs
+++ b/crates/mustardway_emulator/src/strain.rs
@@ -27,8 +27,8 @@
 const DROPPED_SEED: u64 = 0x6472_6f70_7065_6401;
 /// Time within which the packets of one flow are lost together.
 const DROP_SLOT: Span = Span::millis(20);
-/// Shortest and longest time for which a target stands still, in milliseconds.
-const STILL_MILLIS: std::ops::Range<u64> = 150..600;
+/// Shortest time for which a target stands still.
+const STILL_MIN: Span = Span::millis(150);
 /// Stream of the random numbers that only these disruptions use.
 const STREAM: u64 = 4;
 
@@ -144,15 +144,15 @@
     }
 
     /// Lets a target stand still for a moment, and again about every `gap`.
-    pub(crate) fn stutter(&mut self, target: usize, gap: Span, until: Instant) {
+    pub(crate) fn stutter(&mut self, target: usize, gap: Span, longest: Span, until: Instant) {
         if self.now >= until {
             return;
         }
-        let lasts = Span::millis(self.strain.rng.random_range(STILL_MILLIS));
+        let lasts = Span(self.strain.rng.random_range(STILL_MIN.0..=longest.0));
         self.strain.still.insert(target, self.now + lasts);
         self.strain.repeats_answers = true;
         let next = lasts + Span(self.strain.rng.random_range(gap.0 / 2..gap.0 * 2));
-        self.schedule(next, FollowUp::Stutter { target, gap, until });
+        self.schedule(next, FollowUp::Stutter { target, gap, longest, until });
     }
 
     /// Returns an event that is handled now. Defers one whose instance or target does not
