--- a/crates/mustardway_emulator/src/lib.rs
+++ b/crates/mustardway_emulator/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod plot;
 pub mod preset;
 mod probe;
+mod publishing;
 mod queue;
 pub mod report;
 mod router;
