--- a/crates/mustardway_emulator/src/disruption.rs
+++ b/crates/mustardway_emulator/src/disruption.rs
@@ -1,16 +1,15 @@
 //! Execution of disruptions: how they begin, go on and end.
 
-use std::sync::Arc;
-
-use mustardway_mirror::publication::{Configuration, Item, Key, Route, Service, Share};
+use mustardway_mirror::publication::{Item, Key};
 use mustardway_types::time::{Instant, Span};
 use rand::RngExt;
 
 use crate::arrival_rate::Burst;
 use crate::network::Partition;
 use crate::scenario::Kind;
+use crate::strain::Quota;
 use crate::target::Server;
-use crate::world::{Event, World, route_address};
+use crate::world::{Event, World};
 
 /// Time from a target's notice that it leaves until it stops.
 const DRAIN_TIME: Span = Span::millis(3_500);
@@ -20,8 +19,6 @@
 const STOP_TIME: Span = Span::millis(1_700);
 /// Time that the restart of an instance takes.
 const RESTART_TIME: Span = Span::millis(100);
-/// Number of missed heartbeats after which a registration expires.
-const EXPIRY_HEARTBEATS: u64 = 3;
 
 /// Time within which targets register again with a restored platform.
 const TARGET_REWRITE_TIME: Span = Span::seconds(2);
@@ -43,6 +40,8 @@
     /// Crash a target for the given period, until it has crashed the given number of
     /// times.
     FlapTarget(usize, Span, usize),
+    /// Let a target stand still for a moment, and again later.
+    Stutter { target: usize, gap: Span, longest: Span, until: Instant },
     /// End the burst that was added to `bursts` with the given number.
     EndBurst(usize),
     /// End the delays and losses of the platform.
@@ -124,6 +123,25 @@
                 for host in self.pick_hosts(share) {
                     self.hosts[host].frozen_until = self.now + lasts;
                     self.hosts[host].changed_at = self.now + lasts;
+                    self.hosts[host].impaired_until = self.now + lasts;
+                }
+            }
+            Kind::Throttle { share, run, period, crowded, lasts } => {
+                let (from, until) = (self.now, self.now + lasts);
+                for host in self.pick_hosts(share) {
+                    self.throttle(host, Quota { from, until, run, period, crowded });
+                }
+            }
+            Kind::Stutter { service, share, gap, longest, lasts } => {
+                let until = self.now + lasts;
+                for target in self.pick_targets(service, share) {
+                    self.stutter(target, gap, longest, until);
+                }
+            }
+            Kind::Drops { share, lasts } => self.begin_drops(share, lasts),
+            Kind::Unchecked { share, lasts } => {
+                for host in self.pick_hosts(share) {
+                    self.leave_unchecked(host, lasts);
                 }
             }
             Kind::Cut { domain, lasts, refuses } => {
@@ -188,6 +206,7 @@
                 let (service, domain) = (self.servers[old].service, self.servers[old].domain);
                 let new = self.add_target(service, domain);
                 self.servers[old].is_replaced = true;
+                self.servers[new].impaired_at = self.now;
                 self.run_follow_up(FollowUp::StartTarget(new));
             }
             FollowUp::DrainTarget(target) => {
@@ -205,6 +224,7 @@
                 let server = &mut self.servers[target];
                 if std::mem::take(&mut server.unanswered_share) > 0.0 {
                     server.changed_at = self.now;
+                    server.impaired_at = self.now;
                 }
                 server.slowdown = 1.0;
             }
@@ -215,12 +235,21 @@
                     self.schedule(period + period, next);
                 }
             }
+            FollowUp::Stutter { target, gap, longest, until } => {
+                self.stutter(target, gap, longest, until);
+            }
             FollowUp::EndBurst(burst) => self.bursts[burst].factor = 1.0,
             FollowUp::RestorePlatformSpeed => {
                 self.platform.delay = Span::ZERO;
                 self.platform.loss = 0.0;
             }
-            FollowUp::StartHost(host) => self.start_host(host),
+            FollowUp::StartHost(host) => {
+                let is_fault = !self.hosts[host].is_stopping;
+                self.start_host(host);
+                if is_fault {
+                    self.hosts[host].impaired_until = self.now;
+                }
+            }
             FollowUp::StopHost(host) => {
                 if self.hosts[host].runs(self.now) {
                     self.hosts[host].is_stopping = true;
@@ -228,6 +257,9 @@
                 }
             }
             FollowUp::TerminateHost(host) => {
+                if self.strain.is_used {
+                    self.leave(host);
+                }
                 self.hosts[host].alive = false;
                 self.schedule(RESTART_TIME, FollowUp::StartHost(host));
             }
@@ -258,23 +290,6 @@
         }
     }
 
-    /// Publishes the current configuration and evacuations again, and removes the
-    /// evacuations that have ended.
-    fn republish(&mut self) {
-        self.platform.put(self.configuration.clone(), self.now);
-        let mut current = Vec::new();
-        for domain in self.evacuated.keys() {
-            let item = Item::Evacuated(self.domain_names[*domain].clone());
-            current.push(item.key());
-            self.platform.put(item, self.now);
-        }
-        for key in self.platform.evacuated() {
-            if !current.contains(&key) {
-                self.platform.remove(&key, self.now);
-            }
-        }
-    }
-
     /// Schedules a later step of a disruption.
     pub(crate) fn schedule(&mut self, after: Span, follow_up: FollowUp) {
         self.queue.add(self.now + after, Event::FollowUp(follow_up));
@@ -362,76 +377,4 @@
         picked.sort_unstable();
         picked
     }
-
-    /// Publishes a new version of the configuration, with `extra` routes beyond those of
-    /// the site.
-    pub(crate) fn publish_configuration(&mut self, extra: usize) {
-        self.configuration_version += 1;
-        self.extra_routes = (extra, self.now);
-        let mut routes = Vec::new();
-        for (number, class) in self.site.classes.iter().enumerate() {
-            let service = self.service_names[class.service].clone();
-            routes.push(Route {
-                name: class.name.clone(),
-                address: route_address(number),
-                shares: vec![Share { service, weight: 1 }],
-                repeat: class.repeat,
-                urgency: class.urgency,
-                aim: class.aim,
-                limit: class.limit,
-            });
-        }
-        let first = routes.len();
-        for number in first..first + extra {
-            let mut route = routes[0].clone();
-            route.address = route_address(number);
-            routes.push(route);
-        }
-        let mut services = Vec::new();
-        for (service, name) in self.site.services.iter().zip(&self.service_names) {
-            let (name, cold_rate) = (name.clone(), service.cold_rate);
-            services.push(Service { name, health: "/health".into(), cold_rate });
-        }
-        let (version, idle) = (self.configuration_version, Span::seconds(15));
-        let configuration = Configuration { version, routes, services, idle };
-        self.configuration = Item::Configuration(Arc::new(configuration));
-        self.platform.put(self.configuration.clone(), self.now);
-    }
-
-    /// Renews a target's registration and schedules the next heartbeat.
-    pub(crate) fn heartbeat(&mut self, target: usize, incarnation: u32) {
-        let server = &self.servers[target];
-        if !server.alive || server.incarnation != incarnation {
-            return;
-        }
-        let platform = self.site.domains.len();
-        if self.network.partition(server.domain, platform).is_none() && !self.platform.is_down {
-            self.register(target);
-        }
-        let next = self.now + self.site.heartbeat_interval;
-        self.queue.add(next, Event::Heartbeat { target, incarnation });
-    }
-
-    /// Publishes a target's current registration on the platform.
-    fn register(&mut self, target: usize) {
-        let server = &self.servers[target];
-        let slots = self.site.services[server.service].slots;
-        let service = &self.service_names[server.service];
-        let domain = &self.domain_names[server.domain];
-        let item = server.registration(service, domain, slots, self.now);
-        self.platform.put(item, self.now);
-    }
-
-    /// Removes expired registrations.
-    pub(crate) fn expire(&mut self) {
-        if self.platform.is_down {
-            return;
-        }
-        let silence = Span(self.site.heartbeat_interval.0 * EXPIRY_HEARTBEATS);
-        // After an outage, targets get time to renew their registrations.
-        if self.now < self.platform_impaired_until + silence {
-            return;
-        }
-        self.platform.expire(self.now - silence, self.now);
-    }
 }
--- a/crates/mustardway_emulator/src/rules.rs
+++ b/crates/mustardway_emulator/src/rules.rs
@@ -32,15 +32,18 @@
         let Some((target, incarnation)) = self.flows[flow as usize].target else { return };
         let since = self.now - IMPAIRMENT_GRACE;
         let server = &self.servers[target];
-        let is_answering = server.unanswered_share == 0.0 && server.changed_at < since;
+        let is_answering = server.unanswered_share == 0.0 && server.impaired_at < since;
         let is_healthy = server.alive && server.incarnation == incarnation && is_answering;
         let instance = &self.hosts[host];
         let was_cut = self.network.was_cut(instance.domain, server.domain, since);
         let is_routed = self.is_routed(self.flows[flow as usize].route);
-        if !is_healthy || was_cut || instance.changed_at >= since || !is_routed {
+        if !is_healthy || was_cut || instance.impaired_until >= since || !is_routed {
             return;
         }
-        let detail = format_compact!("by {} a flow at {}", instance.id, server.id);
+        let caller = self.flows[flow as usize].address;
+        let stage = self.stage_at(target, flow);
+        let detail =
+            format_compact!("by {} the flow of {caller} {stage} at {}", instance.id, server.id);
         self.record_violation(Rule::FalseReset, detail);
     }
 
@@ -51,16 +54,24 @@
         let since = self.now - IMPAIRMENT_GRACE;
         let server = &self.servers[holder];
         let is_healthy =
-            server.alive && server.incarnation == incarnation && server.changed_at < since;
+            server.alive && server.incarnation == incarnation && server.impaired_at < since;
         let instance = &self.hosts[host];
         let was_cut = self.network.was_cut(instance.domain, server.domain, since);
         if !is_healthy || was_cut || instance.frozen_until >= since {
             return;
         }
-        let detail = format_compact!("by {} a flow at {}", self.servers[target].id, server.id);
+        let (caller, other) = (self.flows[flow as usize].address, &self.servers[target].id);
+        let stage = self.stage_at(holder, flow);
+        let detail = format_compact!("by {other} the flow of {caller} {stage} at {}", server.id);
         self.record_violation(Rule::FalseReset, detail);
     }
 
+    /// Returns whether a target has the end of the handshake of a flow.
+    fn stage_at(&self, target: usize, flow: u32) -> &'static str {
+        let is_open = self.servers[target].flows.get(&flow).is_some_and(|it| it.is_open);
+        if is_open { "open" } else { "opening" }
+    }
+
     /// Checks a request that a target starts to run, and counts the run.
     pub(crate) fn check_run(&mut self, request: usize, target: usize) {
         self.requests[request].runs += 1;
