Flow: an opening packet that waited until its next copy neither opens nor resets anything

Callers could see: an open flow gets a reset 10 to 490 ms after it opened. An instance that runs late handles the first opening packet of a flow that has opened through another instance meanwhile, to which the caller's copy went, and refuses it since the service is full: first packets, unlike copies, are not exempt from admission, and evacuation leaves fewer slots. Packets were dropped as stale only after a pause of 400 ms, which a backlog that is worked off, or a quota of the processor, never shows.

Change: the state machine knows since when packets may have waited: since the latest time at which the socket was seen empty, or a tick came in time and no packets with it. An opening packet that may have waited until the caller's next copy (200, 400, 800 ms) is dropped unless this instance has placed an earlier one. The same holds for packets from before the configuration was known.

--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -86,9 +86,10 @@
     /// The process did not run for a while. Packets that were received meanwhile
     /// follow.
     Paused,
-    /// All packets that were received while the process did not run have been
-    /// handled.
+    /// All packets that were received so far have been handled.
     BacklogCleared,
+    /// Packets that were received wait while other events are handled.
+    BacklogRemains,
     /// The connection of a probe of a target was established. Its outcome follows.
     ProbeConnected(target::Id),
     /// A probe of a target has finished.
@@ -206,8 +207,12 @@
     is_clearing_backlog: bool,
     /// Time of the latest tick.
     last_tick: Instant,
-    /// Whether packets may have waited while this instance stalled, for less than a pause.
-    is_behind: bool,
+    /// Latest time at which no packet waited at this instance.
+    caught_up: Instant,
+    /// Whether packets may have waited since then.
+    has_backlog: bool,
+    /// Whether a packet was handled since the latest tick.
+    has_handled_packet: bool,
     /// Time at which the latest pause and the handling of its packets ended.
     resumed: Instant,
     demand: Demand,
@@ -245,7 +250,9 @@
             reference_probed: Instant::default(),
             is_clearing_backlog: false,
             last_tick: Instant::default(),
-            is_behind: false,
+            caught_up: Instant::default(),
+            has_backlog: false,
+            has_handled_packet: false,
             resumed: Instant::default(),
             demand: Demand::default(),
             unmet_since: None,
@@ -294,6 +301,7 @@
         if !self.is_configured() {
             return Verdict::Drop(DropReason::Unconfigured);
         }
+        self.has_handled_packet = true;
         // The caller has sent copies of this packet meanwhile, and another target may
         // have answered one. If a second target answered this packet, it would
         // attract the packets of the open flow.
@@ -328,11 +336,13 @@
                 self.handle_load(load_node::Event::Paused, now, actions);
             }
             Event::BacklogCleared => {
-                self.is_behind = false;
+                self.has_backlog = false;
+                self.caught_up = now;
                 if std::mem::take(&mut self.is_clearing_backlog) {
                     self.resumed = now;
                 }
             }
+            Event::BacklogRemains => self.has_backlog = true,
             Event::ProbeConnected(target) => self.probe_connected(&target, now),
             Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
             Event::PeerReport { from, target, is_lost } => {
@@ -351,10 +361,33 @@
         }
     }
 
-    /// Returns whether the packets that are handled now may have waited at this instance,
-    /// so that their times show nothing about targets.
+    /// Returns the longest time for which a packet that is handled now may have waited at
+    /// this instance.
+    fn waited_max(&self, now: Instant) -> Span {
+        match self.last_tick == Instant::default() {
+            true => Span::ZERO,
+            false => now.since(self.caught_up),
+        }
+    }
+
+    /// Returns whether the packets that are handled now may have waited for so long that
+    /// their times show nothing about targets.
     fn is_behind(&self, now: Instant) -> bool {
-        self.is_behind || now.since(self.last_tick) >= STALL_MIN
+        now.since(self.last_tick) >= STALL_MIN || self.waited_max(now) >= STALL_MIN
+    }
+
+    /// Records at a tick whether packets wait. They do after a stall and while nothing is
+    /// configured, until the backlog is cleared or no packet comes between two ticks.
+    fn update_backlog(&mut self, now: Instant) {
+        let is_first = self.last_tick == Instant::default();
+        let has_stalled = now.since(self.last_tick) >= STALL_MIN && !is_first;
+        let is_idle = self.is_configured() && !self.has_handled_packet;
+        self.has_backlog = has_stalled || self.has_backlog && !is_idle || !self.is_configured();
+        if !self.has_backlog || is_first {
+            self.caught_up = now;
+        }
+        self.last_tick = now;
+        self.has_handled_packet = false;
     }
 
     /// Returns the time since the platform confirmed the published state.
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -26,6 +26,8 @@
 /// Time since a response within which an unregistered target is as good as others.
 /// Registrations of crashed targets expire later than that.
 const UNREGISTERED_RESPONSE_AGE_MAX: Span = Span::seconds(1);
+/// Times from an opening packet and its copies until a caller sends the next copy or gives up.
+const COPY_INTERVALS: [Span; 3] = [Span::millis(200), Span::millis(400), Span::millis(800)];
 /// Time within which the routers notice that an instance is not ready: two checks,
 /// each every 500 ms, and a margin for instances that notice later.
 const ROUTER_NOTICE_MAX: Span = Span::millis(1_500);
@@ -38,6 +40,9 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) -> Verdict {
+        if self.is_superseded(packet, now) {
+            return Verdict::Drop(DropReason::Stale);
+        }
         if self.directory.route(packet.destination).is_none() {
             if !self.is_fresh(now) || self.is_copy_of_unknown(packet) {
                 return Verdict::Drop(DropReason::NoRoute);
@@ -63,12 +68,24 @@
         }
     }
 
+    /// Returns whether the caller may have sent another copy of an opening packet since this one
+    /// arrived, through which the flow may have opened elsewhere.
+    fn is_superseded(&self, packet: &Packet, now: Instant) -> bool {
+        let copies = packet.acknowledgement as usize;
+        let until_next = COPY_INTERVALS[copies.min(COPY_INTERVALS.len() - 1)];
+        self.waited_max(now) >= until_next && !self.has_placed(packet)
+    }
+
+    /// Returns whether this instance has placed an opening packet or an earlier copy of it.
+    fn has_placed(&self, packet: &Packet) -> bool {
+        let record = self.table.get(&packet.flow());
+        record.is_some_and(|record| record.opening == Some(packet.sequence))
+    }
+
     /// Returns whether a packet is a copy of an opening packet that another instance got.
     /// The flow may have opened there.
     fn is_copy_of_unknown(&self, packet: &Packet) -> bool {
-        let record = self.table.get(&packet.flow());
-        let is_known = record.is_some_and(|record| record.opening == Some(packet.sequence));
-        packet.acknowledgement > 0 && !is_known
+        packet.acknowledgement > 0 && !self.has_placed(packet)
     }
 
     /// Returns whether the routers are about to send the caller's copies of an opening
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -6,7 +6,7 @@
 use mustardway_types::{instance, target};
 use rand::RngExt;
 
-use super::{Action, Front, Probe, STALL_MIN};
+use super::{Action, Front, Probe};
 use crate::health::{Context, Outcome, Status, Transition};
 use crate::note::{Note, ResetReason};
 use crate::packet::{Flow, Reset};
@@ -388,9 +388,8 @@
     /// Sends the probes that are due, updates the readiness and sweeps expired
     /// entries.
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        self.is_behind = now.since(self.last_tick) >= STALL_MIN;
-        self.last_tick = now;
-        if !self.is_behind {
+        self.update_backlog(now);
+        if !self.is_behind(now) {
             self.check_openings(now, actions);
         }
         self.handle_load(mustardway_load::node::Event::Tick, now, actions);
--- a/crates/mustardway_flow/tests/opening_packets.rs
+++ b/crates/mustardway_flow/tests/opening_packets.rs
@@ -5,8 +5,8 @@
 
 use assert_matches::assert_matches;
 use common::{
-    AWAY, HOME, Harness, acknowledgement, answer_acknowledgement, forwarded_to, opening, put,
-    registration,
+    AWAY, HOME, Harness, acknowledgement, answer_acknowledgement, configuration, forwarded_to,
+    opening, put, registration,
 };
 use mustardway_flow::front::{Action, Event, Verdict};
 use mustardway_flow::health::Outcome;
@@ -250,3 +250,43 @@
         harness.advance(50);
     }
 }
+
+/// The caller's next copy may have opened the flow through another instance meanwhile.
+#[test]
+fn opening_packet_that_waited_until_the_next_copy_is_dropped() {
+    let mut harness = Harness::new(8, 0);
+    harness.advance(50);
+    harness.now = harness.now + Span::millis(210);
+    assert_eq!(harness.send(&opening(1, 1, 0)), Verdict::Drop(DropReason::Stale));
+    assert!(forwarded_to(harness.send(&opening(1, 1, 1))).is_some());
+    assert_eq!(harness.send(&opening(2, 9, 0)), Verdict::Drop(DropReason::Stale));
+    harness.handle(Event::BacklogCleared);
+    assert!(forwarded_to(harness.send(&opening(3, 1, 0))).is_some());
+}
+
+/// The instance is busy, but its ticks come in time.
+#[test]
+fn opening_packet_at_the_end_of_a_long_queue_is_dropped() {
+    let mut harness = Harness::new(8, 0);
+    harness.advance(50);
+    for from in 0..5 {
+        harness.open(from, 1);
+        harness.handle(Event::BacklogRemains);
+        harness.advance(50);
+    }
+    assert_eq!(harness.send(&opening(9, 1, 0)), Verdict::Drop(DropReason::Stale));
+    harness.advance(50);
+    harness.advance(50);
+    assert!(forwarded_to(harness.send(&opening(9, 1, 0))).is_some(), "no packet came for a tick");
+}
+
+#[test]
+fn opening_packet_from_before_the_configuration_is_dropped() {
+    let mut harness = Harness::empty(1);
+    harness.advance(300);
+    harness.configure(configuration(1));
+    harness.publish(put(registration(1, "orders", HOME)));
+    assert_eq!(harness.send(&opening(1, 1, 0)), Verdict::Drop(DropReason::Stale));
+    harness.handle(Event::BacklogCleared);
+    assert_eq!(harness.open(2, 1), Some(1));
+}
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -246,12 +246,13 @@
         }
         let envelope = self.context.adapter.codec.envelope_len();
         let mut actions = Vec::new();
+        let mut backlog = front::Event::BacklogRemains;
         for _ in 0..PACKETS_PER_BATCH {
             let received = self.context.socket.try_recv_from(&mut self.buffer[envelope..]);
             let length = match received {
                 Ok((length, _)) => length,
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
-                    self.front.handle(now, front::Event::BacklogCleared, &mut actions);
+                    backlog = front::Event::BacklogCleared;
                     break;
                 }
                 Err(error) => {
@@ -263,6 +264,7 @@
             self.last_packet_at = now;
             self.handle_packet(envelope + length, now, &mut actions);
         }
+        self.front.handle(now, backlog, &mut actions);
         self.apply_front_actions(actions, now);
     }
 
