Front: messages of peers that arrived before packets are handled before them

Callers saw: an open flow is reset by a target that does not hold it. After a stall, packets and the message that names the holder of their flow wait together. The event loop chose between ready sources at random, and packets, up to 64 at a go, were readable at once, messages only after the tasks that read the links had run.

Change: before packets are read, the tasks that read the links run and the messages that they passed on are handled. The emulator's throttled instances do the same; its crowded periods are now taken by messages.

--- a/crates/mustardway_emulator/src/strain.rs
+++ b/crates/mustardway_emulator/src/strain.rs
@@ -2,9 +2,8 @@
 //! them in time.
 //!
 //! A quota of the processor lets an instance run for a part of each period only. What
-//! arrives in the rest waits. When the instance runs again, it reads packets before the
-//! messages that arrived earlier: packets are readable at once, messages only after the
-//! tasks that read the links have run.
+//! arrives in the rest waits. When the instance runs again, it handles the messages that
+//! arrived earlier before it reads packets, as the event loop of an instance does.
 
 use std::collections::BTreeMap;
 
@@ -19,8 +18,8 @@
 
 /// Order in which an instance handles what waited, after it runs again.
 const FIRST: Span = Span(0);
-const PACKETS: Span = Span(1);
-const MESSAGES: Span = Span(2);
+const MESSAGES: Span = Span(1);
+const PACKETS: Span = Span(2);
 /// Seed of the hash that chooses the crowded periods.
 const CROWDED_SEED: u64 = 0x6372_6f77_6465_6401;
 /// Seed of the hash that chooses the lost packets.
@@ -41,7 +40,7 @@
     /// Part of each period in which the instance runs.
     pub(crate) run: Span,
     pub(crate) period: Span,
-    /// Share of the periods in which the packets take the whole of `run`.
+    /// Share of the periods in which the messages take the whole of `run`.
     pub(crate) crowded: f64,
 }
 
@@ -56,7 +55,7 @@
         let in_period = passed % self.period.0;
         let number = passed / self.period.0;
         let is_crowded = || hash::unit(self.hash(host, number)) < self.crowded;
-        let stands_still = in_period >= self.run.0 || (!is_packet && is_crowded());
+        let stands_still = in_period >= self.run.0 || (is_packet && is_crowded());
         stands_still.then(|| now + Span(self.period.0 - in_period))
     }
 
@@ -185,8 +184,7 @@
         };
         let quota = self.strain.quotas.get(&host).filter(|_| self.hosts[host].alive)?;
         let is_tick = matches!(event, Event::Tick { .. });
-        // A tick does not wait for the tasks that read the links.
-        let start = quota.resumes(host, is_packet || is_tick, self.now)?;
+        let start = quota.resumes(host, is_packet, self.now)?;
         let order = match is_packet {
             true => PACKETS,
             false if is_tick && quota.is_tick_first(host, start) => FIRST,
--- a/crates/mustardway_front/src/run.rs
+++ b/crates/mustardway_front/src/run.rs
@@ -154,6 +154,13 @@
         tokio::select! {
             readable = dispatcher.readable(), if dispatcher.is_configured() => {
                 readable?;
+                // Messages that arrived before the packets may tell where these belong. The
+                // tasks that read the links run before this one goes on.
+                tokio::task::yield_now().await;
+                for _ in 0..INPUT_QUEUE_LEN {
+                    let Ok(input) = input_receiver.try_recv() else { break };
+                    dispatcher.handle_input(input);
+                }
                 dispatcher.receive_packets();
             }
             Some(input) = input_receiver.recv() => dispatcher.handle_input(input),
