--- a/crates/mustardway_emulator/src/defect.rs
+++ b/crates/mustardway_emulator/src/defect.rs
@@ -25,6 +25,8 @@
     MixesServices,
     /// Every probe reports that another target answers at the address.
     MisreadsProbes,
+    /// The silence of a target counts even if the instance itself did not run.
+    TrustsSilence,
 }
 
 impl Defect {
--- a/crates/mustardway_emulator/src/world/control_plane.rs
+++ b/crates/mustardway_emulator/src/world/control_plane.rs
@@ -14,6 +14,7 @@
 
 use super::{Call, Event, TICK_INTERVAL, World};
 use crate::arrival::{Arrival, Deadline};
+use crate::defect::Defect;
 use crate::host::{self, Frame};
 use crate::network::Partition;
 use crate::platform;
@@ -127,6 +128,9 @@
     ) {
         if self.hosts[host].alive && self.hosts[host].incarnation == incarnation {
             let outcome = self.defect.alter_outcome(outcome);
+            if self.defect == Defect::TrustsSilence && outcome == Outcome::Silent {
+                self.deliver_to_front(host, front::Event::ProbeConnected(id.clone()));
+            }
             self.deliver_to_front(host, front::Event::Probed(id, outcome));
         }
     }
--- a/crates/mustardway_emulator/tests/planned_work_while_throttled.rs
+++ b/crates/mustardway_emulator/tests/planned_work_while_throttled.rs
@@ -2,10 +2,11 @@
 //! of each 100 ms, and targets stand still for a moment now and then, so that a target may
 //! answer an opening packet after another one has answered its copy.
 
+use mustardway_emulator::defect::Defect;
 use mustardway_emulator::preset::Preset;
 use mustardway_emulator::report::{Report, Rule, Violation};
 use mustardway_emulator::scenario::{Kind, Scenario};
-use mustardway_emulator::world::simulate;
+use mustardway_emulator::world::{simulate, simulate_defect};
 use mustardway_types::time::Span;
 
 /// Returns a scenario in which a failure domain is evacuated and the instances are
@@ -84,3 +85,44 @@
 fn announcement_reaches_no_instance_of_a_domain() {
     assert_no_foreign_reset(Preset::SanJose, 0, &[218]);
 }
+
+/// Returns a scenario in which all targets answer in time, but instances run for 10 ms of each
+/// 100 ms at most.
+fn stalls_alone() -> Scenario {
+    let (run, period) = (Span::millis(10), Span::millis(100));
+    let lasts = Span::seconds(30);
+    Scenario::quiet(12)
+        .with(0.0, Kind::Throttle { share: 0.9, run, period, crowded: 0.3, lasts })
+        .with(2.0, Kind::Evacuate { domain: 1, lasts: Span::seconds(7) })
+        .with(1.0, Kind::Roll { share: 1.0, gap: Span::millis(1_100) })
+}
+
+/// Returns the resets of open flows by instances.
+fn resets_by_instances(report: &Report) -> Vec<&Violation> {
+    let is_reset = |it: &&Violation| it.rule == Rule::FalseReset && it.detail.starts_with("by i-");
+    report.violations.iter().filter(is_reset).collect()
+}
+
+/// An instance that does not run hears no answers. It must not take targets for lost.
+#[test]
+fn stalls_lose_no_target() {
+    for preset in [Preset::SanJose, Preset::FrioAustral, Preset::Gazette] {
+        for seed in 1..=10 {
+            let report = simulate(&preset.site(), &stalls_alone(), seed);
+            let found = resets_by_instances(&report);
+            assert!(found.is_empty(), "{preset}, seed {seed}: {found:#?}");
+        }
+    }
+}
+
+/// The simulation notices instances that take their own stalls for the silence of targets.
+#[test]
+fn trusted_silence_is_noticed() {
+    let mut found = 0;
+    for seed in 1..=10 {
+        let site = Preset::SanJose.site();
+        let report = simulate_defect(&site, &stalls_alone(), seed, Defect::TrustsSilence);
+        found += resets_by_instances(&report).len();
+    }
+    assert!(found > 0, "no flow was reset");
+}
