--- a/crates/mustardway_emulator/tests/planned_work_while_throttled.rs
+++ b/crates/mustardway_emulator/tests/planned_work_while_throttled.rs
@@ -86,6 +86,26 @@
     assert_no_foreign_reset(Preset::SanJose, 0, &[218]);
 }
 
+/// All targets answer in time, but instances stand still for up to 370 ms. When one runs
+/// again, a copy of an opening packet and the caller's first packet both wait there. The copy
+/// is handled first and goes to a second target, though the flow is open already.
+#[test]
+fn copy_waits_with_the_first_packet() {
+    let (run, period) = (Span::millis(20), Span::millis(390));
+    let lasts = Span::seconds(30);
+    let mut scenario = Scenario::quiet(20)
+        .with(0.0, Kind::Throttle { share: 0.9, run, period, crowded: 0.2, lasts })
+        .with(4.0, Kind::Evacuate { domain: 1, lasts: Span::seconds(8) })
+        .with(2.0, Kind::Roll { share: 1.0, gap: Span::millis(1_100) });
+    for number in 0..6 {
+        let at = 1.0 + 17.0 * f64::from(number) / 6.0;
+        scenario = scenario.with(at, Kind::Unchecked { share: 0.3, lasts: Span::millis(1_100) });
+    }
+    let report = simulate(&Preset::FrioAustral.site(), &scenario, 26);
+    let found = foreign_resets(&report);
+    assert!(found.is_empty(), "{found:#?}");
+}
+
 /// Returns a scenario in which all targets answer in time, but instances run for 10 ms of each
 /// 100 ms at most.
 fn stalls_alone() -> Scenario {
