--- a/crates/mustardway_emulator/tests/planned_work_while_throttled.rs
+++ b/crates/mustardway_emulator/tests/planned_work_while_throttled.rs
@@ -58,9 +58,10 @@
     assert_no_foreign_reset(Preset::FrioAustral, 7, &[285]);
 }
 
-/// The announcement of the holder waits at its sender, which may send so many bytes a second.
+/// The instance that is to tell its failure domain of the holder has just started and knows no
+/// other instance there yet.
 #[test]
-fn announcement_waits_at_its_sender() {
+fn started_instance_passes_on_to_nobody() {
     assert_no_foreign_reset(Preset::Gazette, 7, &[25]);
 }
 
