Flow: what the review of the fixes found

Mended, with the path that it showed:

- a process that stops in the middle of a batch of packets went on with the time of before: the time is taken for each packet, and a batch ends where it has jumped by 20 ms, so that messages come first;
- a copy of an opening packet that was placed here was reset where no target may take it, though its target may have answered late: only if that target is lost is it reset (copy_of_a_flow_that_may_open_at_its_target_is_not_reset);
- the data after the first acknowledgement has the same sequence number and may carry a later token: an instance that has seen the bare acknowledgement names the holder first, and is not overridden (data_with_a_late_token_names_no_holder_before_the_acknowledgement);
- the correction for missing follow-ups was forgotten after an inconclusive probe;
- a tick without a packet was taken for an empty socket, also just after a stall or the first configuration: two ticks in time are needed;
- opening packets may wait for 150 ms, not 200, since answers and resets take their way, too;
- an unknown token is counted from when it became unknown again; the loss of a target resets no flow whose holder is another one;
- two turns of the event loop let the tasks that read the links run.

Also: a copy that comes after the first packet of a flow that opened here goes to its target (copy_of_a_flow_that_opened_here_goes_to_its_target).

--- a/crates/mustardway_flow/src/contested.rs
+++ b/crates/mustardway_flow/src/contested.rs
@@ -96,6 +96,11 @@
         contest.holder.filter(|_| sent < SENT_MAX_BYTES)
     }
 
+    /// Returns the token of the target that holds a contested flow, if it is known.
+    pub fn holder_of(&self, flow: &Flow) -> Option<Token> {
+        self.contests.get(flow)?.holder
+    }
+
     /// Returns the sequence number of the opening packet of a contested flow.
     pub fn opening_of(&self, flow: &Flow) -> Option<u32> {
         self.contests.get(flow).map(|contest| contest.opening)
@@ -174,6 +179,11 @@
         self.unconfirmed.contains(flow, now)
     }
 
+    /// Returns whether the packets of a flow have waited lately and need not wait any more.
+    pub fn has_waited(&self, flow: &Flow, now: Instant) -> bool {
+        self.unconfirmed.has_ended(flow, now)
+    }
+
     /// Records that a peer has confirmed an announcement.
     pub fn confirm(&mut self, from: &instance::Id, number: u64) {
         self.unconfirmed.confirm(from, number);
--- a/crates/mustardway_flow/src/contested/unconfirmed.rs
+++ b/crates/mustardway_flow/src/contested/unconfirmed.rs
@@ -59,6 +59,11 @@
         self.waits.get(flow).is_some_and(|wait| !wait.is_over(now))
     }
 
+    /// Returns whether the packets of a flow have waited lately, and do not any more.
+    pub(super) fn has_ended(&self, flow: &Flow, now: Instant) -> bool {
+        self.waits.get(flow).is_some_and(|wait| wait.is_over(now))
+    }
+
     /// Ends the wait of a flow whose holder a peer has told.
     pub(super) fn remove(&mut self, flow: &Flow, now: Instant) {
         if let Some(wait) = self.waits.get_mut(flow) {
--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -43,6 +43,10 @@
 /// longest interval of the ticks.
 const STALL_MIN: Span = Span::millis(100);
 
+/// Number of ticks without a packet after which no packet waits: packets that waited at the
+/// first one are handled before the second.
+const IDLE_TICKS_MIN: u32 = 2;
+
 /// What to do with a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -213,6 +217,8 @@
     has_backlog: bool,
     /// Whether a packet was handled since the latest tick.
     has_handled_packet: bool,
+    /// Number of ticks that came in time one after the other without a packet.
+    idle_ticks: u32,
     /// Time at which the latest pause and the handling of its packets ended.
     resumed: Instant,
     demand: Demand,
@@ -253,6 +259,7 @@
             caught_up: Instant::default(),
             has_backlog: false,
             has_handled_packet: false,
+            idle_ticks: 0,
             resumed: Instant::default(),
             demand: Demand::default(),
             unmet_since: None,
@@ -376,13 +383,16 @@
         now.since(self.last_tick) >= STALL_MIN || self.waited_max(now) >= STALL_MIN
     }
 
-    /// Records at a tick whether packets wait. They do after a stall and while nothing is
-    /// configured, until the backlog is cleared or no packet comes between two ticks.
+    /// Records at a tick whether packets wait. They may after a stall and while nothing is
+    /// configured, until the backlog is cleared or no packet is handled between two ticks
+    /// that come in time.
     fn update_backlog(&mut self, now: Instant) {
         let is_first = self.last_tick == Instant::default();
         let has_stalled = now.since(self.last_tick) >= STALL_MIN && !is_first;
-        let is_idle = self.is_configured() && !self.has_handled_packet;
-        self.has_backlog = has_stalled || self.has_backlog && !is_idle || !self.is_configured();
+        let is_idle = self.is_configured() && !has_stalled && !self.has_handled_packet;
+        self.idle_ticks = if is_idle { self.idle_ticks + 1 } else { 0 };
+        let may_wait = has_stalled || !self.is_configured() || self.has_backlog;
+        self.has_backlog = may_wait && self.idle_ticks < IDLE_TICKS_MIN;
         if !self.has_backlog || is_first {
             self.caught_up = now;
         }
--- a/crates/mustardway_flow/src/front/contested.rs
+++ b/crates/mustardway_flow/src/front/contested.rs
@@ -63,7 +63,12 @@
         }
         let opening = self.contested.opening_of(&flow).or(record.and_then(|it| it.opening));
         match opening {
-            Some(opening) if packet.is_first_after(opening) => {
+            // A late answer may have come before the data, so an instance that has seen the
+            // bare acknowledgement names the holder first.
+            Some(opening)
+                if packet.is_first_after(opening)
+                    && (packet.length == 0 || self.contested.has_waited(&flow, now)) =>
+            {
                 self.record_holder(flow, opening, index, now, actions);
             }
             // Another instance got the first packet, or sent the copy.
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -37,6 +37,9 @@
         let Some(target) = self.directory.get(index) else {
             return Verdict::Drop(DropReason::UnknownToken);
         };
+        if !self.unknown_tokens.is_empty() {
+            self.unknown_tokens.remove(&packet.flow());
+        }
         if !self.directory.has_routed_to(packet.destination, &target.registration.service) {
             return Verdict::Drop(DropReason::ForeignToken);
         }
@@ -70,10 +73,12 @@
         let record = self.table.get(&packet.flow());
         let open = record.filter(|record| record.stage != Stage::Opening);
         let open = open.filter(|record| self.directory.get(record.target).is_some());
-        let opening = open.and_then(|record| record.opening);
-        let is_contested = opening
-            .is_none_or(|opening| self.contested.opening_of(&packet.flow()) == Some(opening));
-        let holder = self.holder(packet).filter(|_| is_contested);
+        let contested = self.contested.opening_of(&packet.flow());
+        let is_same = |record: &Record| record.opening.is_none() || record.opening == contested;
+        let has_seen_open =
+            |record: &Record| contested.is_some_and(|opening| record.has_seen_open(opening));
+        let may_be_elsewhere = open.is_none_or(|open| is_same(open) && !has_seen_open(open));
+        let holder = self.holder(packet).filter(|_| may_be_elsewhere);
         let known = holder.or(open.map(|record| record.target));
         known.or_else(|| self.index_of_token(packet.token))
     }
@@ -124,7 +129,10 @@
         let is_measurable = |since: Instant| !self.is_clearing_backlog && since > self.resumed;
         let Some(record) = self.table.get_mut(&flow) else { return };
         record.last_packet = now;
-        record.first.get_or_insert(packet.sequence);
+        if record.first.is_none() {
+            record.first = Some(packet.sequence);
+            record.has_first_data = packet.length > 0;
+        }
         let mut responded = false;
         if record.stage == Stage::Opening {
             record.stage = Stage::Open;
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -26,8 +26,9 @@
 /// Time since a response within which an unregistered target is as good as others.
 /// Registrations of crashed targets expire later than that.
 const UNREGISTERED_RESPONSE_AGE_MAX: Span = Span::seconds(1);
-/// Times from an opening packet and its copies until a caller sends the next copy or gives up.
-const COPY_INTERVALS: [Span; 3] = [Span::millis(200), Span::millis(400), Span::millis(800)];
+/// Times for which an opening packet and its copies may wait: until the caller sends the next
+/// copy or gives up, less 50 ms for the way of an answer.
+const COPY_INTERVALS: [Span; 3] = [Span::millis(150), Span::millis(350), Span::millis(750)];
 /// Time within which the routers notice that an instance is not ready: two checks,
 /// each every 500 ms, and a margin for instances that notice later.
 const ROUTER_NOTICE_MAX: Span = Span::millis(1_500);
@@ -44,7 +45,7 @@
             return Verdict::Drop(DropReason::Stale);
         }
         if self.directory.route(packet.destination).is_none() {
-            if !self.is_fresh(now) || self.is_copy_of_unknown(packet) {
+            if !self.is_fresh(now) || self.may_be_open(packet) {
                 return Verdict::Drop(DropReason::NoRoute);
             }
             return self.reset(packet, ResetReason::NoRoute, now, actions);
@@ -61,9 +62,7 @@
             Placed::Nowhere if self.is_withdrawing(packet, now) => {
                 Verdict::Drop(DropReason::Withdrawing)
             }
-            Placed::Nowhere if self.is_copy_of_unknown(packet) => {
-                Verdict::Drop(DropReason::UnknownCopy)
-            }
+            Placed::Nowhere if self.may_be_open(packet) => Verdict::Drop(DropReason::UnknownCopy),
             Placed::Nowhere => self.reset(packet, ResetReason::NoTarget, now, actions),
         }
     }
@@ -82,10 +81,14 @@
         record.is_some_and(|record| record.opening == Some(packet.sequence))
     }
 
-    /// Returns whether a packet is a copy of an opening packet that another instance got.
-    /// The flow may have opened there.
-    fn is_copy_of_unknown(&self, packet: &Packet) -> bool {
-        packet.acknowledgement > 0 && !self.has_placed(packet)
+    /// Returns whether the flow of a copy of an opening packet may be open: another instance
+    /// got the first packet, or its target may have answered that one.
+    fn may_be_open(&self, packet: &Packet) -> bool {
+        let record = self.table.get(&packet.flow());
+        let placed = record.filter(|record| record.opening == Some(packet.sequence));
+        let target = placed.and_then(|record| self.directory.get(record.target));
+        let is_lost = target.is_some_and(|target| target.health.is_lost());
+        packet.acknowledgement > 0 && !is_lost
     }
 
     /// Returns whether the routers are about to send the caller's copies of an opening
@@ -108,6 +111,12 @@
     ) -> EarlierCopy {
         let flow = packet.flow();
         let record = self.table.get(&flow).copied();
+        // The flow opened through this instance, and another one got its opening packet.
+        if let Some(open) = record.filter(|it| it.has_seen_first_after(packet.sequence))
+            && let Some(verdict) = self.forward_to(open.target, true)
+        {
+            return EarlierCopy::Follow(verdict);
+        }
         let record = record.filter(|record| record.opening == Some(packet.sequence));
         if self.contested.opening_of(&flow) != Some(packet.sequence) {
             // A new flow uses the addresses of an earlier one.
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -283,7 +283,12 @@
             let route = self.directory.route(flow.route);
             let is_repeatable = route.is_some_and(Route::is_repeatable);
             // If no target holds the flow, the caller's next copy goes to another one.
-            if record.may_be_elsewhere(now) || !self.must_reset(index, is_repeatable) {
+            let holder = self.contested.holder_of(&flow).and_then(|it| self.index_of_token(it));
+            let is_elsewhere = holder.is_some_and(|holder| holder != index);
+            if is_elsewhere
+                || record.may_be_elsewhere(now)
+                || !self.must_reset(index, is_repeatable)
+            {
                 continue;
             }
             self.untrack(&flow, now);
--- a/crates/mustardway_flow/src/health.rs
+++ b/crates/mustardway_flow/src/health.rs
@@ -348,7 +348,7 @@
         }
         if !context.responsiveness.is_silence_conclusive(self.probe_sent) {
             self.unanswered = self.unanswered.min(1);
-            self.missing_follow_ups = 0;
+            self.missing_follow_ups = self.missing_follow_ups.min(self.unanswered);
             self.next_probe = now + RETRY_DELAY;
             return Transition::Unchanged;
         }
--- a/crates/mustardway_flow/src/table.rs
+++ b/crates/mustardway_flow/src/table.rs
@@ -49,6 +49,8 @@
     pub last_packet: Instant,
     /// Sequence number of the first packet that this instance saw on the open flow.
     pub first: Option<u32>,
+    /// Whether that packet carried data. A late answer may have come before data is sent.
+    pub has_first_data: bool,
     /// Sequence number up to which the caller has received.
     pub acknowledged: u32,
     /// Sequence number of the end of the data that the caller has sent; none before
@@ -87,6 +89,12 @@
         self.first == Some(opening.wrapping_add(1))
     }
 
+    /// Returns whether this instance saw the caller acknowledge the first answer to the opening
+    /// packet with sequence number `opening`, so that the recorded target holds the flow.
+    pub fn has_seen_open(&self, opening: u32) -> bool {
+        self.stage != Stage::Opening && self.has_seen_first_after(opening) && !self.has_first_data
+    }
+
     /// Creates the record of a flow that was just placed or is seen for the first
     /// time.
     pub fn new(target: usize, stage: Stage, now: Instant) -> Self {
@@ -98,6 +106,7 @@
             placed: now,
             last_packet: now,
             first: None,
+            has_first_data: false,
             acknowledged: 0,
             sent_end: None,
             request_since: None,
--- a/crates/mustardway_flow/tests/contested_flows.rs
+++ b/crates/mustardway_flow/tests/contested_flows.rs
@@ -530,3 +530,17 @@
     let verdict = fleet.harnesses[1].send(&opening(1, 1, 1));
     assert!(!matches!(verdict, Verdict::Reset(_)), "{verdict:?}");
 }
+
+/// The data that follows the first acknowledgement carries the token of a later answer, and goes
+/// through the instance that sent the copy.
+#[test]
+fn data_with_a_late_token_names_no_holder_before_the_acknowledgement() {
+    let mut fleet = Fleet::new(4, 0);
+    let (early, late, from) = copy_elsewhere(&mut fleet);
+    assert_eq!(fleet.send(2, &acknowledgement(from, 1, early)), Some(early));
+    fleet.send(1, &marked(request(from, 1, late)));
+    for number in [0, 1, 2, 3] {
+        let target = fleet.send(number, &marked(later_request(from, late)));
+        assert_eq!(target, Some(early), "instance {number}");
+    }
+}
--- a/crates/mustardway_front/src/dispatcher.rs
+++ b/crates/mustardway_front/src/dispatcher.rs
@@ -35,6 +35,8 @@
 pub const TICK_INTERVAL: Span = Span::millis(50);
 /// Packets that are read in one go before other events are handled.
 const PACKETS_PER_BATCH: usize = 64;
+/// Time between two packets of a batch from which the process may have stalled.
+const BATCH_STALL_MIN: Span = Span::millis(20);
 /// Maximum number of packets that are held.
 const HELD_PACKETS_MAX: usize = 256;
 /// Size of the receive buffer: envelope, header and 1,200 bytes of data, with a
@@ -236,9 +238,10 @@
         self.context.mesh.close(deadline).await;
     }
 
-    /// Reads and forwards waiting packets, up to `PACKETS_PER_BATCH`.
+    /// Reads and forwards waiting packets, up to `PACKETS_PER_BATCH` and until the process
+    /// has stalled, so that messages which arrived meanwhile are handled first.
     pub fn receive_packets(&mut self) {
-        let now = self.now();
+        let mut now = self.now();
         if self.pause_detector.was_paused(now) {
             // The state machines must learn of a pause before they see packets that
             // arrived during it.
@@ -249,20 +252,27 @@
         let mut backlog = front::Event::BacklogRemains;
         for _ in 0..PACKETS_PER_BATCH {
             let received = self.context.socket.try_recv_from(&mut self.buffer[envelope..]);
-            let length = match received {
-                Ok((length, _)) => length,
+            let before = std::mem::replace(&mut now, self.context.clock.now());
+            let has_stalled = now.since(before) >= BATCH_STALL_MIN;
+            match received {
+                Ok((length, _)) => {
+                    self.last_packet_at = now;
+                    self.handle_packet(envelope + length, now, &mut actions);
+                }
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
-                    backlog = front::Event::BacklogCleared;
+                    if !has_stalled {
+                        backlog = front::Event::BacklogCleared;
+                    }
                     break;
                 }
                 Err(error) => {
                     // An ICMP error: an earlier datagram was sent to a closed port.
                     slog::debug!(self.context.logger, "reading a packet failed"; "error" => %error);
-                    continue;
                 }
-            };
-            self.last_packet_at = now;
-            self.handle_packet(envelope + length, now, &mut actions);
+            }
+            if has_stalled {
+                break;
+            }
         }
         self.front.handle(now, backlog, &mut actions);
         self.apply_front_actions(actions, now);
--- a/crates/mustardway_front/src/run.rs
+++ b/crates/mustardway_front/src/run.rs
@@ -155,7 +155,9 @@
             readable = dispatcher.readable(), if dispatcher.is_configured() => {
                 readable?;
                 // Messages that arrived before the packets may tell where these belong. The
-                // tasks that read the links run before this one goes on.
+                // first turn lets the driver notice them, the second one lets the tasks that
+                // read the links pass them on.
+                tokio::task::yield_now().await;
                 tokio::task::yield_now().await;
                 for _ in 0..INPUT_QUEUE_LEN {
                     let Ok(input) = input_receiver.try_recv() else { break };
