--- a/crates/mustardway_flow/tests/opening_packets.rs
+++ b/crates/mustardway_flow/tests/opening_packets.rs
@@ -142,7 +142,7 @@
 #[test]
 fn shares_follow_weights() {
     let mut harness = Harness::new(0, 0);
-    let mut split = common::configuration(2);
+    let mut split = configuration(2);
     split.routes[0].shares = vec![
         mustardway_mirror::publication::Share {
             service: "orders".parse().expect("well formed"),
@@ -172,7 +172,7 @@
         weight,
     };
     let mut harness = Harness::new(0, 0);
-    let mut split = common::configuration(2);
+    let mut split = configuration(2);
     split.routes[0].shares = vec![share("orders", 1), share("files", 0)];
     harness.configure(split.clone());
     harness.publish(put(registration(1, "orders", HOME)));
