--- a/crates/mustardway_flow/src/front.rs
+++ b/crates/mustardway_flow/src/front.rs
@@ -19,6 +19,7 @@
 use rand_pcg::Pcg32;
 use rustc_hash::FxHashMap;
 
+use crate::backlog::Backlog;
 use crate::contested::Registry;
 use crate::contested::message as contested_message;
 use crate::demand::Demand;
@@ -39,14 +40,6 @@
 /// (3 s).
 const FRESHNESS_MAX: Span = Span::seconds(3);
 
-/// Time between two ticks from which packets may have waited at this instance: twice the
-/// longest interval of the ticks.
-const STALL_MIN: Span = Span::millis(100);
-
-/// Number of ticks without a packet after which no packet waits: packets that waited at the
-/// first one are handled before the second.
-const IDLE_TICKS_MIN: u32 = 2;
-
 /// What to do with a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -209,16 +202,7 @@
     reference_probed: Instant,
     /// Whether the packets being handled were received while the process did not run.
     is_clearing_backlog: bool,
-    /// Time of the latest tick.
-    last_tick: Instant,
-    /// Latest time at which no packet waited at this instance.
-    caught_up: Instant,
-    /// Whether packets may have waited since then.
-    has_backlog: bool,
-    /// Whether a packet was handled since the latest tick.
-    has_handled_packet: bool,
-    /// Number of ticks that came in time one after the other without a packet.
-    idle_ticks: u32,
+    backlog: Backlog,
     /// Time at which the latest pause and the handling of its packets ended.
     resumed: Instant,
     demand: Demand,
@@ -255,11 +239,7 @@
             responsiveness: Responsiveness::default(),
             reference_probed: Instant::default(),
             is_clearing_backlog: false,
-            last_tick: Instant::default(),
-            caught_up: Instant::default(),
-            has_backlog: false,
-            has_handled_packet: false,
-            idle_ticks: 0,
+            backlog: Backlog::default(),
             resumed: Instant::default(),
             demand: Demand::default(),
             unmet_since: None,
@@ -308,7 +288,7 @@
         if !self.is_configured() {
             return Verdict::Drop(DropReason::Unconfigured);
         }
-        self.has_handled_packet = true;
+        self.backlog.record_packet();
         // The caller has sent copies of this packet meanwhile, and another target may
         // have answered one. If a second target answered this packet, it would
         // attract the packets of the open flow.
@@ -343,13 +323,12 @@
                 self.handle_load(load_node::Event::Paused, now, actions);
             }
             Event::BacklogCleared => {
-                self.has_backlog = false;
-                self.caught_up = now;
+                self.backlog.clear(now);
                 if std::mem::take(&mut self.is_clearing_backlog) {
                     self.resumed = now;
                 }
             }
-            Event::BacklogRemains => self.has_backlog = true,
+            Event::BacklogRemains => self.backlog.remain(),
             Event::ProbeConnected(target) => self.probe_connected(&target, now),
             Event::Probed(target, outcome) => self.probed(&target, outcome, now, actions),
             Event::PeerReport { from, target, is_lost } => {
@@ -368,38 +347,6 @@
         }
     }
 
-    /// Returns the longest time for which a packet that is handled now may have waited at
-    /// this instance.
-    fn waited_max(&self, now: Instant) -> Span {
-        match self.last_tick == Instant::default() {
-            true => Span::ZERO,
-            false => now.since(self.caught_up),
-        }
-    }
-
-    /// Returns whether the packets that are handled now may have waited for so long that
-    /// their times show nothing about targets.
-    fn is_behind(&self, now: Instant) -> bool {
-        now.since(self.last_tick) >= STALL_MIN || self.waited_max(now) >= STALL_MIN
-    }
-
-    /// Records at a tick whether packets wait. They may after a stall and while nothing is
-    /// configured, until the backlog is cleared or no packet is handled between two ticks
-    /// that come in time.
-    fn update_backlog(&mut self, now: Instant) {
-        let is_first = self.last_tick == Instant::default();
-        let has_stalled = now.since(self.last_tick) >= STALL_MIN && !is_first;
-        let is_idle = self.is_configured() && !has_stalled && !self.has_handled_packet;
-        self.idle_ticks = if is_idle { self.idle_ticks + 1 } else { 0 };
-        let may_wait = has_stalled || !self.is_configured() || self.has_backlog;
-        self.has_backlog = may_wait && self.idle_ticks < IDLE_TICKS_MIN;
-        if !self.has_backlog || is_first {
-            self.caught_up = now;
-        }
-        self.last_tick = now;
-        self.has_handled_packet = false;
-    }
-
     /// Returns the time since the platform confirmed the published state.
     fn age(&self, now: Instant) -> Option<Span> {
         self.confirmed.map(|at| now.since(at))
--- a/crates/mustardway_flow/src/front/established.rs
+++ b/crates/mustardway_flow/src/front/established.rs
@@ -331,7 +331,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(target) = self.directory.get(index) else { return };
-        let is_early = now.since(since) < RESPONSE_TIMEOUT || self.is_behind(now);
+        let is_early = now.since(since) < RESPONSE_TIMEOUT || self.backlog.has_stalled(now);
         if is_early || target.observation.has_responded_after(since) {
             return;
         }
--- a/crates/mustardway_flow/src/front/open.rs
+++ b/crates/mustardway_flow/src/front/open.rs
@@ -72,7 +72,7 @@
     fn is_superseded(&self, packet: &Packet, now: Instant) -> bool {
         let copies = packet.acknowledgement as usize;
         let until_next = COPY_INTERVALS[copies.min(COPY_INTERVALS.len() - 1)];
-        self.waited_max(now) >= until_next && !self.has_placed(packet)
+        self.backlog.longest_wait(now) >= until_next && !self.has_placed(packet)
     }
 
     /// Returns whether this instance has placed an opening packet or an earlier copy of it.
@@ -132,7 +132,7 @@
         }
         let Some(record) = record else { return EarlierCopy::Unknown };
         let is_lost = self.directory.get(record.target).is_some_and(|it| it.health.is_lost());
-        let is_early = now.since(record.placed) < RESPONSE_TIMEOUT || self.is_behind(now);
+        let is_early = now.since(record.placed) < RESPONSE_TIMEOUT || self.backlog.has_stalled(now);
         let is_early = is_early && !is_lost;
         if (record.stage != Stage::Opening || is_early)
             && let Some(verdict) = self.forward_to(record.target, record.is_ambiguous)
--- a/crates/mustardway_flow/src/front/probing.rs
+++ b/crates/mustardway_flow/src/front/probing.rs
@@ -393,8 +393,8 @@
     /// Sends the probes that are due, updates the readiness and sweeps expired
     /// entries.
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        self.update_backlog(now);
-        if !self.is_behind(now) {
+        self.backlog.tick(self.directory.is_configured(), now);
+        if !self.backlog.has_stalled(now) {
             self.check_openings(now, actions);
         }
         self.handle_load(mustardway_load::node::Event::Tick, now, actions);
--- a/crates/mustardway_flow/src/lib.rs
+++ b/crates/mustardway_flow/src/lib.rs
@@ -29,6 +29,7 @@
 //! - [`front`]: the state machine that joins these parts.
 //! - [`note`]: decisions to log, and the reasons for drops and resets.
 
+mod backlog;
 pub mod contested;
 pub mod demand;
 pub mod directory;
